Serve a call through separate processes, thin and whole

The first path: caller, entry node, peer link (WebSocket, CBOR), target's node, target, with a platform stand-in.

--- /dev/null
+++ b/packages/cli/src/camphorshelf_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' program of camphorshelf."""
--- /dev/null
+++ b/packages/core/src/camphorshelf_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions, messages, result codes and protocol state machines, without I/O."""
--- /dev/null
+++ b/packages/core/src/camphorshelf_core/errors.py
@@ -0,0 +1,85 @@
+"""Every numbered result code, refusal and exception of camphorshelf."""
+
+from enum import Enum, IntEnum
+from typing import NamedTuple
+
+
+class Ran(Enum):
+    """Whether the work behind a refused call ran at the target."""
+
+    NOT_RUN = "NOT_RUN"
+    RAN = "RAN"
+    OUTCOME_UNKNOWN = "OUTCOME_UNKNOWN"
+
+
+class Code(IntEnum):
+    """Numbered result codes; docs/RESULT-CODES.md is their table."""
+
+    OK = 0
+
+    BAD_REQUEST = 101
+    HEADERS_TOO_LARGE = 102
+    BODY_TOO_LARGE = 103
+    SENDER_TOO_SLOW = 104
+    UNKNOWN_SERVICE = 105
+    BAD_DEADLINE = 106
+
+    QUEUE_FULL = 201
+    DEADLINE_UNREACHABLE = 202
+    SHARE_EXCEEDED = 203
+    NO_TARGET = 204
+    TARGET_LEAVING = 205
+    NODE_STOPPING = 206
+    NODE_STARTING = 207
+
+    DEADLINE_EXCEEDED = 301
+    TARGET_UNREACHABLE = 302
+    TARGET_LOST = 303
+    ANSWER_CUT_SHORT = 304
+    PEER_LOST = 305
+    CANCELLED = 306
+
+
+_STATUS = {
+    Code.BAD_REQUEST: 400,
+    Code.HEADERS_TOO_LARGE: 431,
+    Code.BODY_TOO_LARGE: 413,
+    Code.SENDER_TOO_SLOW: 408,
+    Code.UNKNOWN_SERVICE: 404,
+    Code.BAD_DEADLINE: 400,
+    Code.DEADLINE_EXCEEDED: 504,
+    Code.TARGET_LOST: 502,
+    Code.ANSWER_CUT_SHORT: 502,
+    Code.PEER_LOST: 502,
+}
+_DEFAULT_STATUS = 503
+
+
+def http_status(code):
+    """Give the HTTP status that carries a result code.
+
+    :param code: a :class:`Code`.
+    :return: the status as an integer.
+    """
+    return _STATUS.get(code, _DEFAULT_STATUS)
+
+
+class Refusal(NamedTuple):
+    """The final answer to a call that camphorshelf gives up on."""
+
+    code: Code
+    reason: str
+    ran: Ran = Ran.NOT_RUN
+    retry_after_ms: int | None = None
+
+
+class CamphorshelfError(Exception):
+    """Base of the exceptions raised by camphorshelf."""
+
+
+class SettingsError(CamphorshelfError):
+    """A settings file that cannot be used."""
+
+
+class ProtocolError(CamphorshelfError):
+    """A peer sent something that is not a message of the protocol."""
--- /dev/null
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -0,0 +1,96 @@
+"""The typed messages between nodes and their CBOR form."""
+
+from typing import NamedTuple
+
+import cbor2
+
+from .calls import AttemptId
+from .errors import Code, ProtocolError, Ran
+from .load import LoadReport
+
+
+class CallMessage(NamedTuple):
+    """Asks a target's node to run a call; ``call_id`` is never reused on its link."""
+
+    call_id: int
+    attempt: AttemptId
+    service: str
+    target: str
+    deadline_ms: int
+    caller: str
+    method: str
+    path: bytes
+    headers: tuple
+    body: bytes
+
+
+class AnswerMessage(NamedTuple):
+    """Carries a target's whole answer."""
+
+    call_id: int
+    status: int
+    headers: tuple
+    body: bytes
+    load: LoadReport
+
+
+class RefusedMessage(NamedTuple):
+    """Says that a call got no answer, and whether it ran."""
+
+    call_id: int
+    code: int
+    reason: str
+    ran: str
+    retry_after_ms: int | None
+    load: LoadReport
+
+
+class CancelMessage(NamedTuple):
+    """Says that nobody waits for a call any more."""
+
+    call_id: int
+
+
+_KINDS = {1: CallMessage, 2: AnswerMessage, 3: RefusedMessage, 4: CancelMessage}
+_NUMBERS = {cls: number for number, cls in _KINDS.items()}
+
+
+def encode(message):
+    """Turn a message into bytes.
+
+    :param message: one of this module's messages.
+    :return: the CBOR form, an array that starts with the message's number.
+    """
+    return cbor2.dumps((_NUMBERS[type(message)], *message))
+
+
+def decode(data):
+    """Read a message from bytes.
+
+    :param data: the bytes of one frame.
+    :return: the message.
+    :raises ProtocolError: when the bytes are no message.
+    """
+    try:
+        kind, *fields = cbor2.loads(data)
+        return _restore(_KINDS[kind](*fields))
+    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
+        raise ProtocolError(f"not a message: {error}") from error
+
+
+def _restore(message):
+    if isinstance(message, CallMessage):
+        attempt = AttemptId(*message.attempt)
+        return message._replace(attempt=attempt, headers=_pairs(message.headers))
+    if isinstance(message, AnswerMessage):
+        load = LoadReport(*message.load)
+        return message._replace(load=load, headers=_pairs(message.headers))
+    if isinstance(message, RefusedMessage):
+        Code(message.code)
+        Ran(message.ran)
+        return message._replace(load=LoadReport(*message.load))
+    return message
+
+
+def _pairs(headers):
+    return tuple((name, value) for name, value in headers)
--- /dev/null
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -0,0 +1,114 @@
+"""The settings of a node, read from JSON with comments and checked field by field."""
+
+from ipaddress import ip_address
+from typing import Annotated, NamedTuple
+
+import json5
+from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+_TCP_PORTS = range(0, 65536)
+
+
+def _check_address(value):
+    host, separator, port = value.rpartition(":")
+    if not separator or not port.isdigit() or int(port) not in _TCP_PORTS:
+        raise ValueError("must be IP:PORT")
+    ip_address(host.strip("[]"))
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Milliseconds = Annotated[int, Field(ge=1, le=3_600_000)]
+Bytes = Annotated[int, Field(ge=1, le=1 << 30)]
+
+
+class ListenSettings(NamedTuple):
+    """Where a node listens: for callers, for peers and for administration."""
+
+    callers: Address
+    peers: Address
+    admin: Address
+
+
+class PlatformSettings(NamedTuple):
+    """Where the platform's table service and object store are."""
+
+    table: Address
+    objects: Address
+    timeout_ms: Milliseconds = 500
+
+
+class LimitSettings(NamedTuple):
+    """Bounds on what callers may send and how long it may take."""
+
+    head_bytes: Bytes = 16_384
+    body_bytes: Bytes = 1_048_576
+    answer_bytes: Bytes = 8_388_608
+    head_timeout_ms: Milliseconds = 5_000
+    body_timeout_ms: Milliseconds = 15_000
+    idle_timeout_ms: Milliseconds = 75_000
+    default_deadline_ms: Milliseconds = 10_000
+    max_deadline_ms: Milliseconds = 60_000
+    caller_connections: Annotated[int, Field(ge=1, le=100_000)] = 1_000
+
+
+class Settings(NamedTuple):
+    """All settings of one node."""
+
+    name: Name
+    failure_domain: Name
+    listen: ListenSettings
+    platform: PlatformSettings
+    limits: LimitSettings = LimitSettings()
+
+
+_ADAPTER = TypeAdapter(Settings)
+
+
+def split_address(address):
+    """Split a checked address.
+
+    :param address: ``IP:PORT``.
+    :return: the pair of IP and port number.
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def parse_settings(text) -> Result[Settings, str]:
+    """Check the text of a settings file.
+
+    :param text: JSON with comments.
+    :return: ``Success`` of the settings, or ``Failure`` of the lines that name each bad field.
+    """
+    try:
+        raw = json5.loads(text)
+    except ValueError as error:
+        return Failure(f"not JSON with comments: {error}")
+    try:
+        return Success(_ADAPTER.validate_python(raw))
+    except ValidationError as error:
+        return Failure("\n".join(_describe(problem) for problem in error.errors()))
+
+
+def read_settings(path) -> Result[Settings, str]:
+    """Read and check a settings file.
+
+    :param path: the file's path.
+    :return: ``Success`` of the settings, or ``Failure`` of lines that name file and field.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except OSError as error:
+        return Failure(f"{path}: {error.strerror}")
+    return parse_settings(text).alt(
+        lambda lines: "\n".join(f"{path}: {line}" for line in lines.splitlines())
+    )
+
+
+def _describe(problem):
+    field = ".".join(str(part) for part in problem["loc"]) or "(whole file)"
+    return f"{field}: {problem['msg']}; saw {problem['input']!r}"
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/__init__.py
@@ -0,0 +1,1 @@
+"""The camphorshelf process beside each target."""
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/admin.py
@@ -0,0 +1,61 @@
+"""The administration listener, served by circuits.web."""
+
+import json
+
+from circuits import handler
+from circuits.web import BaseServer
+from circuits.web.errors import httperror
+from pydantic import TypeAdapter, ValidationError
+
+from camphorshelf_core.roster import Announcement
+
+_ANNOUNCEMENT = TypeAdapter(Announcement)
+
+
+class AdminServer(BaseServer):
+    """Takes announcements of the target beside the node and answers health checks."""
+
+    channel = "admin"
+
+    def __init__(self, address, node):
+        super().__init__(address, channel=self.channel, display_banner=False)
+        self._node = node
+        self._routes = {
+            ("POST", "/announce"): self._announce,
+            ("GET", "/healthz"): self._health,
+            ("GET", "/readyz"): self._ready,
+        }
+
+    @handler("ready", override=True)
+    def _on_ready(self, server, bind):
+        """Keep the library's banner off standard error."""
+
+    @handler("signal", override=True)
+    def _on_signal(self, *args):
+        """Leave signals to the node."""
+
+    @handler("request", priority=1)
+    def _on_request(self, event, request, response):
+        event.stop()
+        route = self._routes.get((request.method, request.path))
+        if route is None:
+            return httperror(request, response, 404)
+        response.headers["Content-Type"] = "application/json"
+        status, document = route(request)
+        response.status = status
+        return json.dumps(document)
+
+    def _announce(self, request):
+        try:
+            target = _ANNOUNCEMENT.validate_python(json.loads(request.body.read()))
+        except (ValueError, ValidationError) as error:
+            return 400, {"error": str(error)}
+        self._node.announce(target)
+        return 200, {"node": self._node.settings.name}
+
+    def _health(self, request):
+        return 200, {"status": "up"}
+
+    def _ready(self, request):
+        ready = self._node.ready
+        return (200 if ready else 503), {"ready": ready}
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/filters.py
@@ -0,0 +1,70 @@
+"""The chain of filters that each caller's request passes through."""
+
+from camphorshelf_core.calls import header
+from camphorshelf_core.errors import Code, Refusal
+
+DEADLINE_HEADER = b"deadline-ms"
+
+
+def make_chain(filters, last):
+    """Join filters into one function.
+
+    :param filters: functions that take an exchange and the next step.
+    :param last: takes the exchange that passed them all.
+    :return: a function that takes an exchange.
+    """
+    step = last
+    for one in reversed(filters):
+        step = _bind(one, step)
+    return step
+
+
+def _bind(one, following):
+    return lambda exchange: one(exchange, following)
+
+
+def make_identity_filter(services):
+    """Make the filter that tells the service from the Host header.
+
+    :param services: tells whether a service of that name is known.
+    :return: the filter.
+    """
+
+    def identify(exchange, proceed):
+        host = header(exchange.request.headers, b"host")
+        if host is None:
+            exchange.refuse(Refusal(Code.BAD_REQUEST, "a Host header is required"))
+            return
+        exchange.service = host.split(b":")[0].split(b".")[0].decode("latin-1").lower()
+        if not services(exchange.service):
+            reason = "no such service, or none of its targets is known yet"
+            exchange.refuse(Refusal(Code.UNKNOWN_SERVICE, reason, retry_after_ms=1000))
+            return
+        proceed(exchange)
+
+    return identify
+
+
+def make_deadline_filter(limits, loop):
+    """Make the filter that reads the deadline header.
+
+    :param limits: the :class:`~camphorshelf_core.settings.LimitSettings`.
+    :param loop: the node's loop.
+    :return: the filter.
+    """
+
+    def read_deadline(exchange, proceed):
+        value = header(exchange.request.headers, DEADLINE_HEADER)
+        if value is None:
+            milliseconds = limits.default_deadline_ms
+        elif value.isdigit() and len(value) < 10 and int(value) > 0:
+            milliseconds = min(int(value), limits.max_deadline_ms)
+        else:
+            reason = "Deadline-Ms must be a whole number of milliseconds above 0"
+            exchange.refuse(Refusal(Code.BAD_DEADLINE, reason))
+            return
+        exchange.started = loop.now()
+        exchange.deadline = exchange.started + milliseconds / 1000
+        proceed(exchange)
+
+    return read_deadline
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -0,0 +1,106 @@
+"""One node: its loop, listeners, controllers and filter chain."""
+
+import os
+import random
+import signal
+
+from circuits import Component, handler
+
+from camphorshelf_core.settings import split_address
+
+from .admin import AdminServer
+from .dispatch import Dispatcher
+from .filters import make_chain, make_deadline_filter, make_identity_filter
+from .gatekeeper import Gatekeeper
+from .http import HttpConnection
+from .links import PeerServer
+from .log import Log
+from .loop import Loop
+from .platform import Platform
+from .roster import Roster
+from .streams import listen
+
+_INCARNATION_BYTES = 8
+_DRAIN_POLL_SECONDS = 0.02
+
+
+class Node(Component):
+    """Everything that runs in one node process."""
+
+    channel = "node"
+
+    def __init__(self, settings):
+        super().__init__()
+        self.settings = settings
+        self.incarnation = os.urandom(_INCARNATION_BYTES).hex()
+        self._loop = Loop().register(self)
+        self._log = Log(settings.name)
+        self._platform = Platform(self._loop, settings.platform)
+        self._roster = Roster(self._loop, settings, self._platform)
+        self._gatekeeper = Gatekeeper(self._loop, settings.limits)
+        self._connections = set()
+        self._stopping = False
+        dispatcher = Dispatcher(
+            self._loop,
+            settings,
+            self.incarnation,
+            self._roster,
+            self._gatekeeper,
+            self._log,
+            random.Random(self.incarnation),
+        )
+        filters = (
+            make_identity_filter(self._roster.knows),
+            make_deadline_filter(settings.limits, self._loop),
+        )
+        self._handle = make_chain(filters, dispatcher.dispatch)
+        self._admin = AdminServer(split_address(settings.listen.admin), self).register(self)
+
+    @property
+    def ready(self):
+        """Whether callers should send requests here."""
+        return not self._stopping
+
+    def announce(self, target):
+        """Take an announcement of the target beside this node.
+
+        :param target: the announcement.
+        :return: None.
+        """
+        if self._gatekeeper.announce(target):
+            self._roster.announce(self.incarnation, target)
+            self._log.info(f"target announced: {target.service} at {target.address}")
+
+    @handler("started", channel="*")
+    def _on_started(self, _manager):
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        listening = self.settings.listen
+        self._close_callers = listen(self._loop, split_address(listening.callers), self._on_caller)
+        self._close_peers = listen(
+            self._loop,
+            split_address(listening.peers),
+            lambda stream, _peer: PeerServer(stream, self._gatekeeper),
+        )
+        self._roster.start()
+        self._log.info(f"listening for callers on {listening.callers}")
+
+    def _on_caller(self, stream, _peer):
+        connection = HttpConnection(stream, self.settings.limits, self._loop, self._handle)
+        self._connections.add(connection)
+
+    def _on_signal(self, _number, _frame):
+        # circuits would raise SystemExit in a handler here, which leaves its loop spinning
+        # and deaf; the loop itself ends the node instead.
+        if self._stopping:
+            os._exit(1)
+        self._stopping = True
+        self._loop.call_later(0, self._drain)
+        self._loop.resume()
+
+    def _drain(self):
+        self._close_callers()
+        if any(connection.busy for connection in self._connections):
+            self._loop.call_later(_DRAIN_POLL_SECONDS, self._drain)
+        else:
+            self.stop()
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/platform.py
@@ -0,0 +1,86 @@
+"""The client of the platform's table service, spoken to by its published JSON protocol."""
+
+import base64
+import json
+
+from camphorshelf_core.calls import Request
+from camphorshelf_core.settings import split_address
+
+from .httpclient import Failed, HttpClient
+
+TABLE = "camphorshelf"
+_MAX_CONNECTIONS = 4
+_MAX_ANSWER = 16 * 1024 * 1024
+_VERSION = "DynamoDB_20120810"
+
+
+class Platform:
+    """Reads and writes rows; every outcome comes by callback."""
+
+    def __init__(self, loop, settings):
+        self._loop = loop
+        self._timeout = settings.timeout_ms / 1000
+        address = split_address(settings.table)
+        self._client = HttpClient(loop, address, _MAX_CONNECTIONS, _MAX_ANSWER)
+
+    def put(self, partition, key, data, on_done):
+        """Write a row.
+
+        :param partition: the row's partition.
+        :param key: the row's key in it.
+        :param data: the row's bytes.
+        :param on_done: takes True, or None when the outcome is unknown.
+        :return: None.
+        """
+        item = {**_key(partition, key), "doc": {"B": base64.b64encode(data).decode()}}
+        body = {"TableName": TABLE, "Item": item}
+        self._ask("PutItem", body, lambda answer: on_done(None if answer is None else True))
+
+    def query(self, partition, on_done):
+        """Read all rows of a partition.
+
+        :param partition: its name.
+        :param on_done: takes a dict of key to bytes, or None when the platform is down.
+        :return: None.
+        """
+        body = {
+            "TableName": TABLE,
+            "KeyConditionExpression": "pk = :p",
+            "ExpressionAttributeValues": {":p": {"S": partition}},
+            "ConsistentRead": True,
+        }
+
+        def done(answer):
+            on_done(None if answer is None else _rows(answer["Items"]))
+
+        self._ask("Query", body, done)
+
+    def _ask(self, operation, body, on_done):
+        headers = (
+            (b"host", b"table"),
+            (b"content-type", b"application/x-amz-json-1.0"),
+            (b"x-amz-target", f"{_VERSION}.{operation}".encode()),
+        )
+        request = Request("POST", b"/", headers, json.dumps(body).encode())
+
+        def done(result):
+            timer.cancel()
+            if isinstance(result, Failed) or result.status != 200:
+                on_done(None)
+            else:
+                on_done(json.loads(result.body))
+
+        def give_up():
+            abandon()
+            on_done(None)
+
+        timer = self._loop.call_later(self._timeout, give_up)
+        abandon = self._client.send(request, done)
+
+
+def _key(partition, key):
+    return {"pk": {"S": partition}, "sk": {"S": key}}
+
+
+def _rows(items):
+    return {item["sk"]["S"]: base64.b64decode(item["doc"]["B"]) for item in items}
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,94 @@
+"""Runs every feature, several at once, and prints one closing line."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+_ROOT = Path(__file__).resolve().parent.parent
+_FEATURES = _ROOT / "tests" / "features"
+_KNOWN_RED = _ROOT / "KNOWN-RED.txt"
+_WORKERS = 4
+_FEATURE_SECONDS = 900
+
+
+class Scenario(NamedTuple):
+    """One scenario's verdict."""
+
+    name: str
+    status: str
+    report: str
+
+
+def main(patterns):
+    """Run the features whose path contains one of the patterns (none: all)."""
+    features = [str(path) for path in sorted(_FEATURES.rglob("*.feature"))]
+    if patterns:
+        features = [path for path in features if any(one in path for one in patterns)]
+    with ThreadPoolExecutor(_WORKERS) as pool:
+        results = list(pool.map(_run_feature, features))
+    scenarios = [scenario for result in results for scenario in result]
+    known_red = _read_known_red()
+    failed = [one for one in scenarios if one.status != "passed"]
+    for one in failed:
+        mark = "KNOWN RED" if one.name in known_red else "FAILED"
+        print(f"{mark}: {one.name}\n{one.report}")
+    unknown = [one for one in failed if one.name not in known_red]
+    passed = len(scenarios) - len(failed)
+    print(f"{passed} passed, {len(unknown)} failed")
+    sys.exit(1 if unknown or not scenarios else 0)
+
+
+def _run_feature(path):
+    with tempfile.NamedTemporaryFile(suffix=".json") as out:
+        command = [sys.executable, "-m", "behave", "--format", "json", "--outfile", out.name]
+        done = subprocess.run(
+            [*command, "--no-summary", path],
+            cwd=_ROOT,
+            env={**os.environ, "PYTHONPATH": str(_ROOT / "tests")},
+            capture_output=True,
+            text=True,
+            timeout=_FEATURE_SECONDS,
+        )
+        scenarios = _read_results(Path(out.name).read_text())
+    if not scenarios or (done.returncode and all(one.status == "passed" for one in scenarios)):
+        scenarios.append(Scenario(path, "failed", done.stdout + done.stderr))
+    print(f"{Path(path).name}: {sum(one.status == 'passed' for one in scenarios)} passed")
+    return scenarios
+
+
+def _read_results(text):
+    if not text:
+        return []
+    elements = [element for feature in json.loads(text) for element in feature["elements"]]
+    return [
+        Scenario(element["name"], element.get("status", "untested"), _report(element))
+        for element in elements
+        if element["type"] == "scenario"
+    ]
+
+
+def _report(element):
+    lines = []
+    for step in element["steps"]:
+        result = step.get("result", {})
+        if result.get("status", "undefined") != "passed":
+            lines.append(f"  {step['keyword']} {step['name']}: {result.get('status', 'not run')}")
+            message = result.get("error_message", "")
+            lines.extend([message] if isinstance(message, str) else message)
+    return "\n".join(lines)
+
+
+def _read_known_red():
+    if not _KNOWN_RED.exists():
+        return set()
+    lines = _KNOWN_RED.read_text().splitlines()
+    return {line.split("|")[0].strip() for line in lines if line and not line.startswith("#")}
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/tests/standins/deployment.py
@@ -0,0 +1,179 @@
+"""Starts a platform, nodes and targets as separate processes on loopback and ends them."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from standins.caller import call
+
+_TESTS = Path(__file__).resolve().parent.parent
+_START_SECONDS = 20.0
+_STOP_SECONDS = 10.0
+
+
+class NodePlan(NamedTuple):
+    """A node to start and the target beside it (no service: none)."""
+
+    name: str
+    service: str | None = None
+    failure_domain: str = "fd-a"
+    slots: int = 10
+    work_ms: float = 1
+    settings: dict = {}
+
+
+class RunningNode(NamedTuple):
+    """Where a started node listens."""
+
+    name: str
+    callers: str
+    peers: str
+    admin: str
+    target: str
+
+
+class Deployment:
+    """The processes of one small deployment."""
+
+    def __init__(self, plans, log_level="WARNING"):
+        self._directory = tempfile.TemporaryDirectory(prefix="camphorshelf-")
+        self._log_level = log_level
+        self._plans = {plan.name: plan for plan in plans}
+        self._processes = {}
+        self._nodes = {}
+        self.platform = _address()
+        self._start("platform", [sys.executable, "-m", "standins.platform", self.platform])
+        self._wait(self.platform)
+        for plan in plans:
+            ports = [_address() for _ in range(4)]
+            self._nodes[plan.name] = RunningNode(plan.name, *ports)
+        for plan in plans:
+            self.start_node(plan.name)
+            self.start_target(plan.name)
+
+    @property
+    def nodes(self):
+        """The started nodes by name."""
+        return self._nodes
+
+    @property
+    def directory(self):
+        """Where settings and logs are, as a path."""
+        return Path(self._directory.name)
+
+    def start_node(self, name):
+        """Start a node, or start it again at the same addresses."""
+        plan, node = self._plans[name], self._nodes[name]
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(self._settings(plan, node), indent=1))
+        command = [sys.executable, "-m", "camphorshelf_node", "--settings", str(path)]
+        self._start(f"node-{name}", [*command, "--log-level", self._log_level])
+        self._wait(node.admin)
+        self._wait(node.callers)
+
+    def start_target(self, name):
+        """Start the target beside a node."""
+        plan, node = self._plans[name], self._nodes[name]
+        if plan.service is None:
+            return
+        options = {
+            "name": name,
+            "service": plan.service,
+            "address": node.target,
+            "slots": plan.slots,
+            "work_ms": plan.work_ms,
+            "announce": node.admin,
+        }
+        command = [sys.executable, "-m", "standins.target", json.dumps(options)]
+        self._start(f"target-{name}", command)
+        self._wait(node.target)
+
+    def signal(self, process, number):
+        """Send a signal to ``node-NAME``, ``target-NAME`` or ``platform``."""
+        self._processes[process].send_signal(number)
+
+    def wait_end(self, process):
+        """Wait for a process to end and give its exit status."""
+        return self._processes[process].wait(_STOP_SECONDS)
+
+    def pid(self, process):
+        """The process id of a started process."""
+        return self._processes[process].pid
+
+    def log(self, process):
+        """What a process has written so far."""
+        return (self.directory / f"{process}.log").read_text()
+
+    def wait_until(self, condition, seconds=_START_SECONDS):
+        """Wait for a condition to hold; raises TimeoutError when it does not."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if condition():
+                return
+            time.sleep(0.02)
+        raise TimeoutError("the condition did not come to hold")
+
+    def wait_served(self, name, service):
+        """Wait until a node serves calls to a service."""
+        address = self._nodes[name].callers
+        self.wait_until(lambda: call(address, "GET", service, "/ready").status == 200)
+
+    def set_faults(self, **faults):
+        """Set the platform's faults, replacing all earlier ones."""
+        call(self.platform, "POST", "platform", "/_faults", body=json.dumps(faults).encode())
+
+    def runs(self, name):
+        """How often the target beside a node ran each key."""
+        address = self._nodes[name].target
+        return json.loads(call(address, "GET", "target", "/_runs").body)
+
+    def close(self):
+        """End every process that was started and remove the files."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes.values():
+            process.wait()
+        self._directory.cleanup()
+
+    def _settings(self, plan, node):
+        settings = {
+            "name": plan.name,
+            "failure_domain": plan.failure_domain,
+            "listen": {"callers": node.callers, "peers": node.peers, "admin": node.admin},
+            "platform": {"table": self.platform, "objects": self.platform},
+        }
+        return {**settings, **plan.settings}
+
+    def _start(self, name, command):
+        environment = {**os.environ, "PYTHONPATH": str(_TESTS)}
+        with open(self.directory / f"{name}.log", "ab") as log:
+            self._processes[name] = subprocess.Popen(
+                command, env=environment, stdout=log, stderr=log
+            )
+
+    def _wait(self, address):
+        host, port = address.split(":")
+
+        def connects():
+            try:
+                socket.create_connection((host, int(port)), timeout=1).close()
+            except OSError:
+                return False
+            return True
+
+        self.wait_until(connects)
+
+
+def _address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,173 @@
+"""Stand-in of the platform: a transactional table service and an object store.
+
+The table speaks the part of the published DynamoDB JSON protocol that nodes use, objects are
+plain GET and PUT. ``POST /_faults`` with a JSON object sets faults: ``refuse`` (503 to all),
+``delay_ms`` (before each answer), ``lose_answers`` (apply that many writes, then hang up) and
+``apply_late_ms`` (hang up first, apply the write after that time, for ``late_writes`` writes).
+"""
+
+import asyncio
+import json
+import sys
+from urllib.parse import unquote
+
+from standins.server import Reply, run_server
+
+_WRITES = frozenset({"PutItem", "DeleteItem", "TransactWriteItems"})
+
+
+class ConditionFailedError(Exception):
+    """A write whose condition does not hold."""
+
+
+class Table:
+    """Rows by partition and sort key, with conditional and transactional writes."""
+
+    def __init__(self):
+        self._rows = {}
+        self.reads = 0
+        self.writes = 0
+
+    def run(self, operation, body):
+        """Carry out one operation of the published protocol."""
+        if operation in _WRITES:
+            self.writes += 1
+        else:
+            self.reads += 1
+        return getattr(self, f"_{operation}")(body)
+
+    def _PutItem(self, body):  # noqa: N802
+        self._check(body, body["Item"])
+        self._rows[_key(body["Item"])] = body["Item"]
+        return {}
+
+    def _DeleteItem(self, body):  # noqa: N802
+        self._check(body, body["Key"])
+        self._rows.pop(_key(body["Key"]), None)
+        return {}
+
+    def _GetItem(self, body):  # noqa: N802
+        item = self._rows.get(_key(body["Key"]))
+        return {} if item is None else {"Item": item}
+
+    def _Query(self, body):  # noqa: N802
+        partition = body["ExpressionAttributeValues"][":p"]["S"]
+        found = [row for key, row in sorted(self._rows.items()) if key[0] == partition]
+        return {"Items": found, "Count": len(found)}
+
+    def _TransactWriteItems(self, body):  # noqa: N802
+        reasons = []
+        for entry in body["TransactItems"]:
+            ((kind, action),) = entry.items()
+            holds = self._holds(action, action.get("Item") or action["Key"])
+            reasons.append({"Code": "None" if holds else "ConditionalCheckFailed"})
+        if any(reason["Code"] != "None" for reason in reasons):
+            raise ConditionFailedError(reasons)
+        for entry in body["TransactItems"]:
+            ((kind, action),) = entry.items()
+            if kind == "Put":
+                self._rows[_key(action["Item"])] = action["Item"]
+            elif kind == "Delete":
+                self._rows.pop(_key(action["Key"]), None)
+        return {}
+
+    def _check(self, action, key_item):
+        if not self._holds(action, key_item):
+            raise ConditionFailedError(None)
+
+    def _holds(self, action, key_item):
+        row = self._rows.get(_key(key_item))
+        for term in filter(None, action.get("ConditionExpression", "").split(" AND ")):
+            if not _term_holds(term.strip(), row, action):
+                return False
+        return True
+
+
+def _term_holds(term, row, action):
+    if term == "attribute_not_exists(pk)":
+        return row is None
+    if term == "attribute_exists(pk)":
+        return row is not None
+    name, value = (part.strip() for part in term.split("="))
+    name = action.get("ExpressionAttributeNames", {}).get(name, name)
+    return row is not None and row.get(name) == action["ExpressionAttributeValues"][value]
+
+
+def _key(item):
+    return item["pk"]["S"], item["sk"]["S"]
+
+
+class Platform:
+    """Both services and the faults set on them."""
+
+    def __init__(self):
+        self._table = Table()
+        self._objects = {}
+        self._faults = {}
+
+    async def serve(self, received):
+        """Answer one request."""
+        if received.path == "/_faults":
+            self._faults = json.loads(received.body)
+            return Reply()
+        if received.path == "/_counts":
+            counts = {"reads": self._table.reads, "writes": self._table.writes}
+            return Reply(body=json.dumps(counts).encode())
+        if self._faults.get("refuse"):
+            return Reply(status=503)
+        if self._faults.get("delay_ms"):
+            await asyncio.sleep(self._faults["delay_ms"] / 1000)
+        target = received.headers.get("x-amz-target")
+        if target is None:
+            return self._serve_object(received)
+        return await self._serve_table(target.partition(".")[2], json.loads(received.body))
+
+    def _serve_object(self, received):
+        key = unquote(received.path)
+        if received.method == "PUT":
+            self._objects[key] = received.body
+            return Reply()
+        if key in self._objects:
+            return Reply(body=self._objects[key])
+        return Reply(status=404)
+
+    async def _serve_table(self, operation, body):
+        if operation in _WRITES and self._take("late_writes"):
+            late = self._faults["apply_late_ms"] / 1000
+            asyncio.get_running_loop().call_later(late, self._apply_quietly, operation, body)
+            return Reply(hang_up=True)
+        reply = self._apply(operation, body)
+        if operation in _WRITES and self._take("lose_answers"):
+            return Reply(hang_up=True)
+        return reply
+
+    def _take(self, fault):
+        left = self._faults.get(fault, 0)
+        if left:
+            self._faults[fault] = left - 1
+        return bool(left)
+
+    def _apply(self, operation, body):
+        try:
+            document = self._table.run(operation, body)
+        except ConditionFailedError as error:
+            return _condition_failed(error.args[0])
+        return Reply(body=json.dumps(document).encode())
+
+    def _apply_quietly(self, operation, body):
+        self._apply(operation, body)
+
+
+def _condition_failed(reasons):
+    if reasons is None:
+        document = {"__type": "com.amazonaws.dynamodb.v20120810#ConditionalCheckFailedException"}
+    else:
+        document = {
+            "__type": "com.amazonaws.dynamodb.v20120810#TransactionCanceledException",
+            "CancellationReasons": reasons,
+        }
+    return Reply(status=400, body=json.dumps(document).encode())
+
+
+if __name__ == "__main__":
+    run_server(sys.argv[1], Platform().serve)
