Let any message with a call_id be asked over a peer link

Cause: three parts (claims, configuration, roster) need their own questions between nodes, and the serving side knew calls only.

--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -12,7 +12,6 @@
 from camphorshelf_core.errors import Code, ProtocolError, Ran, Refusal
 from camphorshelf_core.messages import (
     AnswerMessage,
-    CallMessage,
     CancelMessage,
     RefusedMessage,
     decode,
@@ -170,45 +169,72 @@
 
 
 class PeerServer:
-    """The serving side of a link: hands calls to the gatekeeper and sends what it says."""
+    """The serving side of a link: hands each message to the handler of its type.
 
-    def __init__(self, stream, gatekeeper):
-        self._gatekeeper = gatekeeper
+    A handler takes the message and a function that replies to it, and may return a function
+    that cancels the work. Messages without a handler are counted and dropped, so that an older
+    node outlives a newer peer.
+    """
+
+    def __init__(self, stream, handlers):
+        self._handlers = handlers
         self._cancels = {}
+        self.unknown_messages = 0
         protocol = ServerProtocol(max_size=_MAX_MESSAGE)
         self._channel = Channel(stream, protocol, self._on_message, self._on_close)
         stream.open()
 
     def _on_message(self, message):
-        if isinstance(message, CallMessage):
-            self._on_call(message)
-        elif isinstance(message, CancelMessage):
+        if isinstance(message, CancelMessage):
             cancel = self._cancels.pop(message.call_id, None)
             if cancel is not None:
                 cancel()
+            return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self.unknown_messages += 1
+        else:
+            self._run(handler, message)
 
-    def _on_call(self, message):
+    def _run(self, handler, message):
         call_id = message.call_id
 
-        def done(result, load):
+        def reply(answer):
             self._cancels.pop(call_id, None)
-            if self._channel.closed:
-                return
-            if isinstance(result, Refusal):
-                code, reason, ran, retry_after_ms = result
-                self._channel.send(
-                    RefusedMessage(call_id, int(code), reason, ran.value, retry_after_ms, load)
-                )
-            else:
-                status, headers, body = result
-                self._channel.send(AnswerMessage(call_id, status, headers, body, load))
-
-        self._cancels[call_id] = lambda: None
-        cancel = self._gatekeeper.run(message, done)
-        if call_id in self._cancels:
+            if not self._channel.closed:
+                self._channel.send(answer._replace(call_id=call_id))
+
+        self._cancels[call_id] = _do_nothing
+        cancel = handler(message, reply)
+        if cancel is not None and call_id in self._cancels:
             self._cancels[call_id] = cancel
 
     def _on_close(self):
         cancels, self._cancels = self._cancels, {}
         for cancel in cancels.values():
             cancel()
+
+
+def make_call_handler(gatekeeper):
+    """Make the handler that runs calls at the target beside the node.
+
+    :param gatekeeper: the node's :class:`~camphorshelf_node.gatekeeper.Gatekeeper`.
+    :return: the handler of :class:`CallMessage`.
+    """
+
+    def handle(message, reply):
+        return gatekeeper.run(message, lambda result, load: reply(_make_answer(result, load)))
+
+    return handle
+
+
+def _make_answer(result, load):
+    if isinstance(result, Refusal):
+        code, reason, ran, retry_after_ms = result
+        return RefusedMessage(0, int(code), reason, ran.value, retry_after_ms, load)
+    status, headers, body = result
+    return AnswerMessage(0, status, headers, body, load)
+
+
+def _do_nothing():
+    """Stands for the cancellation of work that is still being started."""
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -13,7 +13,7 @@
 from .filters import make_chain, make_deadline_filter, make_identity_filter
 from .gatekeeper import Gatekeeper
 from .http import HttpConnection
-from .links import PeerServer
+from .links import PeerServer, make_call_handler
 from .log import Log
 from .loop import Loop
 from .platform import Platform
@@ -38,6 +38,7 @@
         self._platform = Platform(self._loop, settings.platform)
         self._roster = Roster(self._loop, settings, self._platform)
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
+        self._peer_handlers = {CallMessage: make_call_handler(self._gatekeeper)}
         self._connections = set()
         self._stopping = False
         dispatcher = Dispatcher(
@@ -80,7 +81,7 @@
         self._close_peers = listen(
             self._loop,
             split_address(listening.peers),
-            lambda stream, _peer: PeerServer(stream, self._gatekeeper),
+            lambda stream, _peer: PeerServer(stream, self._peer_handlers),
         )
         self._roster.start()
         self._log.info(f"listening for callers on {listening.callers}")
