--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -6,6 +6,7 @@
 
 from circuits import Component, handler
 
+from camphorshelf_core.messages import CallMessage
 from camphorshelf_core.settings import split_address
 
 from .admin import AdminServer
