--- a/packages/core/src/camphorshelf_core/routing.py
+++ b/packages/core/src/camphorshelf_core/routing.py
@@ -1,5 +1,6 @@
 """Decides which target takes a call."""
 
+import itertools
 from typing import NamedTuple
 
 
@@ -15,19 +16,32 @@
     leaving: bool = False
 
 
-def choose_target(candidates, failure_domain, random):
-    """Pick the less loaded of two random candidates.
+def make_policy(settings, failure_domain, random):
+    """Make the function that chooses a target.
 
-    :param candidates: the targets of the service.
+    :param settings: the :class:`~camphorshelf_core.settings.EntrySettings`.
     :param failure_domain: the entry node's own.
     :param random: a ``random.Random``.
-    :return: the chosen :class:`Candidate`, or None when none takes work.
+    :return: a function from the candidates to the chosen one, or None.
     """
-    usable = [candidate for candidate in candidates if not candidate.leaving]
-    if not usable:
-        return None
-    pair = random.sample(usable, min(2, len(usable)))
-    return min(pair, key=_load)
+    rank = _make_rank(settings.policy, random)
+
+    def choose(candidates):
+        usable = [candidate for candidate in candidates if not candidate.leaving]
+        return rank(usable) if usable else None
+
+    return choose
+
+
+def _make_rank(policy, random):
+    counter = itertools.count()
+    if policy == "random":
+        return random.choice
+    if policy == "round_robin":
+        return lambda usable: usable[next(counter) % len(usable)]
+    if policy == "least_reported":
+        return lambda usable: min(usable, key=lambda one: one.reported_in_flight)
+    return lambda usable: min(random.sample(usable, min(2, len(usable))), key=_load)
 
 
 def _load(candidate):
--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -1,7 +1,7 @@
 """The settings of a node, read from JSON with comments and checked field by field."""
 
 from ipaddress import ip_address
-from typing import Annotated, NamedTuple
+from typing import Annotated, Literal, NamedTuple
 
 import json5
 from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
@@ -54,6 +54,12 @@
     caller_connections: Annotated[int, Field(ge=1, le=100_000)] = 1_000
 
 
+class EntrySettings(NamedTuple):
+    """How an entry node routes, retries and hedges; the defaults are measured ones."""
+
+    policy: Literal["ours", "random", "round_robin", "least_reported"] = "ours"
+
+
 class Settings(NamedTuple):
     """All settings of one node."""
 
@@ -62,6 +68,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     limits: LimitSettings = LimitSettings()
+    entry: EntrySettings = EntrySettings()
 
 
 _ADAPTER = TypeAdapter(Settings)
--- a/packages/node/src/camphorshelf_node/dispatch.py
+++ b/packages/node/src/camphorshelf_node/dispatch.py
@@ -3,7 +3,7 @@
 from camphorshelf_core.calls import AttemptId, Response
 from camphorshelf_core.errors import Code, Ran, Refusal
 from camphorshelf_core.messages import AnswerMessage, CallMessage
-from camphorshelf_core.routing import choose_target
+from camphorshelf_core.routing import make_policy
 from camphorshelf_core.settings import split_address
 
 from .filters import DEADLINE_HEADER
@@ -21,7 +21,7 @@
         self._roster = roster
         self._gatekeeper = gatekeeper
         self._log = log
-        self._random = random
+        self._choose = make_policy(settings.entry, settings.failure_domain, random)
         self._numbers = 0
         self._links = {}
 
@@ -32,8 +32,7 @@
         :return: None.
         """
         candidates = self._roster.candidates(exchange.service)
-        domain = self._settings.failure_domain
-        chosen = choose_target(candidates, domain, self._random)
+        chosen = self._choose(candidates)
         if chosen is None:
             reason = "no target of the service takes work"
             exchange.refuse(Refusal(Code.NO_TARGET, reason, retry_after_ms=1000))
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -2,7 +2,8 @@
 
 It works on at most ``slots`` calls at once; more are answered 503. A call's query says what
 to do: ``work_ms`` (how long), ``size`` (of the answer), ``fail`` (``503``, ``cut``, ``hang-up``,
-``crash`` or ``unframed``). Each POST's key is counted under ``GET /_runs``.
+``crash`` or ``unframed``). Each POST's key is counted under ``GET /_runs``. ``/_factor/N`` makes
+all work take N times as long; ``/_fail/503`` lets every call fail at once, ``/_fail/none`` ends it.
 """
 
 import asyncio
@@ -25,6 +26,8 @@
         self._slots = asyncio.Semaphore(options["slots"])
         self._runs = Counter()
         self._slow_ms = options.get("work_ms", 1)
+        self._factor = 1.0
+        self._fail = None
 
     async def serve(self, received):
         """Answer one request."""
@@ -33,6 +36,14 @@
         if received.path.startswith("/_slow/"):
             self._slow_ms = float(received.path.rpartition("/")[2])
             return Reply()
+        if received.path.startswith("/_factor/"):
+            self._factor = float(received.path.rpartition("/")[2])
+            return Reply()
+        if received.path.startswith("/_fail/"):
+            self._fail = _FAILURES.get(received.path.rpartition("/")[2])
+            return Reply()
+        if self._fail is not None:
+            return self._fail
         query = {key: values[0] for key, values in parse_qs(urlsplit(received.path).query).items()}
         if self._slots.locked():
             return Reply(status=503, body=b"busy")
@@ -42,7 +53,8 @@
     async def _work(self, received, query):
         if received.method == "POST":
             self._runs[query.get("key", "")] += 1
-        await asyncio.sleep(float(query.get("work_ms", self._slow_ms)) / 1000)
+        work_ms = float(query.get("work_ms", self._slow_ms)) * self._factor
+        await asyncio.sleep(work_ms / 1000)
         fail = query.get("fail")
         if fail == "crash":
             os._exit(1)
