Know the members by their own bounded datagrams instead of reading the whole table

Cause: every node read every row each second, which is members squared: 2,100 nodes would ask for 4.4 million rows a second of a service that gives two thousand.

--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -51,7 +51,72 @@
     call_id: int
 
 
-_KINDS = {1: CallMessage, 2: AnswerMessage, 3: RefusedMessage, 4: CancelMessage}
+class PingMessage(NamedTuple):
+    """Asks a member for a sign of life, in a datagram; carries changes and some digests.
+
+    ``digests`` are those of consecutive buckets from ``first_bucket`` on, ``members`` and
+    ``entries`` are packed records of the core package's roster.
+    """
+
+    sequence: int
+    sender: str
+    first_bucket: int
+    digests: tuple
+    members: tuple
+    entries: tuple
+
+
+class AckMessage(NamedTuple):
+    """Answers a ping, in a datagram."""
+
+    sequence: int
+    sender: str
+    members: tuple
+    entries: tuple
+
+
+class PingRequestMessage(NamedTuple):
+    """Asks a third member to ping one that does not answer, in a datagram."""
+
+    sequence: int
+    sender: str
+    address: str
+
+
+class DeltaMessage(NamedTuple):
+    """Carries changes that should not wait for the next ping, in a datagram."""
+
+    sender: str
+    members: tuple
+    entries: tuple
+
+
+class SnapshotRequestMessage(NamedTuple):
+    """Asks a peer over a link for all that it holds."""
+
+    call_id: int
+
+
+class SnapshotMessage(NamedTuple):
+    """Carries all packed members and entries that a node holds."""
+
+    call_id: int
+    members: tuple
+    entries: tuple
+
+
+_KINDS = {
+    1: CallMessage,
+    2: AnswerMessage,
+    3: RefusedMessage,
+    4: CancelMessage,
+    40: PingMessage,
+    41: AckMessage,
+    42: PingRequestMessage,
+    43: DeltaMessage,
+    44: SnapshotRequestMessage,
+    45: SnapshotMessage,
+}
 _NUMBERS = {cls: number for number, cls in _KINDS.items()}
 
 
--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -54,6 +54,21 @@
     caller_connections: Annotated[int, Field(ge=1, le=100_000)] = 1_000
 
 
+class RosterSettings(NamedTuple):
+    """How members find and watch each other, and what that may cost.
+
+    ``contacts`` are peers' addresses for a start while the platform's table is down.
+    ``bytes_per_second`` bounds what the node sends for it, over any time longer than the burst.
+    """
+
+    contacts: tuple[Address, ...] = ()
+    period_ms: Milliseconds = 1_000
+    ack_timeout_ms: Milliseconds = 300
+    bytes_per_second: Annotated[int, Field(ge=1_000, le=1_000_000)] = 4_000
+    burst_bytes: Annotated[int, Field(ge=8_000, le=1_000_000)] = 20_000
+    remember_dead_s: Annotated[int, Field(ge=60, le=86_400)] = 7_200
+
+
 class Settings(NamedTuple):
     """All settings of one node."""
 
@@ -62,6 +77,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     limits: LimitSettings = LimitSettings()
+    roster: RosterSettings = RosterSettings()
 
 
 _ADAPTER = TypeAdapter(Settings)
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/gossip.py
@@ -0,0 +1,169 @@
+"""Moves the membership's datagrams and tells controllers what changed."""
+
+import random
+import socket
+import time
+
+from camphorshelf_core.errors import ProtocolError
+from camphorshelf_core.membership import Membership
+from camphorshelf_core.messages import decode
+from camphorshelf_core.roster import Member, MemberState
+from camphorshelf_core.settings import split_address
+
+from .loop import READABLE
+
+_TICK_SECONDS = 0.1
+_MAX_DATAGRAM = 65_535
+_DATAGRAMS_PER_TURN = 32
+
+
+class Gossip:
+    """Speaks with other members over UDP, at the address where peers also dial in."""
+
+    def __init__(self, loop, settings, incarnation):
+        self._loop = loop
+        self._address = settings.listen.peers
+        self._subscribers = {}
+        self._member_listeners = []
+        self._socket = None
+        self.received_bytes = 0
+        self.sent_bytes = 0
+        self.bad_datagrams = 0
+        own = Member(
+            node=settings.name,
+            generation=int(time.time() * 1000),
+            revision=0,
+            state=MemberState.ALIVE,
+            incarnation=incarnation,
+            address=settings.listen.peers,
+            failure_domain=settings.failure_domain,
+            target=None,
+        )
+        self._membership = Membership(
+            own,
+            settings.roster,
+            random.Random(incarnation),
+            loop.now(),
+            self._on_member,
+            self._on_entry,
+        )
+
+    @property
+    def membership(self):
+        """The members and entries that are known."""
+        return self._membership
+
+    def start(self):
+        """Open the socket and begin to ping.
+
+        :return: None.
+        """
+        address = split_address(self._address)
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind(address)
+        self._loop.watch(self._socket.fileno(), READABLE, self._on_readable)
+        self._loop.call_every(_TICK_SECONDS, self._tick)
+
+    def publish(self, topic, key, version, value):
+        """Make a small fact known to all nodes; the greatest version wins.
+
+        :param topic: what it is about.
+        :param key: which of its topic.
+        :param version: a whole number.
+        :param value: anything that CBOR can carry, below 800 bytes.
+        :return: None.
+        """
+        self._send(self._membership.publish(topic, key, version, value, self._loop.now()))
+
+    def subscribe(self, topic, callback):
+        """Hear of each newer entry of a topic, and of those already known.
+
+        :param topic: its name.
+        :param callback: takes key, version and value.
+        :return: None.
+        """
+        self._subscribers.setdefault(topic, []).append(callback)
+        for entry in self._membership.replica.entries(topic):
+            callback(entry.key, entry.version, entry.value)
+
+    def on_member(self, callback):
+        """Hear of each change of a member.
+
+        :param callback: takes the old record (or None) and the new one.
+        :return: None.
+        """
+        self._member_listeners.append(callback)
+
+    def change_own(self, **fields):
+        """Change this node's own record.
+
+        :param fields: the fields of the record that change.
+        :return: None.
+        """
+        self._send(self._membership.change_own(self._loop.now(), **fields))
+
+    def leave(self):
+        """Say to others that this node stops.
+
+        :return: None.
+        """
+        self._send(self._membership.leave(self._loop.now()))
+
+    def load_snapshot(self, snapshot):
+        """Take in what another node holds.
+
+        :param snapshot: its :class:`~camphorshelf_core.messages.SnapshotMessage`.
+        :return: None.
+        """
+        self._send(self._membership.load_snapshot(snapshot, self._loop.now()))
+
+    def ping_address(self, address):
+        """Ping an address of which no member is known.
+
+        :param address: its ``IP:PORT``.
+        :return: None.
+        """
+        self._send(self._membership.ping_address(address, self._loop.now()))
+
+    def _tick(self):
+        self._send(self._membership.tick(self._loop.now()))
+
+    def _on_readable(self, _mask):
+        for _ in range(_DATAGRAMS_PER_TURN):
+            try:
+                data, address = self._socket.recvfrom(_MAX_DATAGRAM)
+            except OSError:
+                return
+            self.received_bytes += len(data)
+            self._on_datagram(data, f"{address[0]}:{address[1]}")
+
+    def _on_datagram(self, data, address):
+        try:
+            message = decode(data)
+            sends = self._membership.receive(message, address, self._loop.now())
+        except ProtocolError:
+            self.bad_datagrams += 1
+            return
+        self._send(sends)
+
+    def _send(self, datagrams):
+        if self._socket is None:
+            return
+        for datagram in datagrams:
+            self.sent_bytes += len(datagram.data)
+            try:
+                self._socket.sendto(datagram.data, split_address(datagram.address))
+            except OSError:
+                # A full buffer or a vanished route loses a datagram, which the protocol is
+                # made for; raising would end the loop.
+                continue
+
+    def _on_member(self, old, new):
+        for listener in self._member_listeners:
+            listener(old, new)
+
+    def _on_entry(self, entry):
+        for callback in self._subscribers.get(entry.topic, ()):
+            callback(entry.key, entry.version, entry.value)
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -6,14 +6,16 @@
 
 from circuits import Component, handler
 
-from camphorshelf_core.messages import CallMessage
+from camphorshelf_core.messages import CallMessage, SnapshotRequestMessage
 from camphorshelf_core.settings import split_address
 
 from .admin import AdminServer
 from .dispatch import Dispatcher
 from .filters import make_chain, make_deadline_filter, make_identity_filter
 from .gatekeeper import Gatekeeper
+from .gossip import Gossip
 from .http import HttpConnection
+from .join import Join
 from .links import PeerServer, make_call_handler
 from .log import Log
 from .loop import Loop
@@ -37,9 +39,14 @@
         self._loop = Loop().register(self)
         self._log = Log(settings.name)
         self._platform = Platform(self._loop, settings.platform)
-        self._roster = Roster(self._loop, settings, self._platform)
+        self._gossip = Gossip(self._loop, settings, self.incarnation)
+        self._roster = Roster(self._gossip)
+        self._join = Join(self._loop, settings, self._gossip, self._platform, self._log)
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
-        self._peer_handlers = {CallMessage: make_call_handler(self._gatekeeper)}
+        self._peer_handlers = {
+            CallMessage: make_call_handler(self._gatekeeper),
+            SnapshotRequestMessage: self._join.answer_snapshot,
+        }
         self._connections = set()
         self._stopping = False
         dispatcher = Dispatcher(
@@ -61,7 +68,7 @@
     @property
     def ready(self):
         """Whether callers should send requests here."""
-        return not self._stopping
+        return self._join.is_joined and not self._stopping
 
     def announce(self, target):
         """Take an announcement of the target beside this node.
@@ -70,7 +77,8 @@
         :return: None.
         """
         if self._gatekeeper.announce(target):
-            self._roster.announce(self.incarnation, target)
+            self._gossip.change_own(target=target)
+            self._join.write_row()
             self._log.info(f"target announced: {target.service} at {target.address}")
 
     @handler("started", channel="*")
@@ -84,7 +92,8 @@
             split_address(listening.peers),
             lambda stream, _peer: PeerServer(stream, self._peer_handlers),
         )
-        self._roster.start()
+        self._gossip.start()
+        self._join.start()
         self._log.info(f"listening for callers on {listening.callers}")
 
     def _on_caller(self, stream, _peer):
@@ -105,4 +114,5 @@
         if any(connection.busy for connection in self._connections):
             self._loop.call_later(_DRAIN_POLL_SECONDS, self._drain)
         else:
+            self._gossip.leave()
             self.stop()
--- a/packages/node/src/camphorshelf_node/platform.py
+++ b/packages/node/src/camphorshelf_node/platform.py
@@ -36,22 +36,27 @@
         body = {"TableName": TABLE, "Item": item}
         self._ask("PutItem", body, lambda answer: on_done(None if answer is None else True))
 
-    def query(self, partition, on_done):
-        """Read all rows of a partition.
+    def query(self, partition, on_done, limit=None, start_after=None):
+        """Read rows of a partition in the order of their keys.
 
         :param partition: its name.
         :param on_done: takes a dict of key to bytes, or None when the platform is down.
+        :param limit: the most rows to read (None: all).
+        :param start_after: read the rows whose key is greater; with too few of them, those
+            from the first key on are read as well.
         :return: None.
         """
-        body = {
-            "TableName": TABLE,
-            "KeyConditionExpression": "pk = :p",
-            "ExpressionAttributeValues": {":p": {"S": partition}},
-            "ConsistentRead": True,
-        }
+        body = _query_body(partition, limit, start_after)
 
         def done(answer):
-            on_done(None if answer is None else _rows(answer["Items"]))
+            if answer is None:
+                on_done(None)
+                return
+            rows = _rows(answer["Items"])
+            if start_after is None or len(rows) >= limit:
+                on_done(rows)
+                return
+            self.query(partition, lambda first: on_done(_join(rows, first)), limit - len(rows))
 
         self._ask("Query", body, done)
 
@@ -82,5 +87,23 @@
     return {"pk": {"S": partition}, "sk": {"S": key}}
 
 
+def _query_body(partition, limit, start_after):
+    body = {
+        "TableName": TABLE,
+        "KeyConditionExpression": "pk = :p",
+        "ExpressionAttributeValues": {":p": {"S": partition}},
+        "ConsistentRead": True,
+    }
+    if limit is not None:
+        body["Limit"] = limit
+    if start_after is not None:
+        body["ExclusiveStartKey"] = _key(partition, start_after)
+    return body
+
+
+def _join(rows, more):
+    return None if more is None else {**more, **rows}
+
+
 def _rows(items):
     return {item["sk"]["S"]: base64.b64decode(item["doc"]["B"]) for item in items}
--- a/packages/node/src/camphorshelf_node/roster.py
+++ b/packages/node/src/camphorshelf_node/roster.py
@@ -1,46 +1,16 @@
 """The controller that knows which targets there are and where."""
 
-import cbor2
-
-from camphorshelf_core.roster import Announcement, Member
 from camphorshelf_core.routing import Candidate
 
-_REFRESH_SECONDS = 1.0
-_PARTITION = "roster"
-
 
 class Roster:
-    """Keeps the members from the platform's table and what is known of their load."""
+    """Keeps the members in use by service, and what is known of their load."""
 
-    def __init__(self, loop, settings, platform):
-        self._loop = loop
-        self._settings = settings
-        self._platform = platform
-        self._members = {}
+    def __init__(self, gossip):
+        self._services = {}
         self._own_in_flight = {}
         self._load = {}
-
-    def start(self):
-        """Read the members now and again and again.
-
-        :return: None.
-        """
-        self._refresh()
-        self._loop.call_every(_REFRESH_SECONDS, self._refresh)
-
-    def announce(self, incarnation, target):
-        """Write this node's row after its target announced itself.
-
-        :param incarnation: the node's own.
-        :param target: the :class:`Announcement`.
-        :return: None.
-        """
-        settings = self._settings
-        member = Member(
-            settings.name, incarnation, settings.listen.peers, settings.failure_domain, target
-        )
-        self._members[member.node] = member
-        self._platform.put(_PARTITION, member.node, _pack(member), lambda outcome: None)
+        gossip.on_member(self._on_member)
 
     def knows(self, service):
         """Tell whether any target serves a service.
@@ -48,7 +18,15 @@
         :param service: its name.
         :return: True or False.
         """
-        return any(member.target.service == service for member in self._members.values())
+        return service in self._services
+
+    def members(self, service):
+        """List the members whose target serves a service.
+
+        :param service: its name.
+        :return: a list of :class:`~camphorshelf_core.roster.Member`.
+        """
+        return list(self._services.get(service, {}).values())
 
     def candidates(self, service):
         """List the targets of a service with what is known of them.
@@ -56,11 +34,7 @@
         :param service: its name.
         :return: a list of :class:`Candidate`.
         """
-        return [
-            self._candidate(member)
-            for member in self._members.values()
-            if member.target.service == service
-        ]
+        return [self._candidate(member) for member in self.members(service)]
 
     def note_sent(self, target):
         """Count a call on its way to a target.
@@ -93,21 +67,11 @@
             leaving=load.leaving if load else False,
         )
 
-    def _refresh(self):
-        self._platform.query(_PARTITION, self._on_rows)
-
-    def _on_rows(self, rows):
-        if rows is None:
-            return
-        for data in rows.values():
-            member = _unpack(data)
-            self._members[member.node] = member
-
-
-def _pack(member):
-    return cbor2.dumps(tuple(member))
-
-
-def _unpack(data):
-    *fields, target = cbor2.loads(data)
-    return Member(*fields, Announcement(*target))
+    def _on_member(self, old, new):
+        if old is not None and old.target is not None:
+            members = self._services.get(old.target.service, {})
+            members.pop(old.node, None)
+            if not members:
+                self._services.pop(old.target.service, None)
+        if new.in_use and new.target is not None:
+            self._services.setdefault(new.target.service, {})[new.node] = new
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -26,6 +26,7 @@
     def __init__(self):
         self._rows = {}
         self.reads = 0
+        self.rows_read = 0
         self.writes = 0
 
     def run(self, operation, body):
@@ -52,7 +53,10 @@
 
     def _Query(self, body):  # noqa: N802
         partition = body["ExpressionAttributeValues"][":p"]["S"]
-        found = [row for key, row in sorted(self._rows.items()) if key[0] == partition]
+        after = body.get("ExclusiveStartKey", {"sk": {"S": ""}})["sk"]["S"]
+        keys = sorted(key for key in self._rows if key[0] == partition and key[1] > after)
+        found = [self._rows[key] for key in keys[: body.get("Limit")]]
+        self.rows_read += len(found)
         return {"Items": found, "Count": len(found)}
 
     def _TransactWriteItems(self, body):  # noqa: N802
@@ -111,7 +115,8 @@
             self._faults = json.loads(received.body)
             return Reply()
         if received.path == "/_counts":
-            counts = {"reads": self._table.reads, "writes": self._table.writes}
+            table = self._table
+            counts = {"reads": table.reads, "rows": table.rows_read, "writes": table.writes}
             return Reply(body=json.dumps(counts).encode())
         if self._faults.get("refuse"):
             return Reply(status=503)
