--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -90,13 +90,19 @@
 
 
 def _skew(rng):
-    entry = lambda: 0 if rng.random() < 0.8 else rng.randrange(1, len(DOMAINS))  # noqa: E731
-    caller = lambda: "store-0" if rng.random() < 0.7 else f"store-{rng.randrange(40)}"  # noqa: E731
+    def entry():
+        return 0 if rng.random() < 0.8 else rng.randrange(1, len(DOMAINS))
+
+    def caller():
+        return "store-0" if rng.random() < 0.7 else f"store-{rng.randrange(40)}"
+
     return _arrive(rng, 0.6 * CAPACITY, entry=entry, caller=caller)
 
 
 def _mixed(rng):
-    work = lambda rng: 300.0 if rng.random() < 0.05 else rng.uniform(5, 16)  # noqa: E731
+    def work(rng):
+        return 300.0 if rng.random() < 0.05 else rng.uniform(5, 16)
+
     return _arrive(rng, 0.6 * CAPACITY, work=work)
 
 
@@ -234,6 +240,9 @@
         self._deployment = Deployment(plans)
         for plan in plans:
             self._deployment.wait_served(plan.name, "counter")
+        warm_up = Scenario(lambda rng: _arrive(rng, 0.5 * CAPACITY, end=1.0), _no_faults)
+        for policy in policies:
+            self.slice(warm_up, 0, policy)
 
     def close(self):
         self._deployment.close()
@@ -245,7 +254,7 @@
         self._reset()
         after = self._costs(policy)
         time.sleep(SETTLE_SECONDS)
-        return outcomes, {key: after[key] - before[key] for key in after}
+        return outcomes, {key: after[key] - before.get(key, 0) for key in after}
 
     async def _play(self, scenario, seed, policy, sink):
         rng = random.Random(seed)
@@ -339,7 +348,11 @@
     return "\n".join(lines) + "\n"
 
 
-def run(scenario="all", seeds=3, policies=",".join(POLICIES), out="", variants="{}"):
+def _split(text):
+    return list(text) if isinstance(text, (list, tuple)) else str(text).split(",")
+
+
+def run(scenario="all", seeds=3, policies=POLICIES, out="", variants="{}"):
     """Run scenarios and print a table for each.
 
     :param scenario: names split by commas, or all.
@@ -349,9 +362,8 @@
     :param variants: entry settings by policy name, as JSON.
     :return: None.
     """
-    split = lambda text: text if isinstance(text, (list, tuple)) else str(text).split(",")  # noqa: E731
-    names = list(SCENARIOS) if scenario == "all" else split(scenario)
-    policies = split(policies)
+    names = list(SCENARIOS) if scenario == "all" else _split(scenario)
+    policies = _split(policies)
     settings = json.loads(variants) if isinstance(variants, str) else variants
     bench = _Bench(policies, settings)
     rows = []
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -10,7 +10,10 @@
 
 
 class CallMessage(NamedTuple):
-    """Asks a target's node to run a call; ``call_id`` is never reused on its link."""
+    """Asks a target's node to run a call; ``call_id`` is never reused on its link.
+
+    A call that may not wait is refused at once, TARGET_BUSY and NOT_RUN, when no slot is free.
+    """
 
     call_id: int
     attempt: AttemptId
@@ -22,6 +25,7 @@
     path: bytes
     headers: tuple
     body: bytes
+    may_wait: bool = True
 
 
 class AnswerMessage(NamedTuple):
@@ -51,7 +55,87 @@
     call_id: int
 
 
-_KINDS = {1: CallMessage, 2: AnswerMessage, 3: RefusedMessage, 4: CancelMessage}
+class ProbeMessage(NamedTuple):
+    """Asks a target's node for its load, in a datagram."""
+
+    number: int
+
+
+class ProbeAnswerMessage(NamedTuple):
+    """Answers a probe, in a datagram."""
+
+    number: int
+    load: LoadReport
+
+
+class PingMessage(NamedTuple):
+    """Asks a member for a sign of life, in a datagram; carries changes and some digests.
+
+    ``digests`` are those of consecutive buckets from ``first_bucket`` on, ``members`` and
+    ``entries`` are packed records of the core package's roster.
+    """
+
+    sequence: int
+    sender: str
+    first_bucket: int
+    digests: tuple
+    members: tuple
+    entries: tuple
+
+
+class AckMessage(NamedTuple):
+    """Answers a ping, in a datagram."""
+
+    sequence: int
+    sender: str
+    members: tuple
+    entries: tuple
+
+
+class PingRequestMessage(NamedTuple):
+    """Asks a third member to ping one that does not answer, in a datagram."""
+
+    sequence: int
+    sender: str
+    address: str
+
+
+class DeltaMessage(NamedTuple):
+    """Carries changes that should not wait for the next ping, in a datagram."""
+
+    sender: str
+    members: tuple
+    entries: tuple
+
+
+class SnapshotRequestMessage(NamedTuple):
+    """Asks a peer over a link for all that it holds."""
+
+    call_id: int
+
+
+class SnapshotMessage(NamedTuple):
+    """Carries all packed members and entries that a node holds."""
+
+    call_id: int
+    members: tuple
+    entries: tuple
+
+
+_KINDS = {
+    1: CallMessage,
+    2: AnswerMessage,
+    3: RefusedMessage,
+    4: CancelMessage,
+    30: ProbeMessage,
+    31: ProbeAnswerMessage,
+    40: PingMessage,
+    41: AckMessage,
+    42: PingRequestMessage,
+    43: DeltaMessage,
+    44: SnapshotRequestMessage,
+    45: SnapshotMessage,
+}
 _NUMBERS = {cls: number for number, cls in _KINDS.items()}
 
 
@@ -85,6 +169,8 @@
     if isinstance(message, AnswerMessage):
         load = LoadReport(*message.load)
         return message._replace(load=load, headers=_pairs(message.headers))
+    if isinstance(message, ProbeAnswerMessage):
+        return message._replace(load=LoadReport(*message.load))
     if isinstance(message, RefusedMessage):
         Code(message.code)
         Ran(message.ran)
--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -54,10 +54,50 @@
     caller_connections: Annotated[int, Field(ge=1, le=100_000)] = 1_000
 
 
+Share = Annotated[float, Field(ge=0, le=1)]
+Count = Annotated[int, Field(ge=0, le=1_000)]
+
+
 class EntrySettings(NamedTuple):
-    """How an entry node routes, retries and hedges; the defaults are measured ones."""
+    """How an entry node routes, retries and hedges; docs/design/routing.md has the measurements.
+
+    Budgets are shares of the fresh calls: ``retry_share`` 0.1 lets one call in ten be a retry.
+    """
 
     policy: Literal["ours", "random", "round_robin", "least_reported"] = "ours"
+    choices: Annotated[int, Field(ge=1, le=32)] = 4
+    report_half_life_ms: Milliseconds = 200
+    domain_cost_ms: Annotated[float, Field(ge=0, le=1_000)] = 2.0
+    subset: Annotated[int, Field(ge=2, le=250)] = 20
+    link_limit: Annotated[int, Field(ge=1, le=100_000)] = 250
+    spill_attempts: Annotated[int, Field(ge=0, le=8)] = 2
+    spill_share: Share = 0.3
+    retry_share: Share = 0.1
+    hedge_share: Share = 0.03
+    hedge_quantile: Annotated[float, Field(ge=50, le=99.9)] = 95.0
+
+
+class SensingSettings(NamedTuple):
+    """What probing the load of targets may cost, asked and answered together."""
+
+    bytes_per_second: Annotated[int, Field(ge=0, le=1_000_000)] = 2_400
+    burst_bytes: Annotated[int, Field(ge=0, le=1_000_000)] = 2_400
+    cpu_microseconds_per_second: Annotated[int, Field(ge=0, le=1_000_000)] = 5_000
+
+
+class RosterSettings(NamedTuple):
+    """How members find and watch each other, and what that may cost.
+
+    ``contacts`` are peers' addresses for a start while the platform's table is down.
+    ``bytes_per_second`` bounds what the node sends for it, over any time longer than the burst.
+    """
+
+    contacts: tuple[Address, ...] = ()
+    period_ms: Milliseconds = 1_000
+    ack_timeout_ms: Milliseconds = 300
+    bytes_per_second: Annotated[int, Field(ge=1_000, le=1_000_000)] = 4_000
+    burst_bytes: Annotated[int, Field(ge=8_000, le=1_000_000)] = 20_000
+    remember_dead_s: Annotated[int, Field(ge=60, le=86_400)] = 7_200
 
 
 class Settings(NamedTuple):
@@ -68,7 +108,9 @@
     listen: ListenSettings
     platform: PlatformSettings
     limits: LimitSettings = LimitSettings()
+    roster: RosterSettings = RosterSettings()
     entry: EntrySettings = EntrySettings()
+    sensing: SensingSettings = SensingSettings()
 
 
 _ADAPTER = TypeAdapter(Settings)
--- a/packages/node/src/camphorshelf_node/admin.py
+++ b/packages/node/src/camphorshelf_node/admin.py
@@ -24,6 +24,7 @@
             ("POST", "/announce"): self._announce,
             ("GET", "/healthz"): self._health,
             ("GET", "/readyz"): self._ready,
+            ("GET", "/entry"): self._entry,
         }
 
     @handler("ready", override=True)
@@ -56,6 +57,9 @@
     def _health(self, request):
         return 200, {"status": "up"}
 
+    def _entry(self, request):
+        return 200, self._node.entry_counts
+
     def _ready(self, request):
         ready = self._node.ready
         return (200 if ready else 503), {"ready": ready}
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/calling.py
@@ -0,0 +1,306 @@
+"""One caller's call on its way: its attempts, spills, retry, hedge and final answer."""
+
+from camphorshelf_core.calls import Response, is_idempotent
+from camphorshelf_core.errors import Code, Ran, Refusal
+from camphorshelf_core.hedge import hedge_delay, is_hedged
+from camphorshelf_core.messages import AnswerMessage, CallMessage
+from camphorshelf_core.retry import (
+    RETRIES_LEFT_HEADER,
+    Tried,
+    blames_target,
+    is_failure,
+    judge,
+    read_retries_left,
+)
+
+from .filters import DEADLINE_HEADER
+from .http import strip_hop_by_hop
+
+_OWN_HEADERS = frozenset({DEADLINE_HEADER, RETRIES_LEFT_HEADER})
+
+
+class Calling:
+    """Drives one call to its single final outcome."""
+
+    def __init__(self, dispatcher, exchange):
+        self._dispatcher = dispatcher
+        self._exchange = exchange
+        self._method = exchange.request.method
+        self._headers = tuple(
+            pair
+            for pair in strip_hop_by_hop(exchange.request.headers)
+            if pair[0] not in _OWN_HEADERS
+        )
+        self._retries_left = read_retries_left(exchange.request.headers)
+        self._started = dispatcher.loop.now()
+        self._tried = set()
+        self._running = set()
+        self._spills = 0
+        self._expected_ms = 0.0
+        self._retried = False
+        self._finished = False
+        self._hedge_timer = None
+        self._deadline_timer = None
+
+    @property
+    def remaining_ms(self):
+        """The time to the call's deadline."""
+        return (self._exchange.deadline - self._dispatcher.loop.now()) * 1000
+
+    def start(self):
+        """Make the first attempt.
+
+        :return: None.
+        """
+        dispatcher = self._dispatcher
+        self._exchange.when_hung_up(self._on_hang_up)
+        wait = max(0.0, self.remaining_ms / 1000)
+        self._deadline_timer = dispatcher.loop.call_later(wait, self._on_deadline)
+        if not self._send("fresh"):
+            self._finish(dispatcher.refuse_for_want_of_target())
+            return
+        if not self._finished and self._may_hedge():
+            delay = hedge_delay(
+                dispatcher.quantile(self._exchange.service), self.remaining_ms, self._expected_ms
+            )
+            if delay is not None:
+                self._hedge_timer = dispatcher.loop.call_later(delay / 1000, self._on_hedge)
+
+    def _may_hedge(self):
+        dispatcher = self._dispatcher
+        return (
+            is_hedged(self._method)
+            and dispatcher.settings.entry.hedge_share > 0
+            and not dispatcher.is_baseline
+        )
+
+    def _send(self, kind, exclude=()):
+        dispatcher = self._dispatcher
+        choice = dispatcher.choose(self._exchange.service, exclude)
+        if choice is None:
+            return False
+        may_wait = kind != "hedge" and not self._may_spill()
+        if kind == "hedge" and not choice.looks_free:
+            return False
+        if kind == "hedge" and not dispatcher.hedge_budget.spend():
+            return False
+        self._expected_ms = choice.expected_ms
+        self._log(kind, choice, may_wait)
+        _Attempt(self, choice.candidate, kind == "hedge").start(may_wait)
+        return True
+
+    def _may_spill(self):
+        # An attempt that may not wait costs a message when it meets a full target. When all are
+        # full these messages would come on top of the overload, so the budget ends them.
+        dispatcher = self._dispatcher
+        return (
+            not dispatcher.is_baseline
+            and self._spills < dispatcher.settings.entry.spill_attempts
+            and not dispatcher.spill_budget.is_spent
+        )
+
+    def _log(self, kind, choice, may_wait):
+        chosen = choice.candidate
+        self._dispatcher.log.decision(
+            "route",
+            attempt=kind,
+            service=self._exchange.service,
+            target=chosen.target,
+            reason=choice.reason,
+            score=round(choice.score, 1),
+            own=chosen.own_in_flight,
+            others=chosen.others_in_flight,
+            age=chosen.report_age,
+            may_wait=may_wait,
+        )
+
+    def make_message(self, target, may_wait):
+        """Make the message of a new attempt.
+
+        :param target: the target's name.
+        :param may_wait: whether the call may wait in the target's queue.
+        :return: the :class:`CallMessage`, with an attempt id of its own.
+        """
+        request = self._exchange.request
+        deadline_ms = max(1, int(self.remaining_ms))
+        headers = (
+            *self._headers,
+            (DEADLINE_HEADER, b"%d" % deadline_ms),
+            (RETRIES_LEFT_HEADER, b"%d" % self._retries_left),
+        )
+        return CallMessage(
+            call_id=0,
+            attempt=self._dispatcher.next_attempt(),
+            service=self._exchange.service,
+            target=target,
+            deadline_ms=deadline_ms,
+            caller=self._exchange.caller or "",
+            method=request.method,
+            path=request.path,
+            headers=headers,
+            body=request.body,
+            may_wait=may_wait,
+        )
+
+    def on_attempt_started(self, attempt):
+        """Take note of an attempt on its way.
+
+        :param attempt: the :class:`_Attempt`.
+        :return: None.
+        """
+        self._tried.add(attempt.target)
+        self._running.add(attempt)
+
+    def on_attempt_done(self, attempt, result):
+        """Decide what follows from an attempt's result.
+
+        :param attempt: the :class:`_Attempt`.
+        :param result: its response or refusal.
+        :return: None.
+        """
+        self._running.discard(attempt)
+        if self._finished:
+            return
+        if isinstance(result, Refusal) and result.code is Code.TARGET_BUSY:
+            self._on_busy(attempt)
+            return
+        dispatcher = self._dispatcher
+        if self._running and is_failure(result):
+            return
+        tried = Tried(
+            is_idempotent(self._method), self._retries_left, self.remaining_ms, self._expected_ms
+        )
+        if judge(result, tried, dispatcher.retry_budget).retry:
+            self._retried = True
+            self._retries_left -= 1
+            if self._send("retry", self._tried):
+                dispatcher.counts["retries"] += 1
+                return
+        self._finish(result)
+
+    def _on_busy(self, attempt):
+        if attempt.is_hedge:
+            if not self._running:
+                self._finish(self._dispatcher.refuse_for_want_of_target())
+            return
+        dispatcher = self._dispatcher
+        self._spills += 1
+        dispatcher.counts["spills"] += 1
+        dispatcher.spill_budget.spend()
+        # The busy answers brought fresh reports; a last attempt that may wait chooses among all.
+        exclude = self._tried if self._may_spill() else ()
+        if not self._send("spill", exclude) and not self._send("spill"):
+            self._finish(dispatcher.refuse_for_want_of_target())
+
+    def _on_hedge(self):
+        self._hedge_timer = None
+        if len(self._running) != 1 or self._retried:
+            return
+        if self._send("hedge", self._tried):
+            self._dispatcher.counts["hedges"] += 1
+
+    def _finish(self, result):
+        self._finished = True
+        self._stop()
+        if isinstance(result, Refusal):
+            self._exchange.retries_left = self._retries_left
+            self._exchange.refuse(result)
+            return
+        if is_failure(result):
+            result = self._mark_spent(result)
+        elapsed = (self._dispatcher.loop.now() - self._started) * 1000
+        self._dispatcher.quantile(self._exchange.service).note(elapsed)
+        self._exchange.answer(result)
+
+    def _mark_spent(self, response):
+        headers = tuple(pair for pair in response.headers if pair[0] != RETRIES_LEFT_HEADER)
+        left = (RETRIES_LEFT_HEADER, b"%d" % self._retries_left)
+        return Response(response.status, (*headers, left), response.body)
+
+    def _on_deadline(self):
+        # What was sent and not answered may have run, whatever becomes of its cancellation.
+        ran = Ran.OUTCOME_UNKNOWN if self._running else Ran.NOT_RUN
+        reason = "the deadline passed before the answer came"
+        refusal = Refusal(Code.DEADLINE_EXCEEDED, reason, ran)
+        for attempt in tuple(self._running):
+            attempt.note_missed(refusal)
+        self._finish(refusal)
+
+    def _on_hang_up(self):
+        self._finished = True
+        self._stop()
+
+    def _stop(self):
+        for timer in (self._deadline_timer, self._hedge_timer):
+            if timer is not None:
+                timer.cancel()
+        running, self._running = self._running, set()
+        for attempt in running:
+            attempt.cancel()
+
+
+class _Attempt:
+    """One message to one target; its id is never used again."""
+
+    def __init__(self, calling, candidate, is_hedge):
+        self._calling = calling
+        self._dispatcher = calling._dispatcher
+        self._service = calling._exchange.service
+        self._candidate = candidate
+        self._cancel = None
+        self._done = False
+        self.is_hedge = is_hedge
+
+    @property
+    def target(self):
+        """The target's name."""
+        return self._candidate.target
+
+    def start(self, may_wait):
+        dispatcher, candidate = self._dispatcher, self._candidate
+        self._calling.on_attempt_started(self)
+        self._sent_at = dispatcher.loop.now()
+        dispatcher.keeper.note_sent(candidate.target)
+        message = self._calling.make_message(candidate.target, may_wait)
+        if candidate.address == dispatcher.settings.listen.peers:
+            cancel = dispatcher.gatekeeper.run(message, self._on_result)
+        else:
+            cancel = dispatcher.link(candidate.address).call(message, self._on_message)
+        self._cancel = cancel
+
+    def cancel(self):
+        if not self._done:
+            self._done = True
+            self._dispatcher.keeper.note_done(self.target, None)
+            self._cancel()
+
+    def note_missed(self, refusal):
+        if blames_target(refusal):
+            self._dispatcher.keeper.note_outcome(self._service, self.target, True)
+
+    def _on_message(self, message):
+        if isinstance(message, Refusal):
+            self._on_result(message, None)
+        elif isinstance(message, AnswerMessage):
+            response = Response(message.status, message.headers, message.body)
+            self._on_result(response, message.load)
+        else:
+            refusal = Refusal(
+                Code(message.code), message.reason, Ran(message.ran), message.retry_after_ms
+            )
+            self._on_result(refusal, message.load)
+
+    def _on_result(self, result, load):
+        if self._done:
+            return
+        self._done = True
+        keeper = self._dispatcher.keeper
+        failed = blames_target(result)
+        good = isinstance(result, Response) and not failed
+        elapsed = (self._dispatcher.loop.now() - self._sent_at) * 1000
+        keeper.note_done(self.target, load, elapsed if good else None)
+        if failed or good:
+            ejected = keeper.note_outcome(self._service, self.target, failed)
+            if ejected:
+                self._dispatcher.log.decision("eject", service=self._service, target=self.target)
+        self._calling.on_attempt_done(self, result)
--- a/packages/node/src/camphorshelf_node/dispatch.py
+++ b/packages/node/src/camphorshelf_node/dispatch.py
@@ -1,46 +1,94 @@
 """Sends a call to the chosen target's node and its answer back to the caller."""
 
-from camphorshelf_core.calls import AttemptId, Response
-from camphorshelf_core.errors import Code, Ran, Refusal
-from camphorshelf_core.messages import AnswerMessage, CallMessage
-from camphorshelf_core.routing import make_policy
+from collections import Counter
+
+from camphorshelf_core.baselines import make_chosen_policy
+from camphorshelf_core.calls import AttemptId
+from camphorshelf_core.errors import Code, Refusal
+from camphorshelf_core.hedge import LatencyQuantile
+from camphorshelf_core.retry import ShareBudget, spread
 from camphorshelf_core.settings import split_address
 
-from .filters import DEADLINE_HEADER
-from .http import strip_hop_by_hop
+from .calling import Calling
 from .links import PeerLink
 
+_NO_TARGET_RETRY_MS = 1_000
+
 
 class Dispatcher:
-    """Routes exchanges that passed the filters."""
+    """Routes exchanges that passed the filters.
 
-    def __init__(self, loop, settings, incarnation, roster, gatekeeper, log, random):
-        self._loop = loop
-        self._settings = settings
+    An exchange is anything with ``request``, ``service``, ``deadline``, ``answer``, ``refuse``
+    and ``when_hung_up``; its ``answer`` or ``refuse`` is called once, with the final outcome.
+    """
+
+    def __init__(self, loop, settings, incarnation, keeper, gatekeeper, sensing, log, random):
         self._incarnation = incarnation
-        self._roster = roster
-        self._gatekeeper = gatekeeper
-        self._log = log
-        self._choose = make_policy(settings.entry, settings.failure_domain, random)
+        self._choose = make_chosen_policy(settings.entry, settings.failure_domain, random)
+        self._random = random
         self._numbers = 0
         self._links = {}
+        self._quantiles = {}
+        self.loop = loop
+        self.settings = settings
+        self.keeper = keeper
+        self.gatekeeper = gatekeeper
+        self.sensing = sensing
+        self.log = log
+        self.counts = Counter()
+        entry = settings.entry
+        self.retry_budget = ShareBudget(entry.retry_share)
+        self.hedge_budget = ShareBudget(entry.hedge_share)
+        self.spill_budget = ShareBudget(entry.spill_share)
+
+    @property
+    def is_baseline(self):
+        """Whether one of the simple policies is in force, which neither spill nor hedge."""
+        return self.settings.entry.policy != "ours"
 
     def dispatch(self, exchange):
         """Choose a target and send it the call.
 
-        :param exchange: the caller's :class:`~camphorshelf_node.http.Exchange`.
+        :param exchange: the caller's exchange.
         :return: None.
         """
-        candidates = self._roster.candidates(exchange.service)
-        chosen = self._choose(candidates)
-        if chosen is None:
-            reason = "no target of the service takes work"
-            exchange.refuse(Refusal(Code.NO_TARGET, reason, retry_after_ms=1000))
-            return
-        self._log.decision(
-            "route", service=exchange.service, target=chosen.target, candidates=len(candidates)
-        )
-        _Dispatch(self, exchange, chosen).start()
+        self.counts["calls"] += 1
+        for budget in (self.retry_budget, self.hedge_budget, self.spill_budget):
+            budget.note_fresh()
+        Calling(self, exchange).start()
+
+    def choose(self, service, exclude=()):
+        """Choose a target and, where the budget allows, probe another.
+
+        :param service: the service's name.
+        :param exclude: names of targets not to choose.
+        :return: a :class:`~camphorshelf_core.routing.Choice`, or None.
+        """
+        candidates = self.keeper.candidates(service)
+        choice = self._choose(candidates, exclude)
+        if not self.is_baseline:
+            self.sensing.probe_one(candidates)
+        return choice
+
+    def refuse_for_want_of_target(self):
+        """Make the refusal of a call that no target takes.
+
+        :return: the :class:`Refusal`.
+        """
+        after = spread(_NO_TARGET_RETRY_MS, self._random)
+        return Refusal(Code.NO_TARGET, "no target of the service takes work", retry_after_ms=after)
+
+    def quantile(self, service):
+        """Find the latency quantile of a service.
+
+        :param service: its name.
+        :return: the :class:`LatencyQuantile`.
+        """
+        quantile = self._quantiles.get(service)
+        if quantile is None:
+            quantile = LatencyQuantile(self.settings.entry.hedge_quantile)
+            self._quantiles[service] = quantile
+        return quantile
 
     def next_attempt(self):
         """Name a new attempt.
@@ -58,81 +106,6 @@
         """
         link = self._links.get(address)
         if link is None or link.closed:
-            link = PeerLink(self._loop, split_address(address))
+            link = PeerLink(self.loop, split_address(address))
             self._links[address] = link
         return link
-
-
-class _Dispatch:
-    def __init__(self, dispatcher, exchange, chosen):
-        self._dispatcher = dispatcher
-        self._exchange = exchange
-        self._chosen = chosen
-        self._cancel = None
-        self._timer = None
-
-    def start(self):
-        dispatcher, exchange, chosen = self._dispatcher, self._exchange, self._chosen
-        exchange.when_hung_up(self._give_up)
-        wait = exchange.deadline - dispatcher._loop.now()
-        self._timer = dispatcher._loop.call_later(max(0.0, wait), self._on_deadline)
-        dispatcher._roster.note_sent(chosen.target)
-        message = self._message(wait)
-        if chosen.address == dispatcher._settings.listen.peers:
-            self._cancel = dispatcher._gatekeeper.run(message, self._on_local)
-        else:
-            self._cancel = dispatcher.link(chosen.address).call(message, self._on_remote)
-
-    def _message(self, wait):
-        request = self._exchange.request
-        headers = strip_hop_by_hop(request.headers)
-        headers = tuple(pair for pair in headers if pair[0] != DEADLINE_HEADER)
-        deadline_ms = max(1, int(wait * 1000))
-        headers += ((DEADLINE_HEADER, b"%d" % deadline_ms),)
-        return CallMessage(
-            call_id=0,
-            attempt=self._dispatcher.next_attempt(),
-            service=self._exchange.service,
-            target=self._chosen.target,
-            deadline_ms=deadline_ms,
-            caller="",
-            method=request.method,
-            path=request.path,
-            headers=headers,
-            body=request.body,
-        )
-
-    def _on_local(self, result, load):
-        self._finish(result, load)
-
-    def _on_remote(self, message):
-        if isinstance(message, Refusal):
-            self._finish(message, None)
-        elif isinstance(message, AnswerMessage):
-            response = Response(message.status, message.headers, message.body)
-            self._finish(response, message.load)
-        else:
-            refusal = Refusal(
-                Code(message.code), message.reason, Ran(message.ran), message.retry_after_ms
-            )
-            self._finish(refusal, message.load)
-
-    def _finish(self, result, load):
-        self._timer.cancel()
-        self._dispatcher._roster.note_done(self._chosen.target, load)
-        if isinstance(result, Refusal):
-            self._exchange.refuse(result)
-        else:
-            self._exchange.answer(result)
-
-    def _on_deadline(self):
-        self._give_up()
-        reason = "the deadline passed before the answer came"
-        refusal = Refusal(Code.DEADLINE_EXCEEDED, reason, Ran.OUTCOME_UNKNOWN)
-        self._exchange.refuse(refusal)
-
-    def _give_up(self):
-        self._timer.cancel()
-        self._dispatcher._roster.note_done(self._chosen.target, None)
-        if self._cancel is not None:
-            self._cancel()
--- a/packages/node/src/camphorshelf_node/gatekeeper.py
+++ b/packages/node/src/camphorshelf_node/gatekeeper.py
@@ -28,7 +28,13 @@
     def load(self):
         """The load report of this moment."""
         gate = self._gate
-        return LoadReport(gate.in_flight, gate.queued, gate.slots, self._latency_ms)
+        return LoadReport(
+            gate.in_flight,
+            gate.queued,
+            gate.slots,
+            round(self._latency_ms, 2),
+            at_ms=int(self._loop.now() * 1000),
+        )
 
     def announce(self, target):
         """Take note of the target that announced itself.
@@ -59,12 +65,18 @@
             refusal = Refusal(Code.NO_TARGET, "no such target beside this node")
             on_done(refusal, self.load)
             return lambda: None
+        if not call.may_wait and not self._has_free_slot():
+            on_done(Refusal(Code.TARGET_BUSY, "no slot is free"), self.load)
+            return lambda: None
         work = _Work(self, self._gate, self._client, call, on_done)
         now = self._loop.now()
         ticket = Ticket(now + call.deadline_ms / 1000, work.start, work.refuse)
         self._gate.offer(ticket, now)
         return work.cancel
 
+    def _has_free_slot(self):
+        return self._gate.in_flight < self._gate.slots and not self._gate.queued
+
     def note_latency(self, milliseconds):
         """Take a finished call's time into the smoothed latency.
 
--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -7,6 +7,7 @@
 
 from camphorshelf_core.calls import Request, header
 from camphorshelf_core.errors import Code, Refusal, http_status
+from camphorshelf_core.retry import RETRIES_LEFT_HEADER
 
 HOP_BY_HOP = frozenset(
     {
@@ -201,6 +202,7 @@
         self.deadline = None
         self.service = None
         self.caller = None
+        self.retries_left = None
 
     @property
     def finished(self):
@@ -244,6 +246,8 @@
             (b"camphorshelf-code", b"%d" % refusal.code),
             (b"camphorshelf-ran", refusal.ran.value.encode()),
         ]
+        if self.retries_left is not None:
+            headers.append((RETRIES_LEFT_HEADER, b"%d" % self.retries_left))
         if refusal.retry_after_ms is not None:
             seconds = -(-refusal.retry_after_ms // 1000)
             headers.append((b"retry-after", b"%d" % seconds))
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -6,19 +6,23 @@
 
 from circuits import Component, handler
 
-from camphorshelf_core.messages import CallMessage
+from camphorshelf_core.messages import CallMessage, SnapshotRequestMessage
 from camphorshelf_core.settings import split_address
 
 from .admin import AdminServer
 from .dispatch import Dispatcher
 from .filters import make_chain, make_deadline_filter, make_identity_filter
 from .gatekeeper import Gatekeeper
+from .gossip import Gossip
 from .http import HttpConnection
+from .join import Join
 from .links import PeerServer, make_call_handler
+from .load import LoadKeeper
 from .log import Log
 from .loop import Loop
 from .platform import Platform
 from .roster import Roster
+from .sensing import ProbeController
 from .streams import listen
 
 _INCARNATION_BYTES = 8
@@ -37,20 +41,34 @@
         self._loop = Loop().register(self)
         self._log = Log(settings.name)
         self._platform = Platform(self._loop, settings.platform)
-        self._roster = Roster(self._loop, settings, self._platform)
+        self._gossip = Gossip(self._loop, settings, self.incarnation)
+        self._roster = Roster(self._gossip)
+        self._join = Join(self._loop, settings, self._gossip, self._platform, self._log)
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
-        self._peer_handlers = {CallMessage: make_call_handler(self._gatekeeper)}
+        self._peer_handlers = {
+            CallMessage: make_call_handler(self._gatekeeper),
+            SnapshotRequestMessage: self._join.answer_snapshot,
+        }
         self._connections = set()
         self._stopping = False
+        chance = random.Random(self.incarnation)
+        keeper = LoadKeeper(self._loop, settings, self._roster, self._gossip, chance)
+        self._probes = ProbeController(
+            self._loop, settings, self._gossip, keeper, self._gatekeeper, chance
+        )
+        self._keeper = keeper
         dispatcher = Dispatcher(
             self._loop,
             settings,
             self.incarnation,
-            self._roster,
+            keeper,
             self._gatekeeper,
+            self._probes,
             self._log,
-            random.Random(self.incarnation),
+            chance,
         )
+        # Not "_dispatcher": circuits keeps its own under that name.
+        self._calls = dispatcher
         filters = (
             make_identity_filter(self._roster.knows),
             make_deadline_filter(settings.limits, self._loop),
@@ -61,7 +79,21 @@
     @property
     def ready(self):
         """Whether callers should send requests here."""
-        return not self._stopping
+        return self._join.is_joined and not self._stopping
+
+    @property
+    def entry_counts(self):
+        """What the entry side of this node has counted, by name."""
+        sensing = self._probes.sensing
+        return {
+            **self._calls.counts,
+            "ejections": self._keeper.ejections,
+            "probes": sensing.sent,
+            "probe_answers": sensing.answered,
+            "probe_bytes": sensing.spent_bytes,
+            "probes_denied": sensing.denied,
+            "probes_lost": sensing.lost,
+        }
 
     def announce(self, target):
         """Take an announcement of the target beside this node.
@@ -70,7 +102,8 @@
         :return: None.
         """
         if self._gatekeeper.announce(target):
-            self._roster.announce(self.incarnation, target)
+            self._gossip.change_own(target=target)
+            self._join.write_row()
             self._log.info(f"target announced: {target.service} at {target.address}")
 
     @handler("started", channel="*")
@@ -84,7 +117,8 @@
             split_address(listening.peers),
             lambda stream, _peer: PeerServer(stream, self._peer_handlers),
         )
-        self._roster.start()
+        self._gossip.start()
+        self._join.start()
         self._log.info(f"listening for callers on {listening.callers}")
 
     def _on_caller(self, stream, _peer):
@@ -105,4 +139,5 @@
         if any(connection.busy for connection in self._connections):
             self._loop.call_later(_DRAIN_POLL_SECONDS, self._drain)
         else:
+            self._gossip.leave()
             self.stop()
