--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import os
 import random
 import statistics
 import sys
@@ -25,12 +26,13 @@
 DOMAINS = ("fd-a", "fd-b", "fd-c")
 TARGETS = 6
 SLOTS = 4
-MEAN_WORK_MS = 25.0
-SLICE_SECONDS = 2.5
+MEAN_WORK_MS = 50.0
+SLICE_SECONDS = 3.0
 SETTLE_SECONDS = 0.4
 DEADLINE_MS = 1_000
 CAPACITY = TARGETS * SLOTS / (MEAN_WORK_MS / 1000)
 BACKGROUND = "background"
+_TICK_MS = 1000 / os.sysconf("SC_CLK_TCK")
 
 
 class Arrival(NamedTuple):
@@ -69,7 +71,7 @@
 
 
 def _lookup(rng):
-    return rng.uniform(10, 40)
+    return rng.uniform(20, 80)
 
 
 def _arrive(rng, rate, start=0.0, end=SLICE_SECONDS, work=_lookup, entry=None, caller=None):
@@ -101,7 +103,7 @@
 
 def _mixed(rng):
     def work(rng):
-        return 300.0 if rng.random() < 0.05 else rng.uniform(5, 16)
+        return 600.0 if rng.random() < 0.05 else rng.uniform(10, 32)
 
     return _arrive(rng, 0.6 * CAPACITY, work=work)
 
@@ -109,7 +111,7 @@
 def _stale(rng):
     """Few calls at the entries under test, while bursts from elsewhere move the load about."""
     calls = _arrive(rng, 0.12 * CAPACITY)
-    background = _arrive(rng, 0.48 * CAPACITY, work=lambda rng: rng.uniform(20, 100))
+    background = _arrive(rng, 0.48 * CAPACITY, work=lambda rng: rng.uniform(40, 200))
     background = [one for one in background if rng.random() < 0.42]
     return calls + [one._replace(background=True) for one in background]
 
@@ -250,9 +252,12 @@
     def slice(self, scenario, seed, policy):
         outcomes = []
         before = self._costs(policy)
+        used = time.process_time()
         asyncio.run(self._play(scenario, seed, policy, outcomes))
+        used = time.process_time() - used
         self._reset()
         after = self._costs(policy)
+        after["callers_cpu_ms"] = used * 1000
         time.sleep(SETTLE_SECONDS)
         return outcomes, {key: after[key] - before.get(key, 0) for key in after}
 
@@ -283,6 +288,11 @@
             call(address, "GET", "target", "/_factor/1")
             call(address, "GET", "target", "/_fail/none")
 
+    def _cpu_ms(self, name):
+        stat = Path(f"/proc/{self._deployment.pid(f'node-{name}')}/stat").read_text()
+        user, system = stat.rpartition(")")[2].split()[11:13]
+        return (int(user) + int(system)) * _TICK_MS
+
     def _address(self, policy, domain):
         return self._deployment.nodes[_entry_name(policy, domain)].callers
 
@@ -292,6 +302,7 @@
             admin = self._deployment.nodes[_entry_name(policy, domain)].admin
             answer = call(admin, "GET", "node", "/entry")
             counts = json.loads(answer.body) if answer.status == 200 else {}
+            counts["entry_cpu_ms"] = self._cpu_ms(_entry_name(policy, domain))
             for key, value in counts.items():
                 total[key] = total.get(key, 0) + value
         return total
