--- a/packages/core/src/camphorshelf_core/membership.py
+++ b/packages/core/src/camphorshelf_core/membership.py
@@ -430,13 +430,19 @@
         digests = tuple(self._replica.digest(first + index) for index in range(_DIGESTS_PER_PING))
 
         def make(members, entries):
-            if member is not None and member.state != MemberState.ALIVE:
-                # The pinged member must hear that it is suspected, or it cannot contradict.
-                members = (self._replica.packed(("m", member.node))[1], *members)
+            if member is not None:
+                members = self._record_unless_alive(member.node) + members
             return PingMessage(sequence, self._own.node, first, digests, members, entries)
 
         self._send_with_changes(address, make, now, sends, _DIGESTS_PER_PING * _DIGEST_BYTES)
 
+    def _record_unless_alive(self, node):
+        """Give what the other side must hear to contradict that it is suspected or dead."""
+        member = self._replica.member(node)
+        if member is None or member.state == MemberState.ALIVE:
+            return ()
+        return (self._replica.packed(("m", node))[1],)
+
     def _send_with_changes(self, address, make, now, sends, extra_bytes=0):
         spare = self._budget.available(now) - _RESERVED_BYTES
         room = min(MAX_DATAGRAM, spare) - 2 * _HEAD_BYTES - extra_bytes
--- a/tests/run.py
+++ b/tests/run.py
@@ -46,6 +46,7 @@
 def _run_feature(path):
     with tempfile.NamedTemporaryFile(suffix=".json") as out:
         command = [sys.executable, "-m", "behave", "--format", "json", "--outfile", out.name]
+        command += ["--format", "plain", "--outfile", "/dev/stdout"]
         done = subprocess.run(
             [*command, "--no-summary", path],
             cwd=_ROOT,
@@ -57,6 +58,8 @@
         scenarios = _read_results(Path(out.name).read_text())
     if not scenarios or (done.returncode and all(one.status == "passed" for one in scenarios)):
         scenarios.append(Scenario(path, "failed", done.stdout + done.stderr))
+    if any(one.status != "passed" for one in scenarios):
+        print(done.stdout + done.stderr)
     print(f"{Path(path).name}: {sum(one.status == 'passed' for one in scenarios)} passed")
     return scenarios
 
@@ -78,8 +81,6 @@
         result = step.get("result", {})
         if result.get("status", "undefined") != "passed":
             lines.append(f"  {step['keyword']} {step['name']}: {result.get('status', 'not run')}")
-            message = result.get("error_message", "")
-            lines.extend([message] if isinstance(message, str) else message)
     return "\n".join(lines)
 
 
