--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,8 @@
 	$(BIN)/black --quiet $(SOURCES)
 	$(BIN)/ruff check --fix $(SOURCES)
 
+bench: setup
+	$(BIN)/python bench/bench.py
+
 clean:
 	rm -rf $(VENV) build run
