--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -51,6 +51,10 @@
     call_id: int
 
 
+class GoodbyeMessage(NamedTuple):
+    """Asks the peer to send no more calls: this node stops when it has answered those it has."""
+
+
 class PingMessage(NamedTuple):
     """Asks a member for a sign of life, in a datagram; carries changes and some digests.
 
@@ -110,6 +114,7 @@
     2: AnswerMessage,
     3: RefusedMessage,
     4: CancelMessage,
+    5: GoodbyeMessage,
     40: PingMessage,
     41: AckMessage,
     42: PingRequestMessage,
--- a/packages/node/src/camphorshelf_node/dispatch.py
+++ b/packages/node/src/camphorshelf_node/dispatch.py
@@ -6,8 +6,7 @@
 from camphorshelf_core.routing import choose_target
 from camphorshelf_core.settings import split_address
 
-from .filters import DEADLINE_HEADER
-from .http import strip_hop_by_hop
+from .headers import strip_hop_by_hop, with_deadline
 from .links import PeerLink
 
 
@@ -71,25 +70,26 @@
         self._chosen = chosen
         self._cancel = None
         self._timer = None
+        self._settled = False
 
     def start(self):
         dispatcher, exchange, chosen = self._dispatcher, self._exchange, self._chosen
         exchange.when_hung_up(self._give_up)
         wait = exchange.deadline - dispatcher._loop.now()
-        self._timer = dispatcher._loop.call_later(max(0.0, wait), self._on_deadline)
+        self._timer = dispatcher._loop.call_later(max(0.0, wait), exchange.guard(self._on_deadline))
         dispatcher._roster.note_sent(chosen.target)
         message = self._message(wait)
         if chosen.address == dispatcher._settings.listen.peers:
-            self._cancel = dispatcher._gatekeeper.run(message, self._on_local)
+            self._cancel = dispatcher._gatekeeper.run(message, exchange.guard(self._on_local))
         else:
-            self._cancel = dispatcher.link(chosen.address).call(message, self._on_remote)
+            self._cancel = dispatcher.link(chosen.address).call(
+                message, exchange.guard(self._on_remote)
+            )
 
     def _message(self, wait):
         request = self._exchange.request
-        headers = strip_hop_by_hop(request.headers)
-        headers = tuple(pair for pair in headers if pair[0] != DEADLINE_HEADER)
         deadline_ms = max(1, int(wait * 1000))
-        headers += ((DEADLINE_HEADER, b"%d" % deadline_ms),)
+        headers = with_deadline(strip_hop_by_hop(request.headers), deadline_ms)
         return CallMessage(
             call_id=0,
             attempt=self._dispatcher.next_attempt(),
@@ -119,8 +119,7 @@
             self._finish(refusal, message.load)
 
     def _finish(self, result, load):
-        self._timer.cancel()
-        self._dispatcher._roster.note_done(self._chosen.target, load)
+        self._settle(load)
         if isinstance(result, Refusal):
             self._exchange.refuse(result)
         else:
@@ -132,8 +131,15 @@
         refusal = Refusal(Code.DEADLINE_EXCEEDED, reason, Ran.OUTCOME_UNKNOWN)
         self._exchange.refuse(refusal)
 
+    def _settle(self, load):
+        # A fault after the answer ends here a second time; counting it down twice would make
+        # the target look idle for ever.
+        if not self._settled:
+            self._settled = True
+            self._timer.cancel()
+            self._dispatcher._roster.note_done(self._chosen.target, load)
+
     def _give_up(self):
-        self._timer.cancel()
-        self._dispatcher._roster.note_done(self._chosen.target, None)
+        self._settle(None)
         if self._cancel is not None:
             self._cancel()
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/exchange.py
@@ -0,0 +1,117 @@
+"""One request on its way through the filters and back."""
+
+from camphorshelf_core.errors import Code, Ran, Refusal, http_status
+
+
+class Exchange:
+    """A caller's request, and the one answer that it gets."""
+
+    def __init__(self, connection, request, keep_alive, received):
+        self._connection = connection
+        self._on_hang_up = None
+        self._finished = False
+        self.request = request
+        self.keep_alive = keep_alive
+        self.received = received
+        self.started = received
+        self.deadline = None
+        self.service = None
+        self.caller = None
+
+    @property
+    def finished(self):
+        """Whether the caller has the answer or is gone."""
+        return self._finished
+
+    def when_hung_up(self, callback):
+        """Say what to do when the caller goes away first.
+
+        :param callback: takes no argument.
+        :return: None.
+        """
+        self._on_hang_up = callback
+
+    def hang_up(self):
+        """Tell that the caller is gone.
+
+        :return: None.
+        """
+        if not self._finished:
+            self._finished = True
+            if self._on_hang_up is not None:
+                self._on_hang_up()
+
+    def answer(self, response):
+        """Give the caller a target's answer; a second answer is dropped.
+
+        :param response: the :class:`Response`.
+        :return: None.
+        """
+        self._send(response.status, response.headers, response.body)
+
+    def refuse(self, refusal):
+        """Give the caller a final refusal; a second answer is dropped.
+
+        :param refusal: the :class:`Refusal`.
+        :return: None.
+        """
+        status, headers, body = render_refusal(refusal)
+        self._send(status, headers, body)
+
+    def guard(self, callback):
+        """Wrap a callback of this call so that a fault in it refuses this call only.
+
+        Without it the exception ends in the loop: the caller would wait until its deadline,
+        and where the callback stood between two counts, they would never meet again.
+
+        :param callback: any function.
+        :return: the function to register in its place.
+        """
+
+        def run(*arguments):
+            try:
+                callback(*arguments)
+            except Exception as error:
+                self.fail(error)
+
+        return run
+
+    def fail(self, error):
+        """Refuse the call after a fault of our own and cancel what was sent for it.
+
+        :param error: the exception.
+        :return: None.
+        """
+        if self._finished:
+            raise error
+        reason = f"a fault inside the node: {type(error).__name__}"
+        # It is not known how far the call had come when the fault struck.
+        self.refuse(Refusal(Code.INTERNAL, reason, Ran.OUTCOME_UNKNOWN))
+        self._connection.note_fault(error)
+        if self._on_hang_up is not None:
+            self._on_hang_up()
+
+    def _send(self, status, headers, body):
+        if self._finished:
+            return
+        self._finished = True
+        self._connection.answer(status, headers, body)
+
+
+def render_refusal(refusal):
+    """Put a refusal in terms of HTTP.
+
+    :param refusal: the :class:`Refusal`.
+    :return: the status, the headers and the body.
+    """
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (b"camphorshelf-code", b"%d" % refusal.code),
+        (b"camphorshelf-ran", refusal.ran.value.encode()),
+    ]
+    if refusal.retry_after_ms is not None:
+        seconds = -(-refusal.retry_after_ms // 1000)
+        headers.append((b"retry-after", b"%d" % seconds))
+        headers.append((b"retry-after-ms", b"%d" % refusal.retry_after_ms))
+    body = f"{refusal.code.value} {refusal.code.name} {refusal.ran.value}: {refusal.reason}\n"
+    return http_status(refusal.code), headers, body.encode()
--- a/packages/node/src/camphorshelf_node/filters.py
+++ b/packages/node/src/camphorshelf_node/filters.py
@@ -3,7 +3,7 @@
 from camphorshelf_core.calls import header
 from camphorshelf_core.errors import Code, Refusal
 
-DEADLINE_HEADER = b"deadline-ms"
+from .headers import DEADLINE_HEADER
 
 
 def make_chain(filters, last):
@@ -63,8 +63,13 @@
             reason = "Deadline-Ms must be a whole number of milliseconds above 0"
             exchange.refuse(Refusal(Code.BAD_DEADLINE, reason))
             return
-        exchange.started = loop.now()
-        exchange.deadline = exchange.started + milliseconds / 1000
+        # From the arrival, not from now: what a pipelined request waited for the answers before
+        # its own is time spent.
+        exchange.deadline = exchange.received + milliseconds / 1000
+        if exchange.deadline <= loop.now():
+            reason = "the deadline passed before the call's turn came"
+            exchange.refuse(Refusal(Code.DEADLINE_UNREACHABLE, reason))
+            return
         proceed(exchange)
 
     return read_deadline
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/headers.py
@@ -0,0 +1,93 @@
+"""HTTP/1.1 headers: which are passed on, and heads as bytes."""
+
+from http import HTTPStatus
+
+from camphorshelf_core.calls import header
+
+DEADLINE_HEADER = b"deadline-ms"
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# Naming one of these in Connection must not remove it: a caller could strip the deadline or
+# the key that makes its own work run once, or the Host that told the service.
+_END_TO_END = frozenset({b"host", b"content-length", b"idempotency-key", DEADLINE_HEADER})
+_REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+_OWN_REQUEST_HEADERS = frozenset({b"content-length", b"expect"})
+_BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+BODILESS = frozenset({204, 304})
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+def strip_hop_by_hop(headers):
+    """Drop the headers that concern one connection only.
+
+    :param headers: pairs of lower-case name and value.
+    :return: the rest, as a tuple.
+    """
+    dropped = _HOP_BY_HOP
+    for name, value in headers:
+        if name == b"connection":
+            named = {part.strip().lower() for part in value.split(b",")}
+            dropped = dropped | (named - _END_TO_END)
+    return tuple([pair for pair in headers if pair[0] not in dropped])
+
+
+def with_deadline(headers, milliseconds):
+    """Replace the deadline that is passed on.
+
+    :param headers: pairs of lower-case name and value.
+    :param milliseconds: what is left.
+    :return: the new headers, as a tuple.
+    """
+    kept = [pair for pair in headers if pair[0] != DEADLINE_HEADER]
+    kept.append((DEADLINE_HEADER, b"%d" % max(1, int(milliseconds))))
+    return tuple(kept)
+
+
+def render_request(request):
+    """Turn a request for a target into bytes.
+
+    :param request: the :class:`~camphorshelf_core.calls.Request`.
+    :return: head and body.
+    """
+    lines = [b"%s %s HTTP/1.1" % (request.method.encode(), request.path)]
+    lines += [b"%s: %s" % pair for pair in request.headers if pair[0] not in _OWN_REQUEST_HEADERS]
+    if request.body or request.method in _BODY_METHODS:
+        lines.append(b"content-length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def render_answer(status, headers, body, method, close):
+    """Turn an answer for a caller into bytes.
+
+    :param status: the HTTP status.
+    :param headers: pairs of name and value, without hop-by-hop headers.
+    :param body: the whole body.
+    :param method: the request's method; an answer to HEAD has no body.
+    :param close: whether the connection ends behind it.
+    :return: head and body.
+    """
+    lines = [b"HTTP/1.1 %d %s" % (status, _REASONS.get(status, b""))]
+    lines += [b"%s: %s" % pair for pair in headers if pair[0] != b"content-length"]
+    bodiless = method == "HEAD" or status in BODILESS
+    if not bodiless:
+        lines.append(b"content-length: %d" % len(body))
+    elif status != 204:
+        # The length that a GET would get; where the target did not tell, 0 would be a lie.
+        declared = header(headers, b"content-length")
+        if declared is not None:
+            lines.append(b"content-length: " + declared)
+    if close:
+        lines.append(b"connection: close")
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    return head if bodiless else head + body
--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -1,57 +1,61 @@
 """HTTP/1.1 towards callers: requests in, answers out in the order of the requests."""
 
 from collections import deque
-from http import HTTPStatus
 
 import httptools
 
 from camphorshelf_core.calls import Request, header
-from camphorshelf_core.errors import Code, Refusal, http_status
-
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
-_BODILESS = frozenset({204, 304})
-_MAX_PIPELINED = 64
+from camphorshelf_core.errors import Code, Refusal
+
+from .exchange import Exchange, render_refusal
+from .headers import CONTINUE, render_answer
+
+_MAX_WAITING = 16
+_HEAD_PIECE = 1_024
+_BODY_PIECE = 16_384
+_VERSIONS = frozenset({"1.0", "1.1"})
+# Methods that the parser knows from other protocols, and the one that asks for a tunnel.
+_REFUSED_METHODS = frozenset({b"CONNECT", b"SOURCE", b"PRI"})
+_HEADER_OVERHEAD = 4
 
 
 class HttpConnection:
     """One caller's connection; answers one request at a time, so order is kept."""
 
-    def __init__(self, stream, limits, loop, on_request):
+    def __init__(self, stream, limits, loop, on_request, on_fault=None, on_close=None):
         self._stream = stream
         self._limits = limits
         self._loop = loop
         self._on_request = on_request
+        self._on_fault = on_fault
+        self._when_closed = on_close
         self._parser = httptools.HttpRequestParser(self)
         self._waiting = deque()
+        self._waiting_bytes = 0
+        self._unread = b""
         self._exchange = None
         self._in_head = True
         self._head_bytes = 0
+        self._continue_due = False
+        self._last_request = False
         self._timer = None
+        self._timer_phase = None
+        self._timer_unsent = 0
+        self._requests = 0
         self._refused = None
         stream.on_data = self._on_data
         stream.on_close = self._on_close
+        stream.on_drain = self._next
         self.on_message_begin()
         self._arm(limits.idle_timeout_ms)
         stream.open()
 
     @property
     def busy(self):
-        """Whether a request is being answered or waits."""
-        return self._exchange is not None or bool(self._waiting)
+        """Whether a request is arriving, being answered or waiting, or an answer is going out."""
+        arriving = self._head_bytes > 0 or not self._in_head
+        answering = self._exchange is not None or self._waiting or self._stream.unsent
+        return bool(answering or arriving or self._unread) and not self._stream.closed
 
     def close(self):
         """Close at once.
@@ -60,21 +64,38 @@
         """
         self._stream.close()
 
-    def answer(self, status, headers, body, close=False):
+    def finish(self):
+        """Close as soon as nothing is in flight; the next answer says so to the caller.
+
+        :return: None.
+        """
+        self._last_request = True
+        if not self.busy:
+            self._stream.close_when_sent()
+
+    def note_fault(self, error):
+        """Report an exception in the code of one call.
+
+        :param error: the exception.
+        :return: None.
+        """
+        if self._on_fault is not None:
+            self._on_fault(error)
+
+    def answer(self, status, headers, body):
         """Send the answer to the request that is being answered.
 
         :param status: the HTTP status.
         :param headers: pairs of name and value, without hop-by-hop headers.
         :param body: the whole body.
-        :param close: whether to close the connection behind it.
         :return: None.
         """
-        request, keep_alive = self._exchange.request, self._exchange.keep_alive
-        self._exchange = None
-        close = close or not keep_alive or self._refused is not None
-        self._stream.write(_render(status, headers, body, request.method, close))
-        if close and not self._waiting:
-            self._stream.close_when_sent()
+        exchange, self._exchange = self._exchange, None
+        more = bool(self._waiting or self._unread)
+        close = not exchange.keep_alive or (self._last_request and not more)
+        self._stream.write(render_answer(status, headers, body, exchange.request.method, close))
+        if close:
+            self._end()
         else:
             self._next()
 
@@ -84,6 +105,8 @@
         self._headers = []
         self._body = []
         self._body_bytes = 0
+        self._trailer_bytes = 0
+        self._requests += 1
 
     def on_url(self, url):
         """Called by the parser with a part of the request's target."""
@@ -91,46 +114,94 @@
 
     def on_header(self, name, value):
         """Called by the parser with one header."""
-        self._headers.append((name.lower(), value))
+        if self._in_head:
+            self._headers.append((name.lower(), value))
+            return
+        # The parser gives trailers like headers. Taken as such, a caller could set a second
+        # Host or deadline behind the checks; they are counted and dropped.
+        self._trailer_bytes += len(name) + len(value) + _HEADER_OVERHEAD
+        if self._trailer_bytes > self._limits.head_bytes:
+            raise _RefusedError(Code.HEADERS_TOO_LARGE, "the trailers are larger than allowed")
 
     def on_headers_complete(self):
         """Called by the parser at the end of the head."""
-        self._in_head = False
-        self._arm(self._limits.body_timeout_ms)
+        size = len(self._url) + sum(len(n) + len(v) + _HEADER_OVERHEAD for n, v in self._headers)
+        if size > self._limits.head_bytes:
+            raise _RefusedError(Code.HEADERS_TOO_LARGE, "the head is larger than allowed")
+        version = self._parser.get_http_version()
+        _check_head(version, self._parser.get_method(), self._headers)
         length = header(self._headers, b"content-length")
         if length is not None and int(length) > self._limits.body_bytes:
-            raise _RefusedError(Refusal(Code.BODY_TOO_LARGE, "the body is larger than allowed"))
-        expect = header(self._headers, b"expect")
-        if expect is not None and expect.lower() == b"100-continue" and not self.busy:
-            self._stream.write(_CONTINUE)
+            raise _RefusedError(Code.BODY_TOO_LARGE, "the body is larger than allowed")
+        self._in_head = False
+        self._continue_due = _wants_continue(version, self._headers)
+        if not self._pending:
+            self._start_body()
 
     def on_body(self, body):
         """Called by the parser with a part of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > self._limits.body_bytes:
-            raise _RefusedError(Refusal(Code.BODY_TOO_LARGE, "the body is larger than allowed"))
+            raise _RefusedError(Code.BODY_TOO_LARGE, "the body is larger than allowed")
         self._body.append(body)
 
     def on_message_complete(self):
         """Called by the parser at the end of a request."""
         method = self._parser.get_method().decode("ascii")
         request = Request(method, self._url, tuple(self._headers), b"".join(self._body))
-        self._waiting.append(Exchange(self, request, self._parser.should_keep_alive()))
+        keep_alive = self._parser.should_keep_alive()
+        self._waiting.append(Exchange(self, request, keep_alive, self._loop.now()))
+        self._waiting_bytes += self._body_bytes
         self._in_head = True
         self._head_bytes = 0
+        self._continue_due = False
+
+    @property
+    def _pending(self):
+        return self._exchange is not None or bool(self._waiting)
+
+    @property
+    def _full(self):
+        return len(self._waiting) >= _MAX_WAITING or self._waiting_bytes > self._limits.body_bytes
 
     def _on_data(self, data):
         if self._refused is not None:
             return
-        if self._in_head and self._head_bytes == 0 and not self.busy:
-            self._arm(self._limits.head_timeout_ms)
+        if self._unread:
+            self._unread += data
+        elif self._full:
+            self._unread = data
+        else:
+            self._read(data)
+        if self._exchange is None:
+            self._next()
+
+    def _read(self, data):
+        # Fed in small pieces, so that a caller who sends many requests ahead is held back by
+        # TCP, not refused, and cannot make the node keep more than a few of them.
+        start = 0
+        while start < len(data) and self._refused is None:
+            if self._full:
+                self._unread = data[start:]
+                self._stream.pause()
+                return
+            size = _HEAD_PIECE if self._in_head else _BODY_PIECE
+            self._feed(data[start : start + size])
+            start += size
+
+    def _feed(self, piece):
+        if self._in_head:
+            self._head_bytes += len(piece)
         try:
-            if self._in_head:
-                self._head_bytes += len(data)
-            self._parser.feed_data(data)
-            self._check_head()
-        except httptools.HttpParserUpgrade:
-            self._refuse(Refusal(Code.BAD_REQUEST, "upgrades are not served"))
+            self._parser.feed_data(piece)
+            if self._in_head and self._head_bytes > self._limits.head_bytes:
+                raise _RefusedError(Code.HEADERS_TOO_LARGE, "the head is larger than allowed")
+        except httptools.HttpParserUpgrade as upgrade:
+            # A server may ignore a wish to change the protocol; the parser stops there.
+            self._parser = httptools.HttpRequestParser(self)
+            rest = piece[upgrade.args[0] :]
+            if rest:
+                self._feed(rest)
         except httptools.HttpParserError as error:
             cause = error.__context__
             if isinstance(cause, _RefusedError):
@@ -139,155 +210,135 @@
                 self._refuse(Refusal(Code.BAD_REQUEST, f"not a valid request: {error}"))
         except _RefusedError as refused:
             self._refuse(refused.refusal)
-        if self._exchange is None:
-            self._next()
-
-    def _check_head(self):
-        if self._in_head and self._head_bytes > self._limits.head_bytes:
-            raise _RefusedError(Refusal(Code.HEADERS_TOO_LARGE, "the head is larger than allowed"))
-        if len(self._waiting) > _MAX_PIPELINED:
-            raise _RefusedError(Refusal(Code.BAD_REQUEST, "too many pipelined requests"))
 
     def _refuse(self, refusal):
         self._refused = refusal
-        self._waiting.append(Exchange(self, Request("GET", b"", (), b""), False, refusal))
+        self._unread = b""
+        self._in_head = True
+        self._head_bytes = 0
 
     def _next(self):
+        if self._exchange is not None or self._stream.closed:
+            return
+        if self._stream.unsent:
+            # The answers of further requests would pile up behind what a slow reader has not
+            # taken yet.
+            self._arm(self._limits.body_timeout_ms)
+            return
+        if self._unread and not self._full:
+            data, self._unread = self._unread, b""
+            self._stream.resume()
+            self._read(data)
         if self._waiting:
-            self._arm(None)
-            self._exchange = self._waiting.popleft()
-            if self._exchange.refusal is not None:
-                self._exchange.refuse(self._exchange.refusal)
-            else:
-                self._on_request(self._exchange)
-        elif self._in_head and self._head_bytes == 0:
-            self._arm(self._limits.idle_timeout_ms)
+            self._start_next()
+        elif self._refused is not None:
+            self._send_refusal()
+        elif not self._in_head:
+            self._start_body()
+        elif self._last_request and self._head_bytes == 0:
+            self._end()
+        else:
+            self._await_head()
+
+    def _start_next(self):
+        self._arm(None)
+        exchange = self._exchange = self._waiting.popleft()
+        self._waiting_bytes -= len(exchange.request.body)
+        try:
+            self._on_request(exchange)
+        except Exception as error:
+            exchange.fail(error)
+
+    def _await_head(self):
+        if self._head_bytes == 0:
+            self._arm(self._limits.idle_timeout_ms, "idle")
+        else:
+            self._arm(self._limits.head_timeout_ms, "head")
+
+    def _start_body(self):
+        self._arm(self._limits.body_timeout_ms, "body")
+        if self._continue_due:
+            self._continue_due = False
+            self._stream.write(CONTINUE)
+
+    def _send_refusal(self):
+        status, headers, body = render_refusal(self._refused)
+        self._stream.write(render_answer(status, headers, body, "GET", close=True))
+        self._end()
+
+    def _end(self):
+        self._waiting.clear()
+        self._unread = b""
+        self._refused = self._refused or Refusal(Code.CANCELLED, "the connection has ended")
+        self._arm(self._limits.body_timeout_ms)
+        self._stream.close_when_sent()
 
-    def _arm(self, milliseconds):
+    def _arm(self, milliseconds, phase=None):
+        # More bytes of the same head or body give no more time, or a sender could trickle.
+        phase = phase and (phase, self._requests)
+        if phase is not None and phase == self._timer_phase and self._timer is not None:
+            return
+        self._timer_phase = phase
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if milliseconds is not None:
+        if milliseconds is not None and not self._stream.closed:
+            self._timer_unsent = self._stream.unsent
             self._timer = self._loop.call_later(milliseconds / 1000, self._on_timeout)
 
     def _on_timeout(self):
-        if self.busy:
+        self._timer = None
+        if self._stream.unsent:
+            if self._stream.unsent >= self._timer_unsent:
+                self._stream.close()
+            else:
+                self._arm(self._limits.body_timeout_ms)
+        elif self._pending:
             return
-        if self._in_head and self._head_bytes == 0:
+        elif self._refused is not None or (self._in_head and self._head_bytes == 0):
             self._stream.close()
         else:
-            self._refuse(Refusal(Code.SENDER_TOO_SLOW, "the request took too long to arrive"))
+            reason = "the request took too long to arrive"
+            self._refuse(Refusal(Code.SENDER_TOO_SLOW, reason))
             self._next()
 
     def _on_close(self):
         self._arm(None)
         exchange, self._exchange = self._exchange, None
         self._waiting.clear()
+        self._unread = b""
+        if self._when_closed is not None:
+            self._when_closed(self)
         if exchange is not None:
             exchange.hang_up()
 
 
-class Exchange:
-    """One request on its way through the filters and back."""
-
-    def __init__(self, connection, request, keep_alive, refusal=None):
-        self._connection = connection
-        self._on_hang_up = None
-        self._finished = False
-        self.request = request
-        self.keep_alive = keep_alive
-        self.refusal = refusal
-        self.started = None
-        self.deadline = None
-        self.service = None
-        self.caller = None
-
-    @property
-    def finished(self):
-        """Whether the caller has the answer or is gone."""
-        return self._finished
-
-    def when_hung_up(self, callback):
-        """Say what to do when the caller goes away first.
-
-        :param callback: takes no argument.
-        :return: None.
-        """
-        self._on_hang_up = callback
-
-    def hang_up(self):
-        """Tell that the caller is gone.
-
-        :return: None.
-        """
-        if not self._finished:
-            self._finished = True
-            if self._on_hang_up is not None:
-                self._on_hang_up()
-
-    def answer(self, response):
-        """Give the caller a target's answer; a second answer is dropped.
-
-        :param response: the :class:`Response`.
-        :return: None.
-        """
-        self._send(response.status, response.headers, response.body)
-
-    def refuse(self, refusal):
-        """Give the caller a final refusal; a second answer is dropped.
-
-        :param refusal: the :class:`Refusal`.
-        :return: None.
-        """
-        headers = [
-            (b"content-type", b"text/plain; charset=utf-8"),
-            (b"camphorshelf-code", b"%d" % refusal.code),
-            (b"camphorshelf-ran", refusal.ran.value.encode()),
-        ]
-        if refusal.retry_after_ms is not None:
-            seconds = -(-refusal.retry_after_ms // 1000)
-            headers.append((b"retry-after", b"%d" % seconds))
-            headers.append((b"retry-after-ms", b"%d" % refusal.retry_after_ms))
-        body = f"{refusal.code.value} {refusal.code.name} {refusal.ran.value}: {refusal.reason}\n"
-        self._send(http_status(refusal.code), headers, body.encode())
-
-    def _send(self, status, headers, body):
-        if self._finished:
-            return
-        self._finished = True
-        self._connection.answer(status, headers, body)
-
-
 class _RefusedError(Exception):
     """Carries a refusal out of a parser's callback."""
 
-    def __init__(self, refusal):
-        super().__init__(refusal.reason)
-        self.refusal = refusal
-
-
-def strip_hop_by_hop(headers):
-    """Drop the headers that concern one connection only.
-
-    :param headers: pairs of lower-case name and value.
-    :return: the rest, as a tuple.
-    """
-    named = header(headers, b"connection")
-    extra = {part.strip().lower() for part in named.split(b",")} if named else ()
-    return tuple(pair for pair in headers if pair[0] not in HOP_BY_HOP and pair[0] not in extra)
-
-
-def _render(status, headers, body, method, close):
-    lines = [b"HTTP/1.1 %d %s" % (status, _REASONS.get(status, b""))]
-    lines.extend(b"%s: %s" % pair for pair in headers if pair[0] != b"content-length")
-    declared = header(headers, b"content-length")
-    if method == "HEAD" and declared is not None:
-        lines.append(b"content-length: " + declared)
-    elif status not in _BODILESS:
-        lines.append(b"content-length: %d" % len(body))
-    if close:
-        lines.append(b"connection: close")
-    head = b"\r\n".join(lines) + b"\r\n\r\n"
-    if method == "HEAD" or status in _BODILESS:
-        return head
-    return head + body
+    def __init__(self, code, reason):
+        super().__init__(reason)
+        self.refusal = Refusal(code, reason)
+
+
+def _check_head(version, method, headers):
+    if version not in _VERSIONS or method in _REFUSED_METHODS:
+        raise _RefusedError(Code.BAD_REQUEST, "only HTTP/1.0 and HTTP/1.1 requests are served")
+    hosts = sum(name == b"host" for name, _ in headers)
+    if hosts > 1 or (hosts == 0 and version == "1.1"):
+        raise _RefusedError(Code.BAD_REQUEST, "exactly one Host header is required")
+    coding = header(headers, b"transfer-encoding")
+    # The parser lets codings before "chunked" and chunks in HTTP/1.0 pass; a target could
+    # read another length out of them than this node did.
+    if coding is not None and (version == "1.0" or coding.strip().lower() != b"chunked"):
+        raise _RefusedError(Code.BAD_REQUEST, "the only transfer coding served is chunked")
+    expect = header(headers, b"expect")
+    if expect is not None and expect.lower() != b"100-continue":
+        raise _RefusedError(Code.EXPECTATION_FAILED, "the only expectation met is 100-continue")
+
+
+def _wants_continue(version, headers):
+    if version == "1.0" or header(headers, b"expect") is None:
+        return False
+    length = header(headers, b"content-length")
+    return header(headers, b"transfer-encoding") is not None or (length or b"0").strip(b"0") != b""
--- a/packages/node/src/camphorshelf_node/httpclient.py
+++ b/packages/node/src/camphorshelf_node/httpclient.py
@@ -1,16 +1,27 @@
 """HTTP/1.1 towards targets and the platform over kept connections."""
 
 from collections import deque
+from typing import NamedTuple
 
 import httptools
 
-from camphorshelf_core.calls import Response
+from camphorshelf_core.calls import Response, is_idempotent
 
-from .http import strip_hop_by_hop
+from .headers import BODILESS, render_request, strip_hop_by_hop
 from .streams import dial
 
-_BODILESS = frozenset({204, 304})
-_OWN_HEADERS = frozenset({b"content-length", b"expect"})
+_MAX_HEAD_BYTES = 65_536
+_SWITCHING_PROTOCOLS = 101
+# Servers commonly close what was idle for five seconds or more. Work that must not run twice
+# cannot be sent again when such a close crosses it, so it keeps off connections that old.
+_FRESH_SECONDS = 4.0
+
+
+class Failed(NamedTuple):
+    """A request without a whole answer; ``sent`` tells whether it may have run."""
+
+    reason: str
+    sent: bool
 
 
 class HttpClient:
@@ -32,7 +43,7 @@
         :param on_done: takes the :class:`Response` or a :class:`Failed`.
         :return: a function that abandons the request.
         """
-        exchange = _ClientExchange(request, on_done)
+        exchange = _ClientExchange(self, request, on_done)
         self._assign(exchange)
         return exchange.abandon
 
@@ -45,15 +56,42 @@
             self._idle.pop().close()
 
     def _assign(self, exchange):
-        if self._idle:
-            self._idle.pop().run(exchange)
+        connection = None if exchange.retried else self._take_kept(exchange)
+        if connection is not None:
+            connection.run(exchange)
         elif self._open < self._max_connections:
-            self._open += 1
-            _ClientConnection(self, dial(self._loop, self._address)).run(exchange)
+            self._dial(exchange)
+        elif self._idle:
+            self._idle.popleft().close()
+            self._dial(exchange)
         else:
             self._waiting.append(exchange)
 
+    def _take_kept(self, exchange):
+        oldest = self._loop.now() - _FRESH_SECONDS
+        while self._idle:
+            connection = self._idle[-1]
+            if connection.stale:
+                connection.close()
+            elif connection.idle_since < oldest and not exchange.idempotent:
+                # The one used last is the last in the row: all others are older still.
+                return None
+            else:
+                return self._idle.pop()
+        return None
+
+    def _dial(self, exchange):
+        try:
+            stream = dial(self._loop, self._address)
+        except OSError as error:
+            failed = Failed(f"no connection: {error.strerror}", sent=False)
+            self._loop.call_later(0, lambda: exchange.finish(failed))
+            return
+        self._open += 1
+        _ClientConnection(self, stream).run(exchange)
+
     def _give_back(self, connection):
+        connection.idle_since = self._loop.now()
         while self._waiting:
             exchange = self._waiting.popleft()
             if not exchange.abandoned:
@@ -65,22 +103,19 @@
         self._open -= 1
         if connection in self._idle:
             self._idle.remove(connection)
-        if self._waiting:
-            self._assign(self._waiting.popleft())
-
-
-class Failed:
-    """A request without a whole answer; ``sent`` tells whether it may have run."""
-
-    def __init__(self, reason, sent):
-        self.reason = reason
-        self.sent = sent
+        while self._waiting and self._open < self._max_connections:
+            exchange = self._waiting.popleft()
+            if not exchange.abandoned:
+                self._assign(exchange)
 
 
 class _ClientExchange:
-    def __init__(self, request, on_done):
+    def __init__(self, client, request, on_done):
+        self._client = client
         self.request = request
         self.on_done = on_done
+        self.idempotent = is_idempotent(request.method)
+        self.retried = False
         self.abandoned = False
         self.connection = None
 
@@ -89,6 +124,13 @@
         if self.connection is not None:
             self.connection.close()
 
+    def retry(self):
+        """Send the request once more, on a connection of its own."""
+        self.retried = True
+        self.connection = None
+        if not self.abandoned:
+            self._client._assign(self)
+
     def finish(self, result):
         self.connection = None
         if not self.abandoned:
@@ -102,52 +144,77 @@
         self._stream = stream
         self._exchange = None
         self._connected = False
+        self._kept = False
+        self._spoiled = False
         self._parser = None
+        self.idle_since = 0.0
         stream.on_data = self._on_data
         stream.on_close = self._on_close
         stream.on_connect = self._on_connect
 
+    @property
+    def stale(self):
+        """Whether the target has closed the connection or said something unasked."""
+        return self._stream.closed or self._stream.stale
+
     def run(self, exchange):
         self._exchange = exchange
         exchange.connection = self
         self._parser = httptools.HttpResponseParser(self)
-        self._headers = []
+        self._answered = False
+        self._head_bytes = 0
+        self._in_head = True
         self._body = []
         self._size = 0
-        self._framed = False
+        self._reset_head()
         if self._connected:
-            self._stream.write(_render_request(exchange.request))
+            self._stream.write(render_request(exchange.request))
 
     def close(self):
         self._stream.close()
 
+    def on_message_begin(self):
+        if self._exchange is None:
+            self._spoiled = True
+
     def on_header(self, name, value):
+        if not self._in_head:
+            return
         name = name.lower()
-        if name == b"content-length" or (name == b"transfer-encoding" and b"chunked" in value):
+        if name == b"content-length":
             self._framed = True
+        elif name == b"transfer-encoding":
+            self._framed = value.strip().lower() == b"chunked"
         self._headers.append((name, value))
 
     def on_headers_complete(self):
+        self._in_head = False
+        if self._exchange is None:
+            return
         if self._exchange.request.method == "HEAD" and self._parser.get_status_code() >= 200:
             self.on_message_complete()
 
     def on_body(self, body):
+        if self._exchange is None:
+            self._spoiled = True
+            return
         self._size += len(body)
         if self._size > self._client._max_answer_bytes:
             raise ValueError("the answer is larger than allowed")
         self._body.append(body)
 
     def on_message_complete(self):
+        if self._exchange is None:
+            return
         status = self._parser.get_status_code()
+        if status == _SWITCHING_PROTOCOLS:
+            raise ValueError("the target wants to change the protocol")
         if status < 200:
-            self._headers = []
-            return
-        if self._exchange is None:
+            self._reset_head()
             return
         exchange, self._exchange = self._exchange, None
-        headers = strip_hop_by_hop(self._headers)
-        response = Response(status, headers, b"".join(self._body))
-        if self._framed or status in _BODILESS or exchange.request.method == "HEAD":
+        response = Response(status, strip_hop_by_hop(self._headers), b"".join(self._body))
+        if self._framed or status in BODILESS or exchange.request.method == "HEAD":
             self._finish(exchange, response, self._parser.should_keep_alive())
         else:
             # An answer that only ends with its connection looks the same when it is cut
@@ -155,30 +222,49 @@
             failed = Failed("the answer has neither length nor chunks", sent=True)
             self._finish(exchange, failed, keep=False)
 
+    def _reset_head(self):
+        self._headers = []
+        self._framed = False
+        self._in_head = True
+        self._head_bytes = 0
+
     def _finish(self, exchange, result, keep):
         if keep:
-            self._client._loop.call_later(0, lambda: self._reuse())
+            # Not before the parser has seen all that came with the answer: what follows it
+            # would otherwise be taken for the answer to the next request.
+            self._client._loop.call_later(0, self._reuse)
         else:
             self._stream.close()
         exchange.finish(result)
 
     def _reuse(self):
-        if not self._stream.closed:
-            self._client._give_back(self)
+        if self._stream.closed:
+            return
+        if self._spoiled:
+            self._stream.close()
+            return
+        self._kept = True
+        self._client._give_back(self)
 
     def _on_connect(self):
         self._connected = True
         if self._exchange is not None:
-            self._stream.write(_render_request(self._exchange.request))
+            self._stream.write(render_request(self._exchange.request))
 
     def _on_data(self, data):
         if self._exchange is None:
             self._stream.close()
             return
+        self._answered = True
+        if self._in_head:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, ValueError) as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
             self._fail(f"not a valid answer: {error}")
+            return
+        if self._exchange is not None and self._in_head and self._head_bytes > _MAX_HEAD_BYTES:
+            self._fail("the answer's head is larger than allowed")
 
     def _fail(self, reason):
         exchange, self._exchange = self._exchange, None
@@ -190,14 +276,13 @@
     def _on_close(self):
         self._client._forget(self)
         exchange, self._exchange = self._exchange, None
-        if exchange is not None:
-            reason = "the connection was lost" if self._connected else "no connection"
-            exchange.finish(Failed(reason, sent=self._connected))
-
-
-def _render_request(request):
-    lines = [b"%s %s HTTP/1.1" % (request.method.encode(), request.path)]
-    lines.extend(b"%s: %s" % pair for pair in request.headers if pair[0] not in _OWN_HEADERS)
-    if request.body or request.method in ("POST", "PUT", "PATCH"):
-        lines.append(b"content-length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+        if exchange is None:
+            return
+        if self._kept and not self._answered and exchange.idempotent and not exchange.retried:
+            # The target closed an idle connection just as the request went out. The caller
+            # would get an error from a healthy target; a second run of an idempotent request
+            # does no harm. For others it might be the second run, so they are told.
+            exchange.retry()
+            return
+        reason = "the connection was lost" if self._connected else "no connection"
+        exchange.finish(Failed(reason, sent=self._connected))
--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -1,6 +1,7 @@
 """Links between nodes: WebSocket frames that carry CBOR messages."""
 
 import itertools
+from functools import partial
 
 from websockets.client import ClientProtocol
 from websockets.frames import Frame, Opcode
@@ -13,6 +14,7 @@
 from camphorshelf_core.messages import (
     AnswerMessage,
     CancelMessage,
+    GoodbyeMessage,
     RefusedMessage,
     decode,
     encode,
@@ -21,6 +23,8 @@
 from .streams import dial
 
 _MAX_MESSAGE = 32 * 1024 * 1024
+_MAX_BODY = _MAX_MESSAGE - 1024 * 1024
+_MAX_UNSENT = 128 * 1024 * 1024
 
 
 class Channel:
@@ -98,6 +102,9 @@
         for data in self._protocol.data_to_send():
             if data:
                 self._stream.write(data)
+        # A peer that takes nothing any more would fill this node's memory with its answers.
+        if self._stream.unsent > _MAX_UNSENT:
+            self._stream.close()
 
 
 class PeerLink:
@@ -112,13 +119,14 @@
         protocol = ClientProtocol(uri, max_size=_MAX_MESSAGE)
         stream = dial(loop, address)
         self._connected = False
+        self._retired = False
         self._channel = Channel(stream, protocol, self._on_message, self._on_close)
         stream.on_connect = self._on_connect
 
     @property
     def closed(self):
-        """Whether the link is gone."""
-        return self._channel.closed
+        """Whether the link takes no more calls."""
+        return self._retired or self._channel.closed
 
     def call(self, message, on_done):
         """Send a call.
@@ -133,8 +141,9 @@
         self._channel.send(message._replace(call_id=call_id))
 
         def cancel():
-            if self._pending.pop(call_id, None) is not None and not self.closed:
+            if self._pending.pop(call_id, None) is not None and not self._channel.closed:
                 self._channel.send(CancelMessage(call_id))
+                self._close_if_retired()
 
         return cancel
 
@@ -150,6 +159,10 @@
         self._channel.start()
 
     def _on_message(self, message):
+        if isinstance(message, GoodbyeMessage):
+            self._retired = True
+            self._close_if_retired()
+            return
         # An answer that nobody waits for (cancelled, late or a peer's fault) must not reach
         # another call: ids are never reused, so an unknown one can only be dropped.
         on_done = self._pending.pop(getattr(message, "call_id", None), None)
@@ -157,6 +170,13 @@
             self.unknown_answers += 1
         else:
             on_done(message)
+        self._close_if_retired()
+
+    def _close_if_retired(self):
+        # The close tells the stopping peer that no call is on its way: it comes behind all
+        # that was sent before the goodbye was read.
+        if self._retired and not self._pending:
+            self._channel.close()
 
     def _on_close(self):
         pending, self._pending = self._pending, {}
@@ -164,8 +184,7 @@
             refusal = Refusal(Code.PEER_LOST, "the peer link was lost", Ran.OUTCOME_UNKNOWN)
         else:
             refusal = Refusal(Code.PEER_LOST, "the peer cannot be reached", Ran.NOT_RUN)
-        for on_done in pending.values():
-            on_done(refusal)
+        _run_all([partial(on_done, refusal) for on_done in pending.values()])
 
 
 class PeerServer:
@@ -176,14 +195,34 @@
     node outlives a newer peer.
     """
 
-    def __init__(self, stream, handlers):
+    def __init__(self, stream, handlers, on_close=None):
         self._handlers = handlers
+        self._when_closed = on_close
         self._cancels = {}
         self.unknown_messages = 0
         protocol = ServerProtocol(max_size=_MAX_MESSAGE)
         self._channel = Channel(stream, protocol, self._on_message, self._on_close)
         stream.open()
 
+    @property
+    def busy(self):
+        """Whether something that the peer asked for is not yet answered."""
+        return bool(self._cancels)
+
+    def say_goodbye(self):
+        """Ask the peer to send no more calls and to close when it has all its answers.
+
+        :return: None.
+        """
+        self._channel.send(GoodbyeMessage())
+
+    def close(self):
+        """Close at once.
+
+        :return: None.
+        """
+        self._channel.close()
+
     def _on_message(self, message):
         if isinstance(message, CancelMessage):
             cancel = self._cancels.pop(message.call_id, None)
@@ -211,19 +250,32 @@
 
     def _on_close(self):
         cancels, self._cancels = self._cancels, {}
-        for cancel in cancels.values():
-            cancel()
+        if self._when_closed is not None:
+            self._when_closed(self)
+        _run_all(cancels.values())
 
 
-def make_call_handler(gatekeeper):
+def make_call_handler(gatekeeper, on_fault=None):
     """Make the handler that runs calls at the target beside the node.
 
     :param gatekeeper: the node's :class:`~camphorshelf_node.gatekeeper.Gatekeeper`.
+    :param on_fault: takes the exception when a call ends in one.
     :return: the handler of :class:`CallMessage`.
     """
 
     def handle(message, reply):
-        return gatekeeper.run(message, lambda result, load: reply(_make_answer(result, load)))
+        def done(result, load):
+            reply(_make_answer(result, load))
+
+        try:
+            return gatekeeper.run(message, done)
+        except Exception as error:
+            # The peer's caller would wait until its deadline for an answer that never comes.
+            if on_fault is not None:
+                on_fault(error)
+            reason = f"a fault inside the target's node: {type(error).__name__}"
+            done(Refusal(Code.INTERNAL, reason, Ran.OUTCOME_UNKNOWN), gatekeeper.load)
+            return None
 
     return handle
 
@@ -233,8 +285,24 @@
         code, reason, ran, retry_after_ms = result
         return RefusedMessage(0, int(code), reason, ran.value, retry_after_ms, load)
     status, headers, body = result
+    if len(body) > _MAX_BODY:
+        # Sent all the same, it would break the link and every other call on it.
+        reason = "the answer is larger than a link carries"
+        return RefusedMessage(0, int(Code.ANSWER_TOO_LARGE), reason, Ran.RAN.value, None, load)
     return AnswerMessage(0, status, headers, body, load)
 
 
+def _run_all(callbacks):
+    """Run every callback, whatever becomes of the others; the last fault is raised."""
+    fault = None
+    for callback in callbacks:
+        try:
+            callback()
+        except Exception as error:
+            fault = error
+    if fault is not None:
+        raise fault
+
+
 def _do_nothing():
     """Stands for the cancellation of work that is still being started."""
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/listeners.py
@@ -0,0 +1,138 @@
+"""The listeners for callers and for peers, and how they come to rest when the node stops."""
+
+from camphorshelf_core.errors import Code, Refusal
+from camphorshelf_core.settings import split_address
+
+from .exchange import render_refusal
+from .headers import render_answer
+from .http import HttpConnection
+from .links import PeerServer
+from .streams import listen
+
+_POLL_SECONDS = 0.02
+_LINK_SECONDS = 3.0
+_RETRY_AFTER_MS = 1_000
+
+
+class CallerListener:
+    """Takes callers' connections up to a limit and forgets the closed ones."""
+
+    def __init__(self, loop, settings, handle, on_fault):
+        self._loop = loop
+        self._settings = settings
+        self._handle = handle
+        self._on_fault = on_fault
+        self._connections = set()
+        self._close_listener = None
+
+    @property
+    def connections(self):
+        """How many callers are connected."""
+        return len(self._connections)
+
+    @property
+    def busy(self):
+        """Whether any caller waits for an answer."""
+        return any(connection.busy for connection in self._connections)
+
+    def start(self):
+        """Begin to listen.
+
+        :return: None.
+        """
+        address = split_address(self._settings.listen.callers)
+        self._close_listener = listen(self._loop, address, self._on_accept)
+
+    def finish(self):
+        """Take no new connections and close each one as soon as it is idle.
+
+        :return: None.
+        """
+        self._close_listener()
+        for connection in list(self._connections):
+            connection.finish()
+
+    def _on_accept(self, stream, _peer):
+        limits = self._settings.limits
+        if len(self._connections) >= limits.caller_connections:
+            # Left in the backlog, the caller would wait for its own timeout; told at once, it
+            # can go to another node.
+            reason = "the node has as many callers' connections as it may"
+            refusal = Refusal(Code.CONNECTION_LIMIT, reason, retry_after_ms=_RETRY_AFTER_MS)
+            status, headers, body = render_refusal(refusal)
+            stream.write(render_answer(status, headers, body, "GET", close=True))
+            stream.close_when_sent()
+            return
+        connection = HttpConnection(
+            stream, limits, self._loop, self._handle, self._on_fault, self._connections.discard
+        )
+        if not stream.closed:
+            self._connections.add(connection)
+
+
+class PeerListener:
+    """Takes links of peers."""
+
+    def __init__(self, loop, settings, handlers):
+        self._loop = loop
+        self._settings = settings
+        self._handlers = handlers
+        self._servers = set()
+        self._close_listener = None
+
+    @property
+    def links(self):
+        """How many peers are connected."""
+        return len(self._servers)
+
+    @property
+    def busy(self):
+        """Whether any peer waits for an answer."""
+        return any(server.busy for server in self._servers)
+
+    def start(self):
+        """Begin to listen.
+
+        :return: None.
+        """
+        address = split_address(self._settings.listen.peers)
+        self._close_listener = listen(self._loop, address, self._on_accept)
+
+    def finish(self):
+        """Take no new links and ask the peers to close theirs when they have their answers.
+
+        :return: None.
+        """
+        self._close_listener()
+        for server in list(self._servers):
+            server.say_goodbye()
+
+    def _on_accept(self, stream, _peer):
+        self._servers.add(PeerServer(stream, self._handlers, self._servers.discard))
+
+
+def drain(loop, callers, peers, on_drained):
+    """Let both listeners come to rest, so that nothing in flight is cut off.
+
+    A peer may have sent a call before it read the goodbye; it is on the link before the peer's
+    close. So the node waits until the peers have closed their links, though only for a few
+    seconds once it has nothing left to answer: a paused peer must not keep it for ever.
+
+    :param loop: the node's loop.
+    :param callers: the :class:`CallerListener`.
+    :param peers: the :class:`PeerListener`.
+    :param on_drained: takes no argument.
+    :return: None.
+    """
+    callers.finish()
+    peers.finish()
+    latest = loop.now() + _LINK_SECONDS
+
+    def check():
+        busy = callers.busy or peers.busy
+        if busy or (peers.links and loop.now() < latest):
+            loop.call_later(_POLL_SECONDS, check)
+        else:
+            on_drained()
+
+    check()
--- a/packages/node/src/camphorshelf_node/log.py
+++ b/packages/node/src/camphorshelf_node/log.py
@@ -1,5 +1,7 @@
 """The node's log: one line for each routing and placement decision."""
 
+import traceback
+
 import logbook
 
 
@@ -26,3 +28,13 @@
         :return: None.
         """
         self._logger.info(text)
+
+    def fault(self, error):
+        """Write what a fault in the node's own code left, for its developers.
+
+        :param error: an exception or the text of its traceback.
+        :return: None.
+        """
+        if isinstance(error, BaseException):
+            error = "".join(traceback.format_exception(error))
+        self._logger.error("fault inside the node: {}", error)
--- a/packages/node/src/camphorshelf_node/loop.py
+++ b/packages/node/src/camphorshelf_node/loop.py
@@ -4,29 +4,34 @@
 import itertools
 import select
 import time
+import traceback
+from collections import deque
 
 from circuits.core.pollers import EPoll
 
 READABLE = select.EPOLLIN
 WRITABLE = select.EPOLLOUT
-_BROKEN = select.EPOLLHUP | select.EPOLLERR
+_MIN_COMPACTED = 64
 
 
 class Timer:
     """A callback due at a moment of the monotonic clock."""
 
-    __slots__ = ("when", "callback")
+    __slots__ = ("when", "callback", "_loop")
 
-    def __init__(self, when, callback):
+    def __init__(self, when, callback, loop):
         self.when = when
         self.callback = callback
+        self._loop = loop
 
     def cancel(self):
         """Keep the callback from being called.
 
         :return: None.
         """
-        self.callback = None
+        if self.callback is not None:
+            self.callback = None
+            self._loop._note_cancelled()
 
 
 class Loop(EPoll):
@@ -43,7 +48,10 @@
         super().__init__(channel=self.channel)
         self._callbacks = {}
         self._timers = []
+        self._cancelled = 0
         self._order = itertools.count()
+        self._interrupts = deque()
+        self.on_error = None
 
     @staticmethod
     def now():
@@ -83,7 +91,7 @@
         :param callback: takes no argument.
         :return: the :class:`Timer`.
         """
-        timer = Timer(self.now() + seconds, callback)
+        timer = Timer(self.now() + seconds, callback, self)
         heapq.heappush(self._timers, (timer.when, next(self._order), timer))
         return timer
 
@@ -101,15 +109,38 @@
 
         self.call_later(seconds, run)
 
+    def interrupt(self, callback):
+        """Call back in the loop's next turn; safe to use in a signal's handler.
+
+        The handler may run in the middle of a change to the timers, so it must not touch them.
+
+        :param callback: takes no argument.
+        :return: None.
+        """
+        self._interrupts.append(callback)
+        self.resume()
+
     def _generate_events(self, event):
         for fileno, mask in self._poller.poll(self._poll_timeout(event)):
             callback = self._callbacks.get(fileno)
             if callback is None:
                 self._process(fileno, mask)
             else:
-                callback(mask)
+                self._run(callback, mask)
+        while self._interrupts:
+            self._run(self._interrupts.popleft())
         self._run_timers()
 
+    def _run(self, callback, *arguments):
+        # A fault in one call's code must not end the loop, or every other call of the node
+        # would be cut off with it. The callbacks of calls answer their own faults; this is
+        # for what they miss.
+        try:
+            callback(*arguments)
+        except Exception:
+            if self.on_error is not None:
+                self.on_error(traceback.format_exc())
+
     def _poll_timeout(self, event):
         timeout = event.time_left
         if not self._timers:
@@ -121,5 +152,18 @@
         now = self.now()
         while self._timers and self._timers[0][0] <= now:
             _, _, timer = heapq.heappop(self._timers)
-            if timer.callback is not None:
-                timer.callback()
+            callback, timer.callback = timer.callback, None
+            if callback is None:
+                self._cancelled -= 1
+            else:
+                self._run(callback)
+
+    def _note_cancelled(self):
+        # Every call has a timer for its deadline, mostly cancelled after a few milliseconds.
+        # Left in the heap until due, they would hold the calls of the last minute in memory:
+        # at 1,000 calls/s and a deadline of 10 s, 10,000 dead entries.
+        self._cancelled += 1
+        if self._cancelled > _MIN_COMPACTED and self._cancelled * 2 > len(self._timers):
+            self._timers = [entry for entry in self._timers if entry[2].callback is not None]
+            heapq.heapify(self._timers)
+            self._cancelled = 0
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -14,17 +14,15 @@
 from .filters import make_chain, make_deadline_filter, make_identity_filter
 from .gatekeeper import Gatekeeper
 from .gossip import Gossip
-from .http import HttpConnection
 from .join import Join
-from .links import PeerServer, make_call_handler
+from .links import make_call_handler
+from .listeners import CallerListener, PeerListener, drain
 from .log import Log
 from .loop import Loop
 from .platform import Platform
 from .roster import Roster
-from .streams import listen
 
 _INCARNATION_BYTES = 8
-_DRAIN_POLL_SECONDS = 0.02
 
 
 class Node(Component):
@@ -38,16 +36,16 @@
         self.incarnation = os.urandom(_INCARNATION_BYTES).hex()
         self._loop = Loop().register(self)
         self._log = Log(settings.name)
+        self._loop.on_error = self._log.fault
         self._platform = Platform(self._loop, settings.platform)
         self._gossip = Gossip(self._loop, settings, self.incarnation)
         self._roster = Roster(self._gossip)
         self._join = Join(self._loop, settings, self._gossip, self._platform, self._log)
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
         self._peer_handlers = {
-            CallMessage: make_call_handler(self._gatekeeper),
+            CallMessage: make_call_handler(self._gatekeeper, self._log.fault),
             SnapshotRequestMessage: self._join.answer_snapshot,
         }
-        self._connections = set()
         self._stopping = False
         dispatcher = Dispatcher(
             self._loop,
@@ -62,7 +60,9 @@
             make_identity_filter(self._roster.knows),
             make_deadline_filter(settings.limits, self._loop),
         )
-        self._handle = make_chain(filters, dispatcher.dispatch)
+        handle = make_chain(filters, dispatcher.dispatch)
+        self._callers = CallerListener(self._loop, settings, handle, self._log.fault)
+        self._peers = PeerListener(self._loop, settings, self._peer_handlers)
         self._admin = AdminServer(split_address(settings.listen.admin), self).register(self)
 
     @property
@@ -85,20 +85,11 @@
     def _on_started(self, _manager):
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
-        listening = self.settings.listen
-        self._close_callers = listen(self._loop, split_address(listening.callers), self._on_caller)
-        self._close_peers = listen(
-            self._loop,
-            split_address(listening.peers),
-            lambda stream, _peer: PeerServer(stream, self._peer_handlers),
-        )
+        self._callers.start()
+        self._peers.start()
         self._gossip.start()
         self._join.start()
-        self._log.info(f"listening for callers on {listening.callers}")
-
-    def _on_caller(self, stream, _peer):
-        connection = HttpConnection(stream, self.settings.limits, self._loop, self._handle)
-        self._connections.add(connection)
+        self._log.info(f"listening for callers on {self.settings.listen.callers}")
 
     def _on_signal(self, _number, _frame):
         # circuits would raise SystemExit in a handler here, which leaves its loop spinning
@@ -106,13 +97,9 @@
         if self._stopping:
             os._exit(1)
         self._stopping = True
-        self._loop.call_later(0, self._drain)
-        self._loop.resume()
+        self._loop.interrupt(self._leave)
 
-    def _drain(self):
-        self._close_callers()
-        if any(connection.busy for connection in self._connections):
-            self._loop.call_later(_DRAIN_POLL_SECONDS, self._drain)
-        else:
-            self._gossip.leave()
-            self.stop()
+    def _leave(self):
+        self._log.info("stopping: no new callers, waiting for what is in flight")
+        self._gossip.leave()
+        drain(self._loop, self._callers, self._peers, self.stop)
--- a/packages/node/src/camphorshelf_node/streams.py
+++ b/packages/node/src/camphorshelf_node/streams.py
@@ -7,7 +7,10 @@
 
 _READ_SIZE = 65_536
 _BACKLOG = 512
-_MAX_UNSENT = 16 * 1024 * 1024
+_LINGER_SECONDS = 1.0
+_ACCEPT_PAUSE_SECONDS = 0.2
+_ACCEPTS_PER_TURN = 32
+_NO_RESOURCES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
 class Stream:
@@ -19,15 +22,34 @@
         self._unsent = bytearray()
         self._connecting = False
         self._closing = False
+        self._lingering = False
+        self._reading = True
         self.on_data = None
         self.on_close = None
         self.on_connect = None
+        self.on_drain = None
 
     @property
     def closed(self):
         """Whether the connection is gone."""
         return self._sock is None
 
+    @property
+    def unsent(self):
+        """How many bytes the peer has not taken yet."""
+        return len(self._unsent)
+
+    @property
+    def stale(self):
+        """Whether the peer has closed the connection or sent bytes that were not read yet."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def open(self):
         """Start to read.
 
@@ -61,20 +83,36 @@
             if not data or self._sock is None:
                 return
         self._unsent += data
-        if len(self._unsent) > _MAX_UNSENT:
-            self.close()
-        elif not self._connecting:
+        if not self._connecting:
             self._watch()
 
+    def pause(self):
+        """Stop reading, so that the peer's sending comes to a halt.
+
+        :return: None.
+        """
+        self._set_reading(False)
+
+    def resume(self):
+        """Read again.
+
+        :return: None.
+        """
+        self._set_reading(True)
+
     def close_when_sent(self):
-        """Close after the last byte has gone out.
+        """Close after the last byte has gone out and the peer has had time to read it.
 
         :return: None.
         """
+        if self._sock is None:
+            return
+        self._closing = True
+        self._reading = True
         if self._unsent:
-            self._closing = True
+            self._watch()
         else:
-            self.close()
+            self._linger()
 
     def close(self):
         """Close at once and tell ``on_close``.
@@ -89,8 +127,32 @@
         if self.on_close is not None:
             self.on_close()
 
+    def _set_reading(self, reading):
+        if self._reading is not reading and not self._lingering:
+            self._reading = reading
+            if self._sock is not None and not self._connecting:
+                self._watch()
+
+    def _linger(self):
+        # Closing while the peer still sends makes the kernel answer with a reset, which can
+        # overtake the bytes just sent: the caller of a refused upload would see a broken
+        # connection and not its refusal. So only the sending half is closed, and what still
+        # comes is dropped until the peer closes or the time is up.
+        if self._lingering:
+            return
+        self._lingering = True
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+            return
+        self._watch()
+        self._loop.call_later(_LINGER_SECONDS, self.close)
+
     def _watch(self):
-        mask = READABLE | WRITABLE if self._unsent else READABLE
+        mask = READABLE if self._reading else 0
+        if self._unsent:
+            mask |= WRITABLE
         self._loop.watch(self._sock.fileno(), mask, self._on_ready)
 
     def _send(self, data):
@@ -126,9 +188,11 @@
         if self._sock is None or self._unsent:
             return
         if self._closing:
-            self.close()
-        else:
-            self._watch()
+            self._linger()
+            return
+        self._watch()
+        if self.on_drain is not None:
+            self.on_drain()
 
     def _read(self):
         try:
@@ -137,10 +201,10 @@
             return
         except OSError:
             data = b""
-        if data:
-            self.on_data(data)
-        else:
+        if not data:
             self.close()
+        elif not self._closing:
+            self.on_data(data)
 
 
 def dial(loop, address):
@@ -169,18 +233,32 @@
     listener.setblocking(False)
 
     def accept(_mask):
-        try:
-            sock, peer = listener.accept()
-        except OSError:
-            return
-        on_accept(Stream(loop, _prepare(sock)), peer)
+        # Several in one turn, so that a burst of new connections does not wait one turn each.
+        for _ in range(_ACCEPTS_PER_TURN):
+            try:
+                sock, peer = listener.accept()
+            except OSError as error:
+                if error.errno in _NO_RESOURCES:
+                    rest()
+                return
+            on_accept(Stream(loop, _prepare(sock)), peer)
+
+    def rest():
+        # Without a descriptor to spare the listener stays readable, and the loop would spin on
+        # it at a full core; the waiting connections are taken when some have been closed.
+        loop.unwatch(listener.fileno())
+        loop.call_later(_ACCEPT_PAUSE_SECONDS, start)
+
+    def start():
+        if listener.fileno() >= 0:
+            loop.watch(listener.fileno(), READABLE, accept)
 
     def close():
         if listener.fileno() >= 0:
             loop.unwatch(listener.fileno())
             listener.close()
 
-    loop.watch(listener.fileno(), READABLE, accept)
+    start()
     return close
 
 
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -53,6 +53,22 @@
         self._socket.close()
 
 
+class AnswerReader:
+    """Reads answers out of bytes that are already there."""
+
+    def __init__(self, data):
+        self.left = data
+
+    def read(self, method="GET"):
+        """Read one answer; raises EOFError when the bytes end first."""
+        reader = _Reader(method)
+        while self.left and not reader.done:
+            self.left = reader.feed(self.left)
+        if not reader.done:
+            raise EOFError("the bytes end before the answer")
+        return reader.answer()
+
+
 class _Reader:
     """Reads one answer byte-exactly, so that the next one stays unread."""
 
