--- /dev/null
+++ b/tests/features/steps/target_side_steps.py
@@ -0,0 +1,126 @@
+"""Steps that play a target on fake streams."""
+
+from unittest import mock
+
+from behave import given, then, when
+
+from camphorshelf_core.calls import Request, header
+from camphorshelf_node import httpclient
+from camphorshelf_node.httpclient import Failed, HttpClient
+from standins.fakes import FakeLoop, FakeStream
+
+_MAX_ANSWER = 1_000
+
+
+def make_client(context, connects):
+    context.loop, context.streams, context.results = FakeLoop(), [], []
+    context.abandon = None
+
+    def dial(loop, _address):
+        stream = FakeStream()
+        context.streams.append(stream)
+        outcome = (lambda: stream.on_connect()) if connects else stream.close
+        loop.call_later(0, outcome)
+        return stream
+
+    patch = mock.patch.object(httpclient, "dial", dial)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    context.client = HttpClient(context.loop, ("127.0.0.1", 1), 4, _MAX_ANSWER)
+
+
+@given("a client of a target")
+def give_client(context):
+    make_client(context, connects=True)
+
+
+@given("a client of a target that takes no connections")
+def give_unreachable(context):
+    make_client(context, connects=False)
+
+
+@given("a kept connection to the target")
+def keep_connection(context):
+    send(context, "GET")
+    say(context, "HTTP/1.1 200 OK~Content-Length: 2~~ok")
+    assert len(context.results) == 1
+    context.results.clear()
+
+
+@when("a {method} is sent to the target")
+def send(context, method):
+    request = Request(method, b"/", ((b"host", b"a"),), b"")
+    context.abandon = context.client.send(request, context.results.append)
+    context.loop.advance(0)
+
+
+@when('the target says "{text}" and waits')
+def say(context, text):
+    context.streams[-1].on_data(text.replace("~", "\r\n").encode())
+    context.loop.advance(0)
+
+
+@when('the target says "{text}" and hangs up')
+def say_and_hang_up(context, text):
+    say(context, text)
+    context.streams[-1].close()
+
+
+@when("the target hangs up")
+def target_hangs_up(context):
+    context.streams[-1].close()
+    context.loop.advance(0)
+
+
+@when("the target has closed the kept connection and a POST is sent")
+def close_kept(context):
+    context.streams[-1].stale = True
+    send(context, "POST")
+
+
+@when("the target says a body of {size:d} bytes where 1000 are allowed")
+def say_large(context, size):
+    say(context, f"HTTP/1.1 200 OK~Transfer-Encoding: chunked~~{size:x}~{'x' * size}~0~~")
+
+
+@when("the target says {size:d} bytes of head without an end")
+def say_endless(context, size):
+    say(context, "HTTP/1.1 200 OK~X: " + "x" * size)
+
+
+@when("the call is abandoned")
+def abandon(context):
+    context.abandon()
+
+
+@when("the connection is idle for {seconds:d} seconds")
+def stay_idle(context, seconds):
+    context.loop.advance(seconds)
+
+
+@then("the call failed and may have run")
+def check_may_have_run(context):
+    (result,) = context.results
+    assert isinstance(result, Failed), result
+    assert result.sent
+
+
+@then("the call failed and did not run")
+def check_did_not_run(context):
+    (result,) = context.results
+    assert isinstance(result, Failed), result
+    assert not result.sent
+
+
+@then('the call was answered {status:d} "{body}" without header {name}')
+def check_target_answer(context, status, body, name):
+    (result,) = context.results
+    assert not isinstance(result, Failed), result
+    assert (result.status, result.body) == (status, body.encode()), result
+    assert header(result.headers, name.encode()) is None
+
+
+@then("{count:d} connection was opened in all")
+@then("{count:d} connections were opened in all")
+def check_opened(context, count):
+    assert len(context.streams) == count, len(context.streams)
