Tell metrics by pull and write one line a decision, both off the call's path

So calls are counted in plain numbers that observable instruments read at a pull, and decisions go to logbook in one record every 250 ms. The log's level now keeps dropped decisions off logbook altogether.

--- a/packages/node/src/camphorshelf_node/admin.py
+++ b/packages/node/src/camphorshelf_node/admin.py
@@ -9,6 +9,8 @@
 
 from camphorshelf_core.roster import Announcement
 
+from .metrics import CONTENT_TYPE
+
 _ANNOUNCEMENT = TypeAdapter(Announcement)
 
 
@@ -24,6 +26,7 @@
             ("POST", "/announce"): self._announce,
             ("GET", "/healthz"): self._health,
             ("GET", "/readyz"): self._ready,
+            ("GET", "/metrics"): self._tell_metrics,
         }
 
     @handler("ready", override=True)
@@ -43,6 +46,9 @@
         response.headers["Content-Type"] = "application/json"
         status, document = route(request)
         response.status = status
+        if isinstance(document, str):
+            response.headers["Content-Type"] = CONTENT_TYPE
+            return document
         return json.dumps(document)
 
     def _announce(self, request):
@@ -56,6 +62,9 @@
     def _health(self, request):
         return 200, {"status": "up"}
 
+    def _tell_metrics(self, request):
+        return 200, self._node.metrics.render()
+
     def _ready(self, request):
         ready = self._node.ready
         return (200 if ready else 503), {"ready": ready}
--- a/packages/node/src/camphorshelf_node/exchange.py
+++ b/packages/node/src/camphorshelf_node/exchange.py
@@ -16,6 +16,7 @@
         self.started = received
         self.deadline = None
         self.service = None
+        self.code = Code.OK
         self.caller = None
 
     @property
@@ -55,6 +56,8 @@
         :param refusal: the :class:`Refusal`.
         :return: None.
         """
+        if not self._finished:
+            self.code = refusal.code
         status, headers, body = render_refusal(refusal)
         self._send(status, headers, body)
 
--- a/packages/node/src/camphorshelf_node/headers.py
+++ b/packages/node/src/camphorshelf_node/headers.py
@@ -5,6 +5,7 @@
 from camphorshelf_core.calls import header
 
 DEADLINE_HEADER = b"deadline-ms"
+_OWN_PREFIX = b"camphorshelf-"
 _HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -42,6 +43,18 @@
     return tuple([pair for pair in headers if pair[0] not in dropped])
 
 
+def strip_answer(headers):
+    """Drop from a target's answer what concerns one connection, and what only nodes may say.
+
+    :param headers: pairs of lower-case name and value.
+    :return: the rest, as a tuple.
+    """
+    # A target that answers with such a header, say because it is itself a caller of a node and
+    # passes the refusal on, would make its own answer look like a node's word on this call.
+    own = [pair for pair in headers if not pair[0].startswith(_OWN_PREFIX)]
+    return strip_hop_by_hop(own)
+
+
 def with_deadline(headers, milliseconds):
     """Replace the deadline that is passed on.
 
--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -22,13 +22,16 @@
 class HttpConnection:
     """One caller's connection; answers one request at a time, so order is kept."""
 
-    def __init__(self, stream, limits, loop, on_request, on_fault=None, on_close=None):
+    def __init__(
+        self, stream, limits, loop, on_request, on_fault=None, on_close=None, on_answer=None
+    ):
         self._stream = stream
         self._limits = limits
         self._loop = loop
         self._on_request = on_request
         self._on_fault = on_fault
         self._when_closed = on_close
+        self._on_answer = on_answer
         self._parser = httptools.HttpRequestParser(self)
         self._waiting = deque()
         self._waiting_bytes = 0
@@ -94,6 +97,8 @@
         more = bool(self._waiting or self._unread)
         close = not exchange.keep_alive or (self._last_request and not more)
         self._stream.write(render_answer(status, headers, body, exchange.request.method, close))
+        if self._on_answer is not None:
+            self._on_answer(exchange, exchange.code)
         if close:
             self._end()
         else:
--- a/packages/node/src/camphorshelf_node/listeners.py
+++ b/packages/node/src/camphorshelf_node/listeners.py
@@ -17,11 +17,12 @@
 class CallerListener:
     """Takes callers' connections up to a limit and forgets the closed ones."""
 
-    def __init__(self, loop, settings, handle, on_fault):
+    def __init__(self, loop, settings, handle, on_fault, on_answer):
         self._loop = loop
         self._settings = settings
         self._handle = handle
         self._on_fault = on_fault
+        self._on_answer = on_answer
         self._connections = set()
         self._close_listener = None
 
@@ -64,7 +65,13 @@
             stream.close_when_sent()
             return
         connection = HttpConnection(
-            stream, limits, self._loop, self._handle, self._on_fault, self._connections.discard
+            stream,
+            limits,
+            self._loop,
+            self._handle,
+            self._on_fault,
+            self._connections.discard,
+            self._on_answer,
         )
         if not stream.closed:
             self._connections.add(connection)
--- a/packages/node/src/camphorshelf_node/main.py
+++ b/packages/node/src/camphorshelf_node/main.py
@@ -8,6 +8,7 @@
 
 from camphorshelf_core.settings import read_settings
 
+from .log import FORMAT
 from .node import Node
 
 EXIT_BAD_SETTINGS = 2
@@ -25,8 +26,9 @@
         print(result.failure(), file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     level = logbook.lookup_level(log_level.upper())
-    with logbook.StreamHandler(sys.stderr, level=level).applicationbound():
-        Node(result.unwrap()).run()
+    handler = logbook.StreamHandler(sys.stderr, level=level, format_string=FORMAT)
+    with handler.applicationbound():
+        Node(result.unwrap(), logbook.get_level_name(level)).run()
 
 
 def main():
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/metrics.py
@@ -0,0 +1,107 @@
+"""The node's metrics: counted in plain numbers, read by OpenTelemetry when they are asked for.
+
+A record with an OpenTelemetry instrument costs 18 us on the machine of the bench, against 2.5 us
+for a histogram's record and 0.1 us for a plain count. So calls are counted here, and observable
+instruments read the counts at each pull; there is no exporter thread.
+"""
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
+from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
+from prometheus_client import REGISTRY, generate_latest
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+_WINDOW_SECONDS = 30.0
+_QUANTILES = (0.5, 0.9, 0.99)
+_MICROSECONDS = 1_000_000
+_LONGEST_MICROSECONDS = 3_600 * _MICROSECONDS
+_DIGITS = 2
+
+
+class Metrics:
+    """Counts what the node does and tells it in Prometheus' text form."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._calls = Counter()
+        self._durations = self._last_durations = _make_histogram()
+        self._provider = MeterProvider(
+            [PrometheusMetricReader()],
+            exemplar_filter=AlwaysOffExemplarFilter(),
+            shutdown_on_exit=False,
+        )
+        self._meter = self._provider.get_meter("camphorshelf")
+        self._meter.create_observable_counter(
+            "camphorshelf.calls",
+            [self._observe_calls],
+            description="Calls answered to callers, by service and result code (0: by a target).",
+        )
+        self._meter.create_observable_gauge(
+            "camphorshelf.call.duration",
+            [self._observe_durations],
+            unit="ms",
+            description="Time from a call's arrival to its answer, in the last 30 to 60 seconds.",
+        )
+        loop.call_every(_WINDOW_SECONDS, self._rotate)
+
+    def note_answer(self, exchange, code):
+        """Count a call that was answered.
+
+        :param exchange: the :class:`~camphorshelf_node.exchange.Exchange`.
+        :param code: its result code as a number.
+        :return: None.
+        """
+        self._calls[exchange.service, int(code)] += 1
+        spent = int((self._loop.now() - exchange.received) * _MICROSECONDS)
+        self._durations.record_value(max(1, spent))
+
+    def watch(self, name, description, read):
+        """Tell a number that changes both ways.
+
+        :param name: its name behind ``camphorshelf.``.
+        :param description: what it tells, in a sentence.
+        :param read: a function that gives the number of this moment.
+        :return: None.
+        """
+        self._meter.create_observable_gauge(
+            f"camphorshelf.{name}",
+            [lambda _options: [Observation(read())]],
+            description=description,
+        )
+
+    def render(self):
+        """Read everything.
+
+        :return: Prometheus' text form.
+        """
+        return generate_latest(REGISTRY).decode()
+
+    def close(self):
+        """Forget the instruments, so that another one can be made in the process.
+
+        :return: None.
+        """
+        self._provider.shutdown()
+
+    def _observe_calls(self, _options):
+        for (service, code), count in self._calls.items():
+            yield Observation(count, {"service": service or "", "code": str(code)})
+
+    def _observe_durations(self, _options):
+        both = _make_histogram()
+        both.add(self._last_durations)
+        if self._durations is not self._last_durations:
+            both.add(self._durations)
+        for quantile in _QUANTILES:
+            milliseconds = both.get_value_at_percentile(quantile * 100) / 1000
+            yield Observation(milliseconds, {"quantile": str(quantile)})
+
+    def _rotate(self):
+        self._last_durations, self._durations = self._durations, _make_histogram()
+
+
+def _make_histogram():
+    return HdrHistogram(1, _LONGEST_MICROSECONDS, _DIGITS)
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -19,6 +19,7 @@
 from .listeners import CallerListener, PeerListener, drain
 from .log import Log
 from .loop import Loop
+from .metrics import Metrics
 from .platform import Platform
 from .roster import Roster
 
@@ -30,13 +31,14 @@
 
     channel = "node"
 
-    def __init__(self, settings):
+    def __init__(self, settings, log_level="INFO"):
         super().__init__()
         self.settings = settings
         self.incarnation = os.urandom(_INCARNATION_BYTES).hex()
         self._loop = Loop().register(self)
-        self._log = Log(settings.name)
+        self._log = Log(settings.name, self._loop, log_level)
         self._loop.on_error = self._log.fault
+        self._metrics = Metrics(self._loop)
         self._platform = Platform(self._loop, settings.platform)
         self._gossip = Gossip(self._loop, settings, self.incarnation)
         self._roster = Roster(self._gossip)
@@ -61,10 +63,18 @@
             make_deadline_filter(settings.limits, self._loop),
         )
         handle = make_chain(filters, dispatcher.dispatch)
-        self._callers = CallerListener(self._loop, settings, handle, self._log.fault)
+        self._callers = CallerListener(
+            self._loop, settings, handle, self._log.fault, self._metrics.note_answer
+        )
         self._peers = PeerListener(self._loop, settings, self._peer_handlers)
+        self._watch_gauges()
         self._admin = AdminServer(split_address(settings.listen.admin), self).register(self)
 
+    @property
+    def metrics(self):
+        """The node's :class:`Metrics`."""
+        return self._metrics
+
     @property
     def ready(self):
         """Whether callers should send requests here."""
@@ -102,4 +112,17 @@
     def _leave(self):
         self._log.info("stopping: no new callers, waiting for what is in flight")
         self._gossip.leave()
-        drain(self._loop, self._callers, self._peers, self.stop)
+        drain(self._loop, self._callers, self._peers, self._end)
+
+    def _end(self):
+        self._log.info("stopped: nothing is in flight")
+        self.stop()
+
+    def _watch_gauges(self):
+        watch = self._metrics.watch
+        gatekeeper = self._gatekeeper
+        watch("callers", "Callers' connections.", lambda: self._callers.connections)
+        watch("peer.links", "Links that peers opened.", lambda: self._peers.links)
+        watch("target.in_flight", "Calls at the target.", lambda: gatekeeper.load.in_flight)
+        watch("target.queued", "Calls that wait for a slot.", lambda: gatekeeper.load.queued)
+        watch("target.slots", "Calls the target takes at once.", lambda: gatekeeper.load.slots)
--- a/tests/features/edge.feature
+++ b/tests/features/edge.feature
@@ -100,13 +100,13 @@
 
   Scenario: An idle connection is closed without a word
     Given a caller's connection to a node
-    When 80 seconds pass
+    When the connection stays so for 80 seconds
     Then the connection is closed and nothing was sent
 
   Scenario: A long answer's time is not the sender's
     Given a caller's connection to a node
     When the caller sends "GET / HTTP/1.1~Host: a~~"
-    And 50 seconds pass
+    And the connection stays so for 50 seconds
     And the target answers 200 "late"
     Then the caller got the answers "late"
 
@@ -187,7 +187,7 @@
     Given a caller's connection to a node
     When the caller takes nothing and sends 1 requests at once
     And the target answers 200 "first"
-    And 40 seconds pass
+    And the connection stays so for 40 seconds
     Then the connection is closed
 
   Scenario: A fault inside the node refuses the one call
@@ -215,7 +215,7 @@
   Scenario: The time in the pipeline counts against the deadline
     Given a caller's connection to a node
     When the caller sends "GET /1 HTTP/1.1~Host: a~~GET /2 HTTP/1.1~Host: a~Deadline-Ms: 2000~~"
-    And 3 seconds pass
+    And the connection stays so for 3 seconds
     And the target answers 200 "first"
     Then the caller got the answers "first" and then a refusal with code 202
 
--- /dev/null
+++ b/tests/features/links.feature
@@ -0,0 +1,59 @@
+Feature: Links between nodes
+
+  Scenario: A peer that says goodbye gets no more calls, and its answers still count
+    # The peer is being stopped and has a call of ours. New calls must go elsewhere; the answer
+    # to the old one must come through, and only then may the link close, for its close tells
+    # the peer that nothing more is on its way.
+    Given a link between two nodes
+    When call 1 is sent over the link
+    And the serving side says goodbye
+    Then the link takes no more calls but its connection is open
+    When the serving side answers call 1 with "one"
+    Then call 1 got "one"
+    And the link's connection is closed
+
+  Scenario: An idle link closes on a goodbye
+    Given a link between two nodes
+    When the serving side says goodbye
+    Then the link's connection is closed
+
+  Scenario: Answers out of order reach their own calls
+    Given a link between two nodes
+    When call 1 is sent over the link
+    And call 2 is sent over the link
+    And the serving side answers call 2 with "two"
+    And the serving side answers call 1 with "one"
+    Then call 1 got "one"
+    And call 2 got "two"
+
+  Scenario: The answer to a cancelled call reaches nobody
+    Given a link between two nodes
+    When call 1 is sent over the link
+    And call 1 is cancelled before the cancellation arrives
+    And the serving side answers call 1 with "one"
+    And call 2 is sent over the link
+    And the serving side answers call 2 with "two"
+    Then call 1 got nothing
+    And call 2 got "two"
+
+  Scenario: A lost link tells every call, whatever becomes of the first
+    # The code that takes the first call's loss raises. The others must still be told, or their
+    # callers wait until their deadlines.
+    Given a link between two nodes
+    When a call whose taker fails is sent over the link
+    And call 1 is sent over the link
+    And the link is lost
+    Then call 1 was refused with code 305
+
+  Scenario: A fault at the target's node refuses the one call
+    Given a link to a node whose gatekeeper fails
+    When call 1 is sent over the link
+    Then call 1 was refused with code 109
+    And the link takes calls
+
+  Scenario: An answer too large for a link refuses its own call only
+    Given a link between two nodes
+    When call 1 is sent over the link
+    And the serving side answers call 1 with 32 MB
+    Then call 1 was refused with code 110
+    And the link takes calls
--- a/tests/features/steps/edge_steps.py
+++ b/tests/features/steps/edge_steps.py
@@ -109,7 +109,7 @@
     context.stream.drain()
 
 
-@when("{seconds:d} seconds pass")
+@when("the connection stays so for {seconds:d} seconds")
 def pass_time(context, seconds):
     context.loop.advance(seconds)
 
--- /dev/null
+++ b/tests/features/steps/links_steps.py
@@ -0,0 +1,152 @@
+"""Steps that join both ends of a link in one process."""
+
+from unittest import mock
+
+from behave import given, then, when
+
+from camphorshelf_core.calls import AttemptId, Response
+from camphorshelf_core.load import LoadReport
+from camphorshelf_core.messages import CallMessage
+from camphorshelf_node import links
+from camphorshelf_node.links import PeerLink, PeerServer, make_call_handler
+from standins.fakes import FakeLoop, FakeStream
+
+_CALL = CallMessage(0, AttemptId("i", 1), "orders", "c1", 1000, "", "GET", b"/", (), b"")
+_MB = 1024 * 1024
+
+
+class JoinedStream(FakeStream):
+    """A stream whose writes the other one reads in the next turn of the loop."""
+
+    def __init__(self, loop):
+        super().__init__()
+        self._loop = loop
+        self.other = None
+
+    def write(self, data):
+        self._loop.call_later(0, lambda: self.other.closed or self.other.on_data(data))
+
+    def close(self):
+        if not self.closed:
+            super().close()
+            self._loop.call_later(0, self.other.close)
+
+    close_when_sent = close
+
+
+class FakeGatekeeper:
+    def __init__(self, fails):
+        self._fails = fails
+        self.load = LoadReport(0, 0, 1, 1.0)
+        self.answers = []
+
+    def run(self, _message, on_done):
+        if self._fails:
+            raise RuntimeError("a fault for this test")
+        self.answers.append(lambda response: on_done(response, self.load))
+
+
+def join(context, fails=False):
+    context.loop, context.results, context.cancels = FakeLoop(), {}, {}
+    near, far = JoinedStream(context.loop), JoinedStream(context.loop)
+    near.other, far.other = far, near
+    context.stream = near
+    context.gatekeeper = FakeGatekeeper(fails)
+    handlers = {CallMessage: make_call_handler(context.gatekeeper)}
+    context.server = PeerServer(far, handlers)
+    with mock.patch.object(links, "dial", lambda _loop, _address: near):
+        context.link = PeerLink(context.loop, ("127.0.0.1", 1))
+    near.on_connect()
+    context.loop.advance(1)
+
+
+@given("a link between two nodes")
+def give_link(context):
+    join(context)
+
+
+@given("a link to a node whose gatekeeper fails")
+def give_failing_link(context):
+    join(context, fails=True)
+
+
+@when("call {number:d} is sent over the link")
+def send_over_link(context, number):
+    def done(message):
+        context.results[number] = message
+
+    context.cancels[number] = context.link.call(_CALL, done)
+    context.loop.advance(1)
+
+
+@when("a call whose taker fails is sent over the link")
+def send_failing(context):
+    def done(_message):
+        raise RuntimeError("a fault for this test")
+
+    context.link.call(_CALL, done)
+    context.loop.advance(1)
+
+
+@when("the serving side says goodbye")
+def say_goodbye(context):
+    context.server.say_goodbye()
+    context.loop.advance(1)
+
+
+@when('the serving side answers call {number:d} with "{body}"')
+def answer_over_link(context, number, body):
+    context.gatekeeper.answers[number - 1](Response(200, (), body.encode()))
+    context.loop.advance(1)
+
+
+@when("the serving side answers call {number:d} with 32 MB")
+def answer_large(context, number):
+    context.gatekeeper.answers[number - 1](Response(200, (), bytes(32 * _MB)))
+    context.loop.advance(1)
+
+
+@when("call {number:d} is cancelled before the cancellation arrives")
+def cancel(context, number):
+    with mock.patch.object(context.link._channel, "send"):
+        context.cancels[number]()
+
+
+@when("the link is lost")
+def lose_link(context):
+    try:
+        context.stream.close()
+    except RuntimeError:
+        # The loop reports it; here the test plays the loop.
+        context.loop.advance(1)
+
+
+@then("the link takes no more calls but its connection is open")
+def check_retired(context):
+    assert context.link.closed
+    assert not context.stream.closed
+
+
+@then("the link's connection is closed")
+def check_stream_closed(context):
+    assert context.stream.closed
+
+
+@then("the link takes calls")
+def check_takes_calls(context):
+    assert not context.link.closed
+
+
+@then('call {number:d} got "{body}"')
+def check_got(context, number, body):
+    assert context.results[number].body == body.encode(), context.results
+
+
+@then("call {number:d} got nothing")
+def check_got_nothing(context, number):
+    assert number not in context.results
+
+
+@then("call {number:d} was refused with code {code:d}")
+def check_call_refused(context, number, code):
+    assert context.results[number].code == code, context.results
--- a/tests/features/stop.feature
+++ b/tests/features/stop.feature
@@ -11,8 +11,9 @@
 
   @fixture.edge_deployment
   Scenario: A target's node stops while a peer's caller waits
-    # The same at the other end of the link, where the stopping node knows of no caller.
-    Given a caller at a1 waits for an order that takes 1500 ms
+    # The same at the other end of the link, where the stopping node knows of no caller. The order
+    # takes longer than the peer is given to close its link.
+    Given a caller at a1 waits for an order that takes 5000 ms
     When node c1 is told to stop
     Then the caller gets its answer
     And the process node-c1 ends with status 0
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -33,6 +33,15 @@
         heapq.heappush(self._timers, (self._now + seconds, next(self._order), timer))
         return timer
 
+    def call_every(self, seconds, callback):
+        """Keep a callback that runs again and again."""
+
+        def run():
+            self.call_later(seconds, run)
+            callback()
+
+        self.call_later(seconds, run)
+
     def advance(self, seconds):
         """Move the clock on and run what falls due, in order."""
         end = self._now + seconds
