--- a/bench/bench.py
+++ b/bench/bench.py
@@ -34,12 +34,12 @@
 _DIGITS = 3
 _PATH = "/tags/7?work_ms=0"
 
-_PLANS = (
+PLANS = (
     NodePlan("left", "registry", "fd-a", slots=32),
     NodePlan("right", "counter", "fd-b", slots=32),
 )
-_ROUTES = {"left": "counter", "right": "registry"}
-_TARGETS = {"counter": "right", "registry": "left"}
+ROUTES = {"left": "counter", "right": "registry"}
+TARGETS = {"counter": "right", "registry": "left"}
 
 
 class Round(NamedTuple):
@@ -54,7 +54,7 @@
 
 def main():
     """Run the bench and print its figures."""
-    deployment = Deployment(_PLANS, log_level="INFO")
+    deployment = Deployment(PLANS, log_level="INFO")
     try:
         _measure(deployment)
     finally:
@@ -62,45 +62,47 @@
 
 
 def _measure(deployment):
-    for name, service in _ROUTES.items():
+    for name, service in ROUTES.items():
         deployment.wait_served(name, service)
-    _print("idle_cpu_percent", _idle_percent(deployment), "percent")
-    _print("node_rss_idle_mb", _rss(deployment), "MB")
+    print_figure("idle_cpu_percent", _idle_percent(deployment), "percent")
+    print_figure("node_rss_idle_mb", rss(deployment), "MB")
     _print_rounds(deployment, _CALLS_PER_NODE, "")
-    rates = [_saturate(deployment) for _ in range(_SATURATED_ROUNDS)]
+    rates = [saturate_nodes(deployment) for _ in range(_SATURATED_ROUNDS)]
     saturated = statistics.median(rates)
-    _print("calls_per_s_saturated", saturated, "1/s")
-    _print("calls_per_s_saturated_min", min(rates), "1/s")
-    _print("calls_per_s_saturated_max", max(rates), "1/s")
+    print_figure("calls_per_s_saturated", saturated, "1/s")
+    print_figure("calls_per_s_saturated_min", min(rates), "1/s")
+    print_figure("calls_per_s_saturated_max", max(rates), "1/s")
     _print_rounds(deployment, saturated / 2, "_half")
-    _print("node_rss_mb", _rss(deployment), "MB")
+    print_figure("node_rss_mb", rss(deployment), "MB")
 
 
 def _print_rounds(deployment, rate, suffix):
     rounds = [_run_round(deployment, rate, seed) for seed in _SEEDS]
     for name in ("p50", "p99"):
         values = [getattr(one, name) for one in rounds]
-        _print(f"added_{name}_ms{suffix}", statistics.median(values), "ms")
-        _print(f"added_{name}_ms{suffix}_min", min(values), "ms")
-        _print(f"added_{name}_ms{suffix}_max", max(values), "ms")
-    _print(f"direct_p99_ms{suffix}", statistics.median(one.direct_p99 for one in rounds), "ms")
-    _print(f"cpu_ms_per_call{suffix}", statistics.median(one.cpu_ms for one in rounds), "ms")
-    _print(f"failed_calls{suffix}", sum(one.failed for one in rounds), "calls")
+        print_figure(f"added_{name}_ms{suffix}", statistics.median(values), "ms")
+        print_figure(f"added_{name}_ms{suffix}_min", min(values), "ms")
+        print_figure(f"added_{name}_ms{suffix}_max", max(values), "ms")
+    print_figure(
+        f"direct_p99_ms{suffix}", statistics.median(one.direct_p99 for one in rounds), "ms"
+    )
+    print_figure(f"cpu_ms_per_call{suffix}", statistics.median(one.cpu_ms for one in rounds), "ms")
+    print_figure(f"failed_calls{suffix}", sum(one.failed for one in rounds), "calls")
 
 
 def _run_round(deployment, rate, seed):
     shots = _shots(deployment, rate, random.Random(seed))
-    before = _cpu_seconds(deployment)
+    before = cpu_seconds(deployment)
     outcomes = fire(shots)
-    spent = _cpu_seconds(deployment) - before
-    histograms = {tag: HdrHistogram(1, _LONGEST_MICROSECONDS, _DIGITS) for tag in "wdt"}
+    spent = cpu_seconds(deployment) - before
+    histograms = {tag: make_histogram() for tag in "wdt"}
     for outcome in outcomes:
         histograms[outcome.tag].record_value(max(1, int(outcome.seconds * _MICROSECONDS)))
     direct, through = histograms["d"], histograms["t"]
     return Round(
-        p50=_milliseconds(through, 50) - _milliseconds(direct, 50),
-        p99=_milliseconds(through, 99) - _milliseconds(direct, 99),
-        direct_p99=_milliseconds(direct, 99),
+        p50=milliseconds(through, 50) - milliseconds(direct, 50),
+        p99=milliseconds(through, 99) - milliseconds(direct, 99),
+        direct_p99=milliseconds(direct, 99),
         cpu_ms=spent * 1000 / sum(outcome.tag != "d" for outcome in outcomes),
         failed=sum(outcome.status != 200 for outcome in outcomes),
     )
@@ -108,9 +110,9 @@
 
 def _shots(deployment, rate, random):
     shots = []
-    for name, service in _ROUTES.items():
+    for name, service in ROUTES.items():
         ways = {
-            "d": deployment.nodes[_TARGETS[service]].target,
+            "d": deployment.nodes[TARGETS[service]].target,
             "t": deployment.nodes[name].callers,
         }
         for moment in poisson(rate, _WARM_UP_SECONDS + 2 * _SECONDS, random):
@@ -122,43 +124,53 @@
     return shots
 
 
-def _saturate(deployment):
+def saturate_nodes(deployment):
+    """Measure how many calls a second each node carries, as entry and before its target."""
     loops = [
         Closed(deployment.nodes[name].callers, service, _PATH, _CALLERS_PER_NODE, seconds)
-        for name, service in _ROUTES.items()
+        for name, service in ROUTES.items()
         for seconds in (_SATURATED_SECONDS,)
     ]
     counts = saturate(loops)
-    return sum(one.answered / one.seconds for one in counts) / len(_ROUTES)
+    return sum(one.answered / one.seconds for one in counts) / len(ROUTES)
 
 
 def _idle_percent(deployment):
-    before = _cpu_seconds(deployment)
+    before = cpu_seconds(deployment)
     time.sleep(_IDLE_SECONDS)
-    return (_cpu_seconds(deployment) - before) / _IDLE_SECONDS / len(_ROUTES) * 100
+    return (cpu_seconds(deployment) - before) / _IDLE_SECONDS / len(ROUTES) * 100
 
 
-def _cpu_seconds(deployment):
+def cpu_seconds(deployment):
+    """Read the processor time that all nodes have used."""
     total = 0
-    for name in _ROUTES:
+    for name in ROUTES:
         text = Path(f"/proc/{deployment.pid(f'node-{name}')}/schedstat").read_text()
         total += int(text.split()[0])
     return total / 1e9
 
 
-def _rss(deployment):
+def rss(deployment):
+    """Read the largest node's memory in MB."""
     sizes = []
-    for name in _ROUTES:
+    for name in ROUTES:
         status = Path(f"/proc/{deployment.pid(f'node-{name}')}/status").read_text()
         sizes += [int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS")]
     return max(sizes) / 1024
 
 
-def _milliseconds(histogram, percentile):
+def make_histogram():
+    """Make a histogram of microseconds."""
+    return HdrHistogram(1, _LONGEST_MICROSECONDS, _DIGITS)
+
+
+def milliseconds(histogram, percentile):
+    """Read a percentile of a histogram."""
     return histogram.get_value_at_percentile(percentile) / 1000
 
 
-def _print(name, value, unit):
+def print_figure(name, value, unit):
+    """Print one figure on a line of its own."""
     print(f"{name} {value:.3f} {unit}", flush=True)
 
 
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -42,9 +42,10 @@
 class Deployment:
     """The processes of one small deployment."""
 
-    def __init__(self, plans, log_level="WARNING"):
+    def __init__(self, plans, log_level="WARNING", node_paths=()):
         self._directory = tempfile.TemporaryDirectory(prefix="camphorshelf-")
         self._log_level = log_level
+        self._node_paths = list(node_paths)
         self._plans = {plan.name: plan for plan in plans}
         self._processes = {}
         self._nodes = {}
@@ -154,7 +155,10 @@
         return {**settings, **plan.settings}
 
     def _start(self, name, command):
-        environment = {**os.environ, "PYTHONPATH": str(_TESTS)}
+        environment = {
+            **os.environ,
+            "PYTHONPATH": os.pathsep.join([*self._node_paths, str(_TESTS)]),
+        }
         with open(self.directory / f"{name}.log", "ab") as log:
             self._processes[name] = subprocess.Popen(
                 command, env=environment, stdout=log, stderr=log
