--- a/packages/core/src/camphorshelf_core/hedge.py
+++ b/packages/core/src/camphorshelf_core/hedge.py
@@ -15,6 +15,8 @@
 _REFRESH = 50
 _MAX_MICROSECONDS = 120_000_000
 _DIGITS = 2
+# An answer this many times slower than usual is no sign of a healthy target.
+_SLOW_RATIO = 2.0
 _HEDGED_METHODS = frozenset({"GET", "HEAD"})
 
 
@@ -64,6 +66,22 @@
     return method in _HEDGED_METHODS
 
 
+def is_suspect(view, sent_at, typical_ms):
+    """Tell whether an overdue call speaks against its target rather than being long work.
+
+    A target that has since answered another call in the usual time is well: the call itself is
+    long, and a hedge would only run the long work twice.
+
+    :param view: the :class:`~camphorshelf_core.load.LoadView` of the target.
+    :param sent_at: when the call was sent.
+    :param typical_ms: the service's usual latency.
+    :return: True or False.
+    """
+    if view.answered_at is None or view.answered_at <= sent_at:
+        return True
+    return view.latest_ms > _SLOW_RATIO * typical_ms
+
+
 def hedge_delay(quantile, remaining_ms, expected_ms):
     """Decide after which time to hedge a call.
 
--- a/packages/core/src/camphorshelf_core/load.py
+++ b/packages/core/src/camphorshelf_core/load.py
@@ -40,6 +40,8 @@
         "_report",
         "_own_latency_ms",
         "_own_latency_at",
+        "_latest_ms",
+        "_answered_at",
     )
 
     def __init__(self):
@@ -50,6 +52,18 @@
         self._report = None
         self._own_latency_ms = None
         self._own_latency_at = None
+        self._latest_ms = None
+        self._answered_at = None
+
+    @property
+    def answered_at(self):
+        """When the target last gave a good answer to this node, or None."""
+        return self._answered_at
+
+    @property
+    def latest_ms(self):
+        """How long that answer took."""
+        return self._latest_ms
 
     @property
     def own_in_flight(self):
@@ -113,8 +127,18 @@
         self._others = float(max(0, report.in_flight + report.queued - self._own))
         return True
 
+    def note_answer(self, milliseconds, now):
+        """Take note of a good answer.
+
+        :param milliseconds: from sending to the answer.
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        self._answered_at = now
+        self._latest_ms = milliseconds
+
     def note_latency(self, milliseconds, now):
-        """Take in how long an answered call took as seen from here.
+        """Take in how long a call took, or has taken so far, as seen from here.
 
         Only calls that met no queue are given, so that this is the target's own speed.
 
--- a/packages/core/src/camphorshelf_core/membership.py
+++ b/packages/core/src/camphorshelf_core/membership.py
@@ -299,18 +299,17 @@
                 self._take_member(member._replace(state=MemberState.DEAD), now)
 
     def _suspicion_seconds(self):
-        periods = max(3.0, 4 * math.log10(len(self._replica) + 1))
+        periods = max(3.0, 4 * math.log10(self._replica.member_count + 1))
         return periods * self._settings.period_ms / 1000 * (1 + self._penalty)
 
     # -- answering
 
     def _answer_ping(self, message, address, now, sends):
-        self._send_with_changes(
-            address,
-            lambda members, entries: AckMessage(message.sequence, self._own.node, members, entries),
-            now,
-            sends,
-        )
+        def make(members, entries):
+            members = self._record_unless_alive(message.sender) + members
+            return AckMessage(message.sequence, self._own.node, members, entries)
+
+        self._send_with_changes(address, make, now, sends)
         self._repair(message, address, now, sends)
 
     def _repair(self, message, address, now, sends):
@@ -430,17 +429,23 @@
         digests = tuple(self._replica.digest(first + index) for index in range(_DIGESTS_PER_PING))
 
         def make(members, entries):
-            if member is not None and member.state != MemberState.ALIVE:
-                # The pinged member must hear that it is suspected, or it cannot contradict.
-                members = (self._replica.packed(("m", member.node))[1], *members)
+            if member is not None:
+                members = self._record_unless_alive(member.node) + members
             return PingMessage(sequence, self._own.node, first, digests, members, entries)
 
         self._send_with_changes(address, make, now, sends, _DIGESTS_PER_PING * _DIGEST_BYTES)
 
+    def _record_unless_alive(self, node):
+        """Give what the other side must hear to contradict that it is suspected or dead."""
+        member = self._replica.member(node)
+        if member is None or member.state == MemberState.ALIVE:
+            return ()
+        return (self._replica.packed(("m", node))[1],)
+
     def _send_with_changes(self, address, make, now, sends, extra_bytes=0):
         spare = self._budget.available(now) - _RESERVED_BYTES
         room = min(MAX_DATAGRAM, spare) - 2 * _HEAD_BYTES - extra_bytes
-        members, entries = self._queue.take(self._replica, room, len(self._replica))
+        members, entries = self._queue.take(self._replica, room, self._replica.member_count)
         self._send(address, make(tuple(members), tuple(entries)), now, sends)
 
     def _send(self, address, message, now, sends):
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -68,6 +68,10 @@
     load: LoadReport
 
 
+class GoodbyeMessage(NamedTuple):
+    """Asks the peer to send no more calls: this node stops when it has answered those it has."""
+
+
 class PingMessage(NamedTuple):
     """Asks a member for a sign of life, in a datagram; carries changes and some digests.
 
@@ -129,6 +133,7 @@
     4: CancelMessage,
     30: ProbeMessage,
     31: ProbeAnswerMessage,
+    5: GoodbyeMessage,
     40: PingMessage,
     41: AckMessage,
     42: PingRequestMessage,
--- a/packages/core/src/camphorshelf_core/retry.py
+++ b/packages/core/src/camphorshelf_core/retry.py
@@ -170,4 +170,4 @@
 
 
 def _is_passed_on(response):
-    return header(response.headers, b"camphorshelf-code") is not None
+    return header(response.headers, RETRIES_LEFT_HEADER) is not None
--- a/packages/node/src/camphorshelf_node/calling.py
+++ b/packages/node/src/camphorshelf_node/calling.py
@@ -13,8 +13,7 @@
     read_retries_left,
 )
 
-from .filters import DEADLINE_HEADER
-from .http import strip_hop_by_hop
+from .headers import DEADLINE_HEADER, strip_hop_by_hop
 
 _OWN_HEADERS = frozenset({DEADLINE_HEADER, RETRIES_LEFT_HEADER})
 
@@ -42,6 +41,11 @@
         self._hedge_timer = None
         self._deadline_timer = None
 
+    @property
+    def guard(self):
+        """The exchange's wrapper of callbacks, which turns a fault into a refusal."""
+        return self._exchange.guard
+
     @property
     def remaining_ms(self):
         """The time to the call's deadline."""
@@ -53,9 +57,10 @@
         :return: None.
         """
         dispatcher = self._dispatcher
+        guard = self._exchange.guard
         self._exchange.when_hung_up(self._on_hang_up)
         wait = max(0.0, self.remaining_ms / 1000)
-        self._deadline_timer = dispatcher.loop.call_later(wait, self._on_deadline)
+        self._deadline_timer = dispatcher.loop.call_later(wait, guard(self._on_deadline))
         if not self._send("fresh"):
             self._finish(dispatcher.refuse_for_want_of_target())
             return
@@ -64,7 +69,7 @@
                 dispatcher.quantile(self._exchange.service), self.remaining_ms, self._expected_ms
             )
             if delay is not None:
-                self._hedge_timer = dispatcher.loop.call_later(delay / 1000, self._on_hedge)
+                self._hedge_timer = dispatcher.loop.call_later(delay / 1000, guard(self._on_hedge))
 
     def _may_hedge(self):
         dispatcher = self._dispatcher
@@ -196,6 +201,9 @@
         self._hedge_timer = None
         if len(self._running) != 1 or self._retried:
             return
+        (attempt,) = self._running
+        if not attempt.is_suspect(self._expected_ms):
+            return
         if self._send("hedge", self._tried):
             self._dispatcher.counts["hedges"] += 1
 
@@ -262,10 +270,11 @@
         self._sent_at = dispatcher.loop.now()
         dispatcher.keeper.note_sent(candidate.target)
         message = self._calling.make_message(candidate.target, may_wait)
+        guard = self._calling.guard
         if candidate.address == dispatcher.settings.listen.peers:
-            cancel = dispatcher.gatekeeper.run(message, self._on_result)
+            cancel = dispatcher.gatekeeper.run(message, guard(self._on_result))
         else:
-            cancel = dispatcher.link(candidate.address).call(message, self._on_message)
+            cancel = dispatcher.link(candidate.address).call(message, guard(self._on_message))
         self._cancel = cancel
 
     def cancel(self):
@@ -274,6 +283,9 @@
             self._dispatcher.keeper.note_done(self.target, None)
             self._cancel()
 
+    def is_suspect(self, typical_ms):
+        return self._dispatcher.keeper.is_suspect(self.target, self._sent_at, typical_ms)
+
     def note_missed(self, refusal):
         if blames_target(refusal):
             self._dispatcher.keeper.note_outcome(self._service, self.target, True)
--- a/packages/node/src/camphorshelf_node/load.py
+++ b/packages/node/src/camphorshelf_node/load.py
@@ -1,6 +1,7 @@
 """The controller that keeps what this entry node knows of each target's load and health."""
 
 from camphorshelf_core.health import Health
+from camphorshelf_core.hedge import is_suspect
 from camphorshelf_core.load import LoadView
 from camphorshelf_core.ramp import ShiftingWeight, ramp_share
 from camphorshelf_core.routing import Candidate
@@ -77,9 +78,28 @@
             return
         now = self._loop.now()
         view.note_report(load, now)
-        if latency_ms is not None and load.queued == 0:
+        if latency_ms is None:
+            return
+        view.note_answer(latency_ms, now)
+        if load.queued == 0:
             view.note_latency(latency_ms, now)
 
+    def is_suspect(self, target, sent_at, typical_ms):
+        """Tell whether a call that is overdue speaks against its target, and remember it.
+
+        :param target: the target's name.
+        :param sent_at: when the call was sent.
+        :param typical_ms: the service's usual latency.
+        :return: True or False.
+        """
+        now = self._loop.now()
+        view = self._view(target)
+        if not is_suspect(view, sent_at, typical_ms):
+            return False
+        # The first sign of a target that has just slowed down: no answer tells of it yet.
+        view.note_latency((now - sent_at) * 1000, now)
+        return True
+
     def note_report(self, target, load):
         """Take in the report that answers a probe.
 
--- a/tests/standins/simulated.py
+++ b/tests/standins/simulated.py
@@ -23,7 +23,6 @@
 )
 from camphorshelf_node.dispatch import Dispatcher
 from camphorshelf_node.load import LoadKeeper
-from camphorshelf_node.loop import Timer
 
 SERVICE = "counter"
 _NETWORK_SECONDS = 0.0005
@@ -31,6 +30,15 @@
 _NOWHERE = "127.0.0.1:1"
 
 
+class _Timer:
+    def __init__(self, when, callback):
+        self.when = when
+        self.callback = callback
+
+    def cancel(self):
+        self.callback = None
+
+
 class SimulatedLoop:
     """The interface of the node's loop on simulated time."""
 
@@ -45,7 +53,7 @@
 
     def call_later(self, seconds, callback):
         """Call back at a simulated moment."""
-        timer = Timer(self._now + max(0.0, seconds), callback)
+        timer = _Timer(self._now + max(0.0, seconds), callback)
         heapq.heappush(self._timers, (timer.when, next(self._order), timer))
         return timer
 
@@ -179,6 +187,10 @@
         self.milliseconds = None
         self.answers = 0
 
+    def guard(self, callback):
+        """Let faults end the simulation."""
+        return callback
+
     def when_hung_up(self, callback):
         """Remember what to do when the caller goes away."""
         self.hang_up = callback
@@ -342,5 +354,3 @@
             counts=simulation.counts,
             runs=tuple(target.runs for target in simulation.targets),
         )
-
-
