--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -51,6 +51,7 @@
     status: int
     ran: str
     milliseconds: float
+    work_ms: float
 
 
 class Scenario(NamedTuple):
@@ -216,7 +217,7 @@
             idle.append(connection)
         if not arrival.background:
             elapsed = (time.monotonic() - start - arrival.at) * 1000
-            sink.append(Outcome(status, ran, elapsed))
+            sink.append(Outcome(status, ran, elapsed, arrival.work_ms))
 
     async def _connect(self, entry):
         host, port = entry.split(":")
@@ -325,6 +326,9 @@
         "p50": _quantile(good, 0.50),
         "p99": _quantile(good, 0.99),
         "p999": _quantile(good, 0.999),
+        "added_p99": _quantile(
+            [o.milliseconds - o.work_ms for o in outcomes if o.status == 200], 0.99
+        ),
         "goodput": sum(ms <= deadline_ms for ms in good) / max(1, len(outcomes)),
         "refused": len(refused),
         "refused_p99": _quantile(refused, 0.99),
@@ -344,17 +348,19 @@
     lines = [
         f"### {name}",
         "",
-        "| policy | p50 ms | p99 ms | p99.9 ms | goodput % | refused | told p99 ms "
-        "| failed | retries | hedges | probes | probe bytes |",
-        "|---|---|---|---|---|---|---|---|---|---|---|---|",
+        "| policy | p50 ms | p99 ms | p99.9 ms | added p99 ms | goodput % | refused | told p99 ms "
+        "| failed | retries | hedges | spills | probe B/s | entry CPU ms/call |",
+        "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|",
     ]
     for policy in policies:
         mine = [row for row in rows if row["scenario"] == name and row["policy"] == policy]
-        cells = [_spread([row[key] for row in mine]) for key in ("p50", "p99", "p999")]
+        cells = [_spread([row[key] for row in mine]) for key in ("p50", "p99", "p999", "added_p99")]
         cells.append(f"{statistics.median(row['goodput'] for row in mine) * 100:.1f}")
-        for key in ("refused", "refused_p99", "failed", "retries", "hedges", "probes"):
+        for key in ("refused", "refused_p99", "failed", "retries", "hedges", "spills"):
             cells.append(f"{statistics.median(row.get(key, 0) for row in mine):.0f}")
-        cells.append(f"{statistics.median(row.get('probe_bytes', 0) for row in mine):.0f}")
+        seconds = SLICE_SECONDS * len(DOMAINS)
+        cells.append(f"{statistics.median(row['probe_bytes'] for row in mine) / seconds:.0f}")
+        cells.append(f"{statistics.median(row['entry_cpu_ms'] / row['calls'] for row in mine):.2f}")
         lines.append(f"| {policy} | " + " | ".join(cells) + " |")
     return "\n".join(lines) + "\n"
 
--- a/packages/core/src/camphorshelf_core/baselines.py
+++ b/packages/core/src/camphorshelf_core/baselines.py
@@ -18,7 +18,9 @@
     pick = _PICKS[settings.policy](random)
 
     def choose(candidates, exclude=()):
-        usable = usable_candidates(candidates, exclude)
+        # A simple policy knows nothing of health: that is one of the parts it is compared with.
+        unaware = [one._replace(ejected=False) for one in candidates]
+        usable = usable_candidates(unaware, exclude)
         if not usable:
             return None
         return Choice(pick(usable), 0.0, 0.0, False, settings.policy)
--- a/packages/core/src/camphorshelf_core/load.py
+++ b/packages/core/src/camphorshelf_core/load.py
@@ -42,6 +42,7 @@
         "_own_latency_at",
         "_latest_ms",
         "_answered_at",
+        "_overdue",
     )
 
     def __init__(self):
@@ -54,6 +55,12 @@
         self._own_latency_at = None
         self._latest_ms = None
         self._answered_at = None
+        self._overdue = 0
+
+    @property
+    def overdue(self):
+        """Own calls that are out for unusually long while nothing speaks for the target."""
+        return self._overdue
 
     @property
     def answered_at(self):
@@ -103,6 +110,15 @@
         assert self._own > 0, "a call was counted as done twice"
         self._own -= 1
 
+    def note_overdue(self, change):
+        """Count a call that has become overdue, or has ended after it was.
+
+        :param change: 1 or -1.
+        :return: None.
+        """
+        self._overdue += change
+        assert 0 <= self._overdue <= self._own + 1, "overdue calls do not add up"
+
     def note_report(self, report, now):
         """Take in a report, unless a newer one is known.
 
@@ -120,7 +136,9 @@
             if self._least_offset is None or offset < self._least_offset:
                 self._least_offset = offset
             made_at = report.at_ms / 1000 + self._least_offset
-        if self._reported_at is not None and made_at < self._reported_at:
+        # The same report again is not taken either: the own calls to subtract from it are those
+        # of the time when it was made.
+        if self._reported_at is not None and made_at <= self._reported_at:
             return False
         self._report = report
         self._reported_at = made_at
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -12,7 +12,8 @@
 class CallMessage(NamedTuple):
     """Asks a target's node to run a call; ``call_id`` is never reused on its link.
 
-    A call that may not wait is refused at once, TARGET_BUSY and NOT_RUN, when no slot is free.
+    A call that would wait longer than ``longest_wait_ms`` for a slot is refused at once,
+    TARGET_BUSY and NOT_RUN; None stands for no such bound.
     """
 
     call_id: int
@@ -25,7 +26,7 @@
     path: bytes
     headers: tuple
     body: bytes
-    may_wait: bool = True
+    longest_wait_ms: float | None = None
 
 
 class AnswerMessage(NamedTuple):
--- a/packages/core/src/camphorshelf_core/retry.py
+++ b/packages/core/src/camphorshelf_core/retry.py
@@ -68,6 +68,13 @@
         self._tokens -= 1
         return True
 
+    def charge(self):
+        """Take one for what has happened already, going into debt if need be.
+
+        :return: None.
+        """
+        self._tokens -= 1
+
 
 class Verdict(NamedTuple):
     """Whether to retry, and why."""
@@ -153,6 +160,16 @@
     return isinstance(result, Response) and header(result.headers, RETRIES_LEFT_HEADER) == b"0"
 
 
+def left_after(result, left):
+    """Tell what a failure passed upwards leaves of the path's retries.
+
+    :param result: the final :class:`Response` or refusal.
+    :param left: what this level has left.
+    :return: 0 when a call further down has spent it, else what this level has left.
+    """
+    return 0 if spent_below(result) else left
+
+
 def spread(milliseconds, random):
     """Spread a time to wait, so that those refused together do not return together.
 
--- a/packages/core/src/camphorshelf_core/routing.py
+++ b/packages/core/src/camphorshelf_core/routing.py
@@ -43,6 +43,7 @@
     reported_latency_ms: float | None = None
     own_latency_ms: float | None = None
     own_latency_age: float = 0.0
+    overdue: int = 0
     failure_share: float = 0.0
     weight: float = 1.0
     leaving: bool = False
@@ -68,13 +69,13 @@
     :return: a function from the candidates and the names to leave out to a :class:`Choice`,
         or None when no target takes work.
     """
-    half_life = settings.report_half_life_ms / 1000
 
     def choose(candidates, exclude=()):
         usable = usable_candidates(candidates, exclude)
         if not usable:
             return None
         typical = typical_latency(candidates)
+        half_life = settings.report_half_life * typical / 1000
         crowd = typical_crowd(candidates, half_life)
 
         def score(candidate):
@@ -172,6 +173,8 @@
     load = estimate_in_flight(candidate, crowd, half_life)
     waiting = max(0.0, load + 1 - slots)
     speed = typical * _slowness(candidate, typical)
+    # Each overdue call is a sign of a target that has just slowed down; no answer tells of it yet.
+    speed *= 1 + candidate.overdue
     cost = speed * (1 + _SHARING * load / slots + waiting / slots)
     return cost * (1 + _FAILURE_COST * candidate.failure_share)
 
--- a/packages/core/src/camphorshelf_core/sensing.py
+++ b/packages/core/src/camphorshelf_core/sensing.py
@@ -89,10 +89,11 @@
         """Match an answer to its probe.
 
         :param number: the probe's number.
-        :return: the target's name, or None when nobody asked or it came too late.
+        :return: the pair of the target's name and when it was asked, or None when nobody asked
+            or the answer came too late.
         """
         entry = self._pending.pop(number, None)
-        return None if entry is None else entry[0].target
+        return None if entry is None else (entry[0].target, entry[1])
 
     def may_answer(self, now):
         """Decide whether to answer a peer's probe.
--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -61,19 +61,21 @@
 class EntrySettings(NamedTuple):
     """How an entry node routes, retries and hedges; docs/design/routing.md has the measurements.
 
-    Budgets are shares of the fresh calls: ``retry_share`` 0.1 lets one call in ten be a retry.
+    ``report_half_life`` is told in usual latencies of the service: its calls in flight are all
+    others after a few of them. Budgets are shares of the fresh calls: ``retry_share`` 0.1 lets
+    one call in ten be a retry.
     """
 
     policy: Literal["ours", "random", "round_robin", "least_reported"] = "ours"
-    choices: Annotated[int, Field(ge=1, le=32)] = 4
-    report_half_life_ms: Milliseconds = 200
+    choices: Annotated[int, Field(ge=1, le=32)] = 6
+    report_half_life: Annotated[float, Field(ge=0.01, le=1_000)] = 0.5
     domain_cost_ms: Annotated[float, Field(ge=0, le=1_000)] = 2.0
     subset: Annotated[int, Field(ge=2, le=250)] = 20
     link_limit: Annotated[int, Field(ge=1, le=100_000)] = 250
     spill_attempts: Annotated[int, Field(ge=0, le=8)] = 2
     spill_share: Share = 0.3
     retry_share: Share = 0.1
-    hedge_share: Share = 0.03
+    hedge_share: Share = 0.05
     hedge_quantile: Annotated[float, Field(ge=50, le=99.9)] = 95.0
 
 
@@ -81,7 +83,7 @@
     """What probing the load of targets may cost, asked and answered together."""
 
     bytes_per_second: Annotated[int, Field(ge=0, le=1_000_000)] = 2_400
-    burst_bytes: Annotated[int, Field(ge=0, le=1_000_000)] = 2_400
+    burst_bytes: Annotated[int, Field(ge=0, le=1_000_000)] = 960
     cpu_microseconds_per_second: Annotated[int, Field(ge=0, le=1_000_000)] = 5_000
 
 
--- a/packages/node/src/camphorshelf_node/calling.py
+++ b/packages/node/src/camphorshelf_node/calling.py
@@ -10,6 +10,7 @@
     blames_target,
     is_failure,
     judge,
+    left_after,
     read_retries_left,
 )
 
@@ -73,30 +74,29 @@
 
     def _may_hedge(self):
         dispatcher = self._dispatcher
-        return (
-            is_hedged(self._method)
-            and dispatcher.settings.entry.hedge_share > 0
-            and not dispatcher.is_baseline
-        )
+        return is_hedged(self._method) and not dispatcher.is_baseline
 
-    def _send(self, kind, exclude=()):
+    def _send(self, kind, exclude=(), spill=None):
         dispatcher = self._dispatcher
         choice = dispatcher.choose(self._exchange.service, exclude)
         if choice is None:
             return False
-        may_wait = kind != "hedge" and not self._may_spill()
-        if kind == "hedge" and not choice.looks_free:
-            return False
-        if kind == "hedge" and not dispatcher.hedge_budget.spend():
-            return False
+        if kind == "hedge":
+            if not (choice.looks_free and dispatcher.hedge_budget.spend()):
+                return False
+            longest_wait_ms = 0.0
+        else:
+            spill = self._may_spill() if spill is None else spill
+            longest_wait_ms = dispatcher.keeper.round_trip.longest_wait_ms if spill else None
         self._expected_ms = choice.expected_ms
-        self._log(kind, choice, may_wait)
-        _Attempt(self, choice.candidate, kind == "hedge").start(may_wait)
+        self._log(kind, choice, longest_wait_ms)
+        _Attempt(self, choice.candidate, kind == "hedge").start(longest_wait_ms)
         return True
 
     def _may_spill(self):
-        # An attempt that may not wait costs a message when it meets a full target. When all are
-        # full these messages would come on top of the overload, so the budget ends them.
+        # An attempt that may hardly wait costs a message when it meets a full target. When all are
+        # full these messages would come on top of the overload, so the budget ends them. Calls
+        # already out when it is spent put it into debt, so over time the share holds.
         dispatcher = self._dispatcher
         return (
             not dispatcher.is_baseline
@@ -104,7 +104,7 @@
             and not dispatcher.spill_budget.is_spent
         )
 
-    def _log(self, kind, choice, may_wait):
+    def _log(self, kind, choice, longest_wait_ms):
         chosen = choice.candidate
         self._dispatcher.log.decision(
             "route",
@@ -116,14 +116,14 @@
             own=chosen.own_in_flight,
             others=chosen.others_in_flight,
             age=chosen.report_age,
-            may_wait=may_wait,
+            longest_wait_ms=longest_wait_ms,
         )
 
-    def make_message(self, target, may_wait):
+    def make_message(self, target, longest_wait_ms):
         """Make the message of a new attempt.
 
         :param target: the target's name.
-        :param may_wait: whether the call may wait in the target's queue.
+        :param longest_wait_ms: how long the call may wait in the target's queue, None for any time.
         :return: the :class:`CallMessage`, with an attempt id of its own.
         """
         request = self._exchange.request
@@ -144,7 +144,7 @@
             path=request.path,
             headers=headers,
             body=request.body,
-            may_wait=may_wait,
+            longest_wait_ms=longest_wait_ms,
         )
 
     def on_attempt_started(self, attempt):
@@ -190,12 +190,13 @@
             return
         dispatcher = self._dispatcher
         self._spills += 1
+        dispatcher.keeper.round_trip.note(attempt.elapsed_ms)
         dispatcher.counts["spills"] += 1
-        dispatcher.spill_budget.spend()
-        # The busy answers brought fresh reports; a last attempt that may wait chooses among all.
-        exclude = self._tried if self._may_spill() else ()
-        if not self._send("spill", exclude) and not self._send("spill"):
-            self._finish(dispatcher.refuse_for_want_of_target())
+        dispatcher.spill_budget.charge()
+        # The busy answers brought fresh reports, so an attempt that may wait chooses among all.
+        again = self._may_spill()
+        if not self._send("spill", self._tried if again else (), again):
+            self._send("spill", (), spill=False)
 
     def _on_hedge(self):
         self._hedge_timer = None
@@ -222,7 +223,7 @@
 
     def _mark_spent(self, response):
         headers = tuple(pair for pair in response.headers if pair[0] != RETRIES_LEFT_HEADER)
-        left = (RETRIES_LEFT_HEADER, b"%d" % self._retries_left)
+        left = (RETRIES_LEFT_HEADER, b"%d" % left_after(response, self._retries_left))
         return Response(response.status, (*headers, left), response.body)
 
     def _on_deadline(self):
@@ -257,6 +258,7 @@
         self._candidate = candidate
         self._cancel = None
         self._done = False
+        self._overdue = False
         self.is_hedge = is_hedge
 
     @property
@@ -264,12 +266,17 @@
         """The target's name."""
         return self._candidate.target
 
-    def start(self, may_wait):
+    @property
+    def elapsed_ms(self):
+        """The time since the attempt was sent."""
+        return (self._dispatcher.loop.now() - self._sent_at) * 1000
+
+    def start(self, longest_wait_ms):
         dispatcher, candidate = self._dispatcher, self._candidate
         self._calling.on_attempt_started(self)
         self._sent_at = dispatcher.loop.now()
         dispatcher.keeper.note_sent(candidate.target)
-        message = self._calling.make_message(candidate.target, may_wait)
+        message = self._calling.make_message(candidate.target, longest_wait_ms)
         guard = self._calling.guard
         if candidate.address == dispatcher.settings.listen.peers:
             cancel = dispatcher.gatekeeper.run(message, guard(self._on_result))
@@ -279,12 +286,19 @@
 
     def cancel(self):
         if not self._done:
-            self._done = True
+            self._settle()
             self._dispatcher.keeper.note_done(self.target, None)
             self._cancel()
 
     def is_suspect(self, typical_ms):
-        return self._dispatcher.keeper.is_suspect(self.target, self._sent_at, typical_ms)
+        keeper = self._dispatcher.keeper
+        self._overdue = keeper.is_suspect(self.target, self._sent_at, typical_ms)
+        return self._overdue
+
+    def _settle(self):
+        self._done = True
+        if self._overdue:
+            self._dispatcher.keeper.note_overdue_done(self.target)
 
     def note_missed(self, refusal):
         if blames_target(refusal):
@@ -305,12 +319,11 @@
     def _on_result(self, result, load):
         if self._done:
             return
-        self._done = True
+        self._settle()
         keeper = self._dispatcher.keeper
         failed = blames_target(result)
         good = isinstance(result, Response) and not failed
-        elapsed = (self._dispatcher.loop.now() - self._sent_at) * 1000
-        keeper.note_done(self.target, load, elapsed if good else None)
+        keeper.note_done(self.target, load, self.elapsed_ms if good else None)
         if failed or good:
             ejected = keeper.note_outcome(self._service, self.target, failed)
             if ejected:
--- a/packages/node/src/camphorshelf_node/gatekeeper.py
+++ b/packages/node/src/camphorshelf_node/gatekeeper.py
@@ -5,6 +5,7 @@
 from camphorshelf_core.errors import Code, Ran, Refusal
 from camphorshelf_core.load import LoadReport
 from camphorshelf_core.settings import split_address
+from camphorshelf_core.spill import takes_now
 
 from .httpclient import Failed, HttpClient
 
@@ -65,8 +66,8 @@
             refusal = Refusal(Code.NO_TARGET, "no such target beside this node")
             on_done(refusal, self.load)
             return lambda: None
-        if not call.may_wait and not self._has_free_slot():
-            on_done(Refusal(Code.TARGET_BUSY, "no slot is free"), self.load)
+        if not takes_now(self.load, call.longest_wait_ms):
+            on_done(Refusal(Code.TARGET_BUSY, "no slot is free soon enough"), self.load)
             return lambda: None
         work = _Work(self, self._gate, self._client, call, on_done)
         now = self._loop.now()
@@ -74,9 +75,6 @@
         self._gate.offer(ticket, now)
         return work.cancel
 
-    def _has_free_slot(self):
-        return self._gate.in_flight < self._gate.slots and not self._gate.queued
-
     def note_latency(self, milliseconds):
         """Take a finished call's time into the smoothed latency.
 
--- a/packages/node/src/camphorshelf_node/load.py
+++ b/packages/node/src/camphorshelf_node/load.py
@@ -5,6 +5,7 @@
 from camphorshelf_core.load import LoadView
 from camphorshelf_core.ramp import ShiftingWeight, ramp_share
 from camphorshelf_core.routing import Candidate
+from camphorshelf_core.spill import RoundTrip
 from camphorshelf_core.subset import choose_subset, subset_size
 
 # Members heard of this soon after the node's own start were there before it: they are not cold.
@@ -26,6 +27,7 @@
         self._joined_at = {}
         self._subsets = {}
         self._started_at = loop.now()
+        self.round_trip = RoundTrip()
         gossip.on_member(self._on_member)
 
     @property
@@ -92,14 +94,20 @@
         :param typical_ms: the service's usual latency.
         :return: True or False.
         """
-        now = self._loop.now()
         view = self._view(target)
         if not is_suspect(view, sent_at, typical_ms):
             return False
-        # The first sign of a target that has just slowed down: no answer tells of it yet.
-        view.note_latency((now - sent_at) * 1000, now)
+        view.note_overdue(1)
         return True
 
+    def note_overdue_done(self, target):
+        """Take note that a call that was overdue has ended.
+
+        :param target: the target's name.
+        :return: None.
+        """
+        self._view(target).note_overdue(-1)
+
     def note_report(self, target, load):
         """Take in the report that answers a probe.
 
@@ -137,6 +145,7 @@
             reported_latency_ms=report.latency_ms if report else None,
             own_latency_ms=own[0] if own else None,
             own_latency_age=own[1] if own else 0.0,
+            overdue=view.overdue,
             failure_share=health.failure_share(name, now),
             weight=self._weight(name, now) * health.return_share(name, now),
             leaving=report.leaving if report else False,
--- a/packages/node/src/camphorshelf_node/sensing.py
+++ b/packages/node/src/camphorshelf_node/sensing.py
@@ -38,9 +38,11 @@
             self._send(ProbeAnswerMessage(message.number, self._gatekeeper.load), address)
 
     def _on_answer(self, message, _address):
-        target = self._sensing.take_answer(message.number)
-        if target is not None:
+        asked = self._sensing.take_answer(message.number)
+        if asked is not None:
+            target, sent_at = asked
             self._keeper.note_report(target, message.load)
+            self._keeper.round_trip.note((self._loop.now() - sent_at) * 1000)
 
     def _send(self, message, address):
         data = encode(message)
--- /dev/null
+++ b/tests/features/entry_load.feature
@@ -0,0 +1,26 @@
+Feature: Decisions of the entry node under load, on simulated time
+
+  Each scenario plays seeded calls over the production code and holds the outcome to a bound; it
+  then takes the part out, or puts a simple policy in its place, and expects the bound to break.
+
+  Scenario Outline: A load pattern meets the part that answers it
+    # What each pattern does to callers when its part is missing stands beside the pattern in
+    # tests/standins/patterns.py; the bound lies between the two outcomes with room on both sides.
+    When the pattern <pattern> is played
+    Then <measure> stays <bound>
+    But with <without> it does not
+
+    Examples:
+      | pattern        | measure       | bound       | without                         |
+      | burst          | short_p99     | below 60    | policy random                   |
+      | skew           | p99           | below 50    | policy least_reported           |
+      | slow target    | p99           | below 120   | policy round_robin              |
+      | slow target    | p99           | below 120   | policy least_reported           |
+      | mixed length   | short_p99     | below 42    | policy random                   |
+      | many entries   | p99           | below 46    | spill_attempts 0                |
+      | saturation     | messages      | below 1.45  | spill_share 1                   |
+      | fail fast      | goodput       | above 0.999 | retry_share 0                   |
+      | fail fast      | failing_share | below 0.05  | policy least_reported           |
+      | liar           | p99           | below 120   | policy least_reported           |
+      | stale reports  | p99           | below 55    | policy least_reported           |
+      | neighbour      | p99           | below 120   | hedge_share 0                   |
--- a/tests/standins/simulated.py
+++ b/tests/standins/simulated.py
@@ -21,12 +21,14 @@
     PlatformSettings,
     Settings,
 )
+from camphorshelf_core.spill import takes_now
 from camphorshelf_node.dispatch import Dispatcher
 from camphorshelf_node.load import LoadKeeper
 
 SERVICE = "counter"
 _NETWORK_SECONDS = 0.0005
 _QUEUE_PER_SLOT = 2
+_SHORT_MS = 50.0
 _NOWHERE = "127.0.0.1:1"
 
 
@@ -79,7 +81,8 @@
         self.factor = 1.0
         self.failing = False
         self.lies = False
-        self.report_delay = 0.0
+        self.report_period = 0.0
+        self._old_report = None
         self.runs = 0
 
     @property
@@ -88,8 +91,17 @@
         at_ms = self._loop.now() * 1000
         if self.lies:
             return LoadReport(0, 0, self._slots, 0.1, at_ms=at_ms)
+        old = self._old_report
+        if old is not None and at_ms - old.at_ms < self.report_period * 1000:
+            return old
+        self._old_report = self.true_load
+        return self._old_report
+
+    @property
+    def true_load(self):
+        """The load of this moment, whatever is reported."""
         load = (self._in_flight, len(self._queue), self._slots, self._latency_ms)
-        return LoadReport(*load, at_ms=at_ms)
+        return LoadReport(*load, at_ms=self._loop.now() * 1000)
 
     @property
     def in_flight(self):
@@ -105,7 +117,7 @@
     def offer(self, work):
         if self._in_flight < self._slots and not self._queue:
             self._start(work)
-        elif not work.message.may_wait:
+        elif not takes_now(self.true_load, work.message.longest_wait_ms):
             work.answer(Refusal(Code.TARGET_BUSY, "busy"))
         elif len(self._queue) < self._slots * _QUEUE_PER_SLOT:
             self._queue.append(work)
@@ -162,8 +174,8 @@
             message = RefusedMessage(0, int(code), reason, ran.value, after, report)
         else:
             message = AnswerMessage(0, result.status, (), b"", report)
-        delay = _NETWORK_SECONDS + target.report_delay
-        target._loop.call_later(delay, lambda: self.cancelled or self._on_done(message))
+        reply = lambda: self.cancelled or self._on_done(message)  # noqa: E731
+        target._loop.call_later(_NETWORK_SECONDS, reply)
 
     def _end(self):
         self._timer = None
@@ -334,6 +346,7 @@
     p99: float
     goodput: float
     refused: int
+    short_p99: float
     counts: Counter
     runs: tuple
 
@@ -344,13 +357,20 @@
             assert exchange.answers == 1, "a caller got no answer or two"
         for target in simulation.targets:
             assert target.in_flight == 0, "a slot was never freed"
-        good = sorted(one.milliseconds for one in simulation.exchanges if one.is_good)
+        good_calls = [one for one in simulation.exchanges if one.is_good]
+        good = sorted(one.milliseconds for one in good_calls)
         total = len(simulation.exchanges)
         return cls(
             p50=good[len(good) // 2] if good else float("inf"),
             p99=good[int(0.99 * len(good))] if good else float("inf"),
             goodput=len(good) / max(1, total),
+            short_p99=_quantile_of_short(good_calls),
             refused=sum(isinstance(one.result, Refusal) for one in simulation.exchanges),
             counts=simulation.counts,
             runs=tuple(target.runs for target in simulation.targets),
         )
+
+
+def _quantile_of_short(exchanges):
+    short = sorted(one.milliseconds for one in exchanges if float(one.request.path) < _SHORT_MS)
+    return short[int(0.99 * len(short))] if short else float("inf")
