Tell apart what happened to a write, and leave a platform that is down alone

Cause: the platform's client answered True or None, so a write that was never sent looked like one that may have taken effect, and there was no conditional write, consistent read, transaction or object store. In the HTTP client an abandoned request that waited for a connection went out after all when the connection ahead of it was lost. Ruled out: folding an unknown outcome into a failure (its write may land later); retries in the client (the caller of it decides what a second write means). Conclusion: outcomes are APPLIED, LOST (with the row), NOT_APPLIED, UNKNOWN; a circuit and a fixed budget bound what one node asks; the stand-in can hold, lose and delay single writes and reads.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -33,11 +33,15 @@
 
 
 class PlatformSettings(NamedTuple):
-    """Where the platform's table service and object store are."""
+    """Where the platform's table service and object store are, and what a node may ask of them.
+
+    ``requests_per_second`` bounds this node alone, with a burst of one second's worth.
+    """
 
     table: Address
     objects: Address
     timeout_ms: Milliseconds = 500
+    requests_per_second: Annotated[int, Field(ge=1, le=10_000)] = 200
 
 
 class LimitSettings(NamedTuple):
--- a/packages/node/src/camphorshelf_node/httpclient.py
+++ b/packages/node/src/camphorshelf_node/httpclient.py
@@ -25,14 +25,16 @@
         self._open = 0
         self._waiting = deque()
 
-    def send(self, request, on_done):
+    def send(self, request, on_done, may_send=None):
         """Send a request.
 
         :param request: the :class:`Request`.
         :param on_done: takes the :class:`Response` or a :class:`Failed`.
-        :return: a function that abandons the request.
+        :param may_send: asked just before the first byte is written (a connection may have
+            taken its time); False fails the request unsent.
+        :return: a function that abandons the request and tells whether it may have run.
         """
-        exchange = _ClientExchange(request, on_done)
+        exchange = _ClientExchange(request, on_done, may_send)
         self._assign(exchange)
         return exchange.abandon
 
@@ -65,8 +67,12 @@
         self._open -= 1
         if connection in self._idle:
             self._idle.remove(connection)
-        if self._waiting:
-            self._assign(self._waiting.popleft())
+        while self._waiting:
+            exchange = self._waiting.popleft()
+            # An abandoned request was reported as not run; it must not go out after all.
+            if not exchange.abandoned:
+                self._assign(exchange)
+                return
 
 
 class Failed:
@@ -78,16 +84,19 @@
 
 
 class _ClientExchange:
-    def __init__(self, request, on_done):
+    def __init__(self, request, on_done, may_send):
         self.request = request
         self.on_done = on_done
+        self.may_send = may_send
         self.abandoned = False
+        self.sent = False
         self.connection = None
 
     def abandon(self):
         self.abandoned = True
         if self.connection is not None:
             self.connection.close()
+        return self.sent
 
     def finish(self, result):
         self.connection = None
@@ -116,7 +125,7 @@
         self._size = 0
         self._framed = False
         if self._connected:
-            self._stream.write(_render_request(exchange.request))
+            self._write()
 
     def close(self):
         self._stream.close()
@@ -169,7 +178,16 @@
     def _on_connect(self):
         self._connected = True
         if self._exchange is not None:
-            self._stream.write(_render_request(self._exchange.request))
+            self._write()
+
+    def _write(self):
+        exchange = self._exchange
+        if exchange.may_send is not None and not exchange.may_send():
+            self._exchange = None
+            self._finish(exchange, Failed("it was no longer wanted", sent=False), keep=True)
+            return
+        exchange.sent = True
+        self._stream.write(_render_request(exchange.request))
 
     def _on_data(self, data):
         if self._exchange is None:
@@ -182,17 +200,16 @@
 
     def _fail(self, reason):
         exchange, self._exchange = self._exchange, None
-        sent = self._connected
         self._stream.close()
         if exchange is not None:
-            exchange.finish(Failed(reason, sent))
+            exchange.finish(Failed(reason, exchange.sent))
 
     def _on_close(self):
         self._client._forget(self)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             reason = "the connection was lost" if self._connected else "no connection"
-            exchange.finish(Failed(reason, sent=self._connected))
+            exchange.finish(Failed(reason, exchange.sent))
 
 
 def _render_request(request):
--- a/packages/node/src/camphorshelf_node/platform.py
+++ b/packages/node/src/camphorshelf_node/platform.py
@@ -1,30 +1,65 @@
-"""The client of the platform's table service, spoken to by its published JSON protocol."""
+"""The client of the platform's table service and object store, by their published protocols."""
 
-import base64
 import json
+import random
+from email.utils import parsedate_to_datetime
 
-from camphorshelf_core.calls import Request
+from returns.result import Failure, Success
+
+from camphorshelf_core.budget import TokenBucket
+from camphorshelf_core.calls import Request, header
+from camphorshelf_core.circuit import Circuit
 from camphorshelf_core.settings import split_address
+from camphorshelf_core.table import Outage, WriteOutcome
 
 from .httpclient import Failed, HttpClient
+from .rows import (
+    TABLE,
+    Put,
+    describe_key,
+    describe_put,
+    read_answer,
+    read_query,
+    read_row,
+    read_written,
+)
 
-TABLE = "camphorshelf"
-_MAX_CONNECTIONS = 4
+_MAX_CONNECTIONS = 8
 _MAX_ANSWER = 16 * 1024 * 1024
 _VERSION = "DynamoDB_20120810"
+# Reads and writes that nobody waits for leave half of the budget to those that somebody does.
+_BACKGROUND_SHARE = 0.5
 
 
 class Platform:
-    """Reads and writes rows; every outcome comes by callback."""
+    """Reads and writes rows and objects; every outcome comes later, by callback."""
 
     def __init__(self, loop, settings):
         self._loop = loop
+        self._settings = settings
         self._timeout = settings.timeout_ms / 1000
-        address = split_address(settings.table)
-        self._client = HttpClient(loop, address, _MAX_CONNECTIONS, _MAX_ANSWER)
+        self._circuit = Circuit(random.Random())
+        rate = settings.requests_per_second
+        self._budget = TokenBucket(rate, rate, loop.now())
+        self._table = self._make_client(settings.table)
+        self._objects = self._make_client(settings.objects)
+        self._date = None
+
+    @property
+    def retry_after(self):
+        """Seconds until the platform is tried again; 0 while it answers."""
+        return self._circuit.retry_after(self._loop.now())
+
+    @property
+    def time(self):
+        """The platform's own clock in seconds since 1970, or None before its first answer."""
+        if self._date is None:
+            return None
+        date, read_at = self._date
+        return parsedate_to_datetime(date).timestamp() + self._loop.now() - read_at
 
     def put(self, partition, key, data, on_done):
-        """Write a row.
+        """Write a row whatever there is.
 
         :param partition: the row's partition.
         :param key: the row's key in it.
@@ -32,9 +67,67 @@
         :param on_done: takes True, or None when the outcome is unknown.
         :return: None.
         """
-        item = {**_key(partition, key), "doc": {"B": base64.b64encode(data).decode()}}
-        body = {"TableName": TABLE, "Item": item}
-        self._ask("PutItem", body, lambda answer: on_done(None if answer is None else True))
+
+        def done(written):
+            on_done(True if written.outcome is WriteOutcome.APPLIED else None)
+
+        self._write("PutItem", describe_put(Put(partition, key, data, 1, conditional=False)), done)
+
+    def put_if(self, partition, key, data, expected, on_done, version=None):
+        """Write a row if it is still as expected.
+
+        :param partition: the row's partition.
+        :param key: the row's key in it.
+        :param data: the row's bytes.
+        :param expected: the version to replace, or None when there must be no row.
+        :param on_done: takes a :class:`Written`.
+        :param version: the new version; the expected one plus one if left out.
+        :return: None.
+        """
+        if version is None:
+            version = (expected or 0) + 1
+        put = Put(partition, key, data, version, expected)
+        self._write("PutItem", describe_put(put), on_done)
+
+    def put_all_if(self, puts, on_done, background=False):
+        """Write several rows in one transaction if each is still as expected.
+
+        :param puts: :class:`~camphorshelf_node.rows.Put` of different rows.
+        :param on_done: takes a list of :class:`Written`, one for each; when a condition failed,
+            those whose own held are ``NOT_APPLIED``.
+        :param background: whether nobody waits for it.
+        :return: None.
+        """
+        if len(puts) == 1:
+            body = describe_put(puts[0])
+            self._write("PutItem", body, lambda written: on_done([written]), background)
+            return
+        body = {"TransactItems": [{"Put": describe_put(put)} for put in puts]}
+
+        def done(result):
+            on_done(read_written(result, len(puts)))
+
+        self._ask("TransactWriteItems", body, done, background)
+
+    def get(self, partition, key, on_done):
+        """Read a row, as the last write left it.
+
+        :param partition: the row's partition.
+        :param key: the row's key in it.
+        :param on_done: takes ``Success`` of a :class:`Row` or None (no such row), or ``Failure``
+            of an :class:`Outage`.
+        :return: None.
+        """
+        body = {
+            "TableName": TABLE,
+            "Key": describe_key(partition, key),
+            "ConsistentRead": True,
+        }
+
+        def done(result):
+            on_done(read_answer(result).map(lambda answer: read_row(answer.get("Item"))))
+
+        self._ask("GetItem", body, done)
 
     def query(self, partition, on_done, limit=None, start_after=None):
         """Read rows of a partition in the order of their keys.
@@ -46,45 +139,112 @@
             from the first key on are read as well.
         :return: None.
         """
-        body = _query_body(partition, limit, start_after)
 
-        def done(answer):
-            if answer is None:
-                on_done(None)
-                return
-            rows = _rows(answer["Items"])
-            if start_after is None or len(rows) >= limit:
+        def done(result):
+            rows = read_query(result)
+            if rows is None or start_after is None or len(rows) >= limit:
                 on_done(rows)
                 return
             self.query(partition, lambda first: on_done(_join(rows, first)), limit - len(rows))
 
-        self._ask("Query", body, done)
+        self._ask("Query", _query_body(partition, limit, start_after), done)
+
+    def put_object(self, path, data, on_done):
+        """Write an object.
+
+        :param path: its path, which starts with a slash.
+        :param data: its bytes.
+        :param on_done: takes a :class:`WriteOutcome`.
+        :return: None.
+        """
+        request = Request("PUT", path.encode(), ((b"host", b"objects"),), data)
+
+        def done(result):
+            if isinstance(result, Failed):
+                on_done(WriteOutcome.UNKNOWN if result.sent else WriteOutcome.NOT_APPLIED)
+            elif result.status >= 500:
+                on_done(WriteOutcome.UNKNOWN)
+            else:
+                applied = result.status < 300
+                on_done(WriteOutcome.APPLIED if applied else WriteOutcome.NOT_APPLIED)
+
+        self._send(self._objects, request, done)
 
-    def _ask(self, operation, body, on_done):
+    def get_object(self, path, on_done):
+        """Read an object.
+
+        :param path: its path, which starts with a slash.
+        :param on_done: takes ``Success`` of its bytes or None (no such object), or ``Failure``
+            of an :class:`Outage`.
+        :return: None.
+        """
+        request = Request("GET", path.encode(), ((b"host", b"objects"),), b"")
+
+        def done(result):
+            if isinstance(result, Failed):
+                on_done(Failure(Outage(result.reason)))
+            elif result.status in (200, 404):
+                on_done(Success(result.body if result.status == 200 else None))
+            else:
+                on_done(Failure(Outage(f"the object store answered {result.status}")))
+
+        self._send(self._objects, request, done)
+
+    def _make_client(self, address):
+        return HttpClient(self._loop, split_address(address), _MAX_CONNECTIONS, _MAX_ANSWER)
+
+    def _write(self, operation, body, on_done, background=False):
+        def done(result):
+            on_done(read_written(result, 1)[0])
+
+        self._ask(operation, body, done, background)
+
+    def _ask(self, operation, body, on_done, background=False):
         headers = (
             (b"host", b"table"),
             (b"content-type", b"application/x-amz-json-1.0"),
             (b"x-amz-target", f"{_VERSION}.{operation}".encode()),
         )
         request = Request("POST", b"/", headers, json.dumps(body).encode())
+        self._send(self._table, request, on_done, background)
+
+    def _send(self, client, request, on_done, background=False):
+        reason = self._reason_not_to_send(background)
+        if reason is not None:
+            self._loop.call_later(0, lambda: on_done(Failed(reason, sent=False)))
+            return
 
         def done(result):
             timer.cancel()
-            if isinstance(result, Failed) or result.status != 200:
-                on_done(None)
-            else:
-                on_done(json.loads(result.body))
+            self._note(result)
+            on_done(result)
 
         def give_up():
-            abandon()
-            on_done(None)
+            sent = abandon()
+            done(Failed("no answer in time", sent))
 
         timer = self._loop.call_later(self._timeout, give_up)
-        abandon = self._client.send(request, done)
+        abandon = client.send(request, done)
 
+    def _reason_not_to_send(self, background):
+        now = self._loop.now()
+        reserve = self._settings.requests_per_second * _BACKGROUND_SHARE if background else 0
+        if self._budget.available(now) < 1 + reserve:
+            return "this node's budget of requests to the platform is spent"
+        if not self._circuit.allows(now):
+            return "the platform does not answer and is left alone for a moment"
+        self._budget.spend(1, now)
+        return None
 
-def _key(partition, key):
-    return {"pk": {"S": partition}, "sk": {"S": key}}
+    def _note(self, result):
+        now = self._loop.now()
+        if isinstance(result, Failed) or result.status >= 500:
+            self._circuit.note_failure(now)
+            return
+        self._circuit.note_success()
+        date = header(result.headers, b"date")
+        if date is not None:
+            self._date = date.decode("latin-1"), now
 
 
 def _query_body(partition, limit, start_after):
@@ -97,13 +257,9 @@
     if limit is not None:
         body["Limit"] = limit
     if start_after is not None:
-        body["ExclusiveStartKey"] = _key(partition, start_after)
+        body["ExclusiveStartKey"] = describe_key(partition, start_after)
     return body
 
 
 def _join(rows, more):
     return None if more is None else {**more, **rows}
-
-
-def _rows(items):
-    return {item["sk"]["S"]: base64.b64decode(item["doc"]["B"]) for item in items}
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -2,7 +2,10 @@
 
 from behave import fixture, use_fixture
 
+from camphorshelf_core.settings import PlatformSettings
+from camphorshelf_node.platform import Platform
 from standins.deployment import Deployment, NodePlan
+from standins.inner import InnerLoop
 
 _SMALL = (
     NodePlan("a1", "counter", "fd-a"),
@@ -23,7 +26,24 @@
     return deployment
 
 
+@fixture
+def platform(context):
+    """A platform alone, and its client in the test's own process."""
+    context.platform = Deployment(())
+    context.add_cleanup(context.platform.close)
+    context.inner = InnerLoop()
+    address = context.platform.platform
+    settings = PlatformSettings(address, address, timeout_ms=300)
+    context.client = Platform(context.inner.loop, settings)
+
+
 def before_tag(context, tag):
     """Set up the fixture that a tag names."""
     if tag == "fixture.small_deployment":
         use_fixture(small_deployment, context)
+
+
+def before_scenario(context, scenario):
+    """Give each scenario about the platform's client a fresh platform."""
+    if "fixture.platform" in scenario.effective_tags:
+        use_fixture(platform, context)
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -129,6 +129,14 @@
         """Set the platform's faults, replacing all earlier ones."""
         call(self.platform, "POST", "platform", "/_faults", body=json.dumps(faults).encode())
 
+    def release(self):
+        """Let the platform go on with every write and answer that it holds."""
+        call(self.platform, "POST", "platform", "/_release")
+
+    def counts(self):
+        """The platform's counts of reads, writes and what it holds."""
+        return json.loads(call(self.platform, "GET", "platform", "/_counts").body)
+
     def runs(self, name):
         """How often the target beside a node ran each key."""
         address = self._nodes[name].target
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -3,12 +3,18 @@
 The table speaks the part of the published DynamoDB JSON protocol that nodes use, objects are
 plain GET and PUT. ``POST /_faults`` with a JSON object sets faults: ``refuse`` (503 to all),
 ``delay_ms`` (before each answer), ``lose_answers`` (apply that many writes, then hang up) and
-``apply_late_ms`` (hang up first, apply the write after that time, for ``late_writes`` writes).
+``apply_late_ms`` (hang up first, apply the write after that time, for ``late_writes`` writes),
+``lose_reads`` (hang up on that many reads), ``hold_writes`` (hold that many writes before they
+are applied) and ``hold_answers`` (apply that many, hold their answers) until ``POST /_release``.
+``only`` limits the last six to operations whose body contains that text. ``/_counts`` tells how
+many operations there were and how many are held.
 """
 
 import asyncio
 import json
 import sys
+import time
+from email.utils import formatdate
 from urllib.parse import unquote
 
 from standins.server import Reply, run_server
@@ -48,7 +54,7 @@
         return {}
 
     def _GetItem(self, body):  # noqa: N802
-        item = self._rows.get(_key(body["Key"]))
+        item = self._row(_key(body["Key"]))
         return {} if item is None else {"Item": item}
 
     def _Query(self, body):  # noqa: N802
@@ -63,8 +69,9 @@
         reasons = []
         for entry in body["TransactItems"]:
             ((kind, action),) = entry.items()
-            holds = self._holds(action, action.get("Item") or action["Key"])
-            reasons.append({"Code": "None" if holds else "ConditionalCheckFailed"})
+            key_item = action.get("Item") or action["Key"]
+            holds = self._holds(action, key_item)
+            reasons.append({"Code": "None"} if holds else self._failure(action, key_item))
         if any(reason["Code"] != "None" for reason in reasons):
             raise ConditionFailedError(reasons)
         for entry in body["TransactItems"]:
@@ -77,10 +84,24 @@
 
     def _check(self, action, key_item):
         if not self._holds(action, key_item):
-            raise ConditionFailedError(None)
+            raise ConditionFailedError(self._failure(action, key_item))
+
+    def _failure(self, action, key_item):
+        failure = {"Code": "ConditionalCheckFailed"}
+        row = self._row(_key(key_item))
+        if row is not None and action.get("ReturnValuesOnConditionCheckFailure") == "ALL_OLD":
+            failure["Item"] = row
+        return failure
+
+    def _row(self, key):
+        row = self._rows.get(key)
+        if row is not None and "ttl" in row and float(row["ttl"]["N"]) < time.time():
+            del self._rows[key]
+            return None
+        return row
 
     def _holds(self, action, key_item):
-        row = self._rows.get(_key(key_item))
+        row = self._row(_key(key_item))
         for term in filter(None, action.get("ConditionExpression", "").split(" AND ")):
             if not _term_holds(term.strip(), row, action):
                 return False
@@ -108,15 +129,27 @@
         self._table = Table()
         self._objects = {}
         self._faults = {}
+        self._held = []
 
     async def serve(self, received):
         """Answer one request."""
+        # A write that a node no longer waits for is applied all the same.
+        reply = await asyncio.shield(self._serve(received))
+        return reply._replace(headers=(*reply.headers, ("date", formatdate(usegmt=True))))
+
+    async def _serve(self, received):
+        if received.path == "/_release":
+            held, self._held = self._held, []
+            for one in held:
+                one.set()
+            return Reply()
         if received.path == "/_faults":
             self._faults = json.loads(received.body)
             return Reply()
         if received.path == "/_counts":
             table = self._table
             counts = {"reads": table.reads, "rows": table.rows_read, "writes": table.writes}
+            counts["held"] = len(self._held)
             return Reply(body=json.dumps(counts).encode())
         if self._faults.get("refuse"):
             return Reply(status=503)
@@ -137,20 +170,36 @@
         return Reply(status=404)
 
     async def _serve_table(self, operation, body):
-        if operation in _WRITES and self._take("late_writes"):
+        if operation not in _WRITES:
+            return (
+                Reply(hang_up=True)
+                if self._take("lose_reads", body)
+                else self._apply(operation, body)
+            )
+        if self._take("late_writes", body):
             late = self._faults["apply_late_ms"] / 1000
-            asyncio.get_running_loop().call_later(late, self._apply_quietly, operation, body)
+            asyncio.get_running_loop().call_later(late, self._apply, operation, body)
             return Reply(hang_up=True)
+        if self._take("hold_writes", body):
+            await self._hold()
         reply = self._apply(operation, body)
-        if operation in _WRITES and self._take("lose_answers"):
+        if self._take("hold_answers", body):
+            await self._hold()
+        if self._take("lose_answers", body):
             return Reply(hang_up=True)
         return reply
 
-    def _take(self, fault):
+    async def _hold(self):
+        released = asyncio.Event()
+        self._held.append(released)
+        await released.wait()
+
+    def _take(self, fault, body):
         left = self._faults.get(fault, 0)
-        if left:
-            self._faults[fault] = left - 1
-        return bool(left)
+        if not left or self._faults.get("only", "") not in json.dumps(body):
+            return False
+        self._faults[fault] = left - 1
+        return True
 
     def _apply(self, operation, body):
         try:
@@ -159,13 +208,12 @@
             return _condition_failed(error.args[0])
         return Reply(body=json.dumps(document).encode())
 
-    def _apply_quietly(self, operation, body):
-        self._apply(operation, body)
-
 
 def _condition_failed(reasons):
-    if reasons is None:
+    if isinstance(reasons, dict):
         document = {"__type": "com.amazonaws.dynamodb.v20120810#ConditionalCheckFailedException"}
+        if "Item" in reasons:
+            document["Item"] = reasons["Item"]
     else:
         document = {
             "__type": "com.amazonaws.dynamodb.v20120810#TransactionCanceledException",
