Bound what the roster asks of the platform, and prove joining with real processes

Rows are now keyed by a checksum first, rows of members dead for 10 minutes are deleted if unchanged, and a node whose own row is missing writes it again, so a wrong deletion heals. Ruled out: a lease for the clean-up (a conditional delete and the self-healing row need none).

--- a/bench/roster.py
+++ b/bench/roster.py
@@ -15,6 +15,7 @@
 
 _SETTLE_SECONDS = 5
 _QUIET_SECONDS = 20
+_RESTARTED_EACH = 21
 
 
 def measure(sizes=(50, 200, 700, 2100), seeds=(1, 2, 3), loss=0.01):
@@ -36,11 +37,13 @@
     messages = (sum(mesh.sent.values()) - sent) / count / _QUIET_SECONDS
     quiet_bytes = (sum(mesh.sent_bytes.values()) - sent_bytes) / count / _QUIET_SECONDS
     spread = _spread_times(mesh)
+    restart_bytes, restart_seconds = _measure_restarts(mesh)
     print(
         f"members={count} seed={seed} messages_per_s={messages:.2f} bytes_per_s={quiet_bytes:.0f}"
         f" cpu_percent={100 * used / count / _QUIET_SECONDS:.3f}"
         f" replica_kb={memory / 1024:.0f}"
-        f" spread_p50_s={statistics.median(spread):.2f} spread_max_s={max(spread):.2f}",
+        f" spread_p50_s={statistics.median(spread):.2f} spread_max_s={max(spread):.2f}"
+        f" restart_bytes_per_s={restart_bytes:.0f} restart_known_s={restart_seconds:.1f}",
         flush=True,
     )
 
@@ -68,5 +71,26 @@
     return [heard[key] - published for heard in mesh.heard.values()]
 
 
+def _measure_restarts(mesh):
+    """Replace one member in 21 at once (100 of 2,100); give bytes a second and time to know."""
+    names = [f"m{index}" for index in range(1, len(mesh.members), _RESTARTED_EACH)]
+    before, started = sum(mesh.sent_bytes.values()), mesh.now
+    for name in names:
+        mesh.start(name)
+        mesh.join(name, "m0")
+    new = [mesh.members[name].own for name in names]
+
+    def all_know():
+        return all(_holds(member, new) for member in mesh.members.values())
+
+    seconds = mesh.run(300, until=all_know)
+    sent = sum(mesh.sent_bytes.values()) - before
+    return sent / len(mesh.members) / (mesh.now - started or 0.1), seconds
+
+
+def _holds(member, records):
+    return all(member.replica.member(one.node).incarnation == one.incarnation for one in records)
+
+
 if __name__ == "__main__":
     fire.Fire(measure)
--- a/packages/core/src/camphorshelf_core/replica.py
+++ b/packages/core/src/camphorshelf_core/replica.py
@@ -49,6 +49,14 @@
         item = self._items.get(("m", node))
         return None if item is None else item.record
 
+    def changed_at(self, member):
+        """Tell when a held member's record was last changed here.
+
+        :param member: any record of the member.
+        :return: seconds on the monotonic clock.
+        """
+        return self._items["m", member.node].changed_at
+
     def members(self):
         """List all members' records, of whatever state.
 
--- a/packages/node/src/camphorshelf_node/join.py
+++ b/packages/node/src/camphorshelf_node/join.py
@@ -2,7 +2,17 @@
 
 import random
 
+from returns.result import Success
+
 from camphorshelf_core.errors import ProtocolError
+from camphorshelf_core.join import (
+    CONTACT_ROWS,
+    is_stale,
+    poll_seconds,
+    random_start,
+    retry_seconds,
+    row_key,
+)
 from camphorshelf_core.messages import SnapshotMessage, SnapshotRequestMessage
 from camphorshelf_core.roster import pack_member, unpack_member
 from camphorshelf_core.settings import split_address
@@ -10,13 +20,8 @@
 from .links import PeerLink
 
 PARTITION = "roster"
-_CONTACT_ROWS = 16
 _SNAPSHOT_SECONDS = 2.0
 _INTRODUCTIONS = 3
-_FIRST_RETRY_SECONDS = 0.25
-_MAX_RETRY_SECONDS = 30.0
-_MIN_POLL_SECONDS = 10.0
-_POLLS_PER_SECOND = 1.0
 
 
 class Join:
@@ -34,7 +39,7 @@
         self._platform = platform
         self._log = log
         self._random = random.Random(gossip.membership.own.incarnation)
-        self._retry_seconds = _FIRST_RETRY_SECONDS
+        self._failures = 0
         self._joined = False
 
     @property
@@ -57,7 +62,7 @@
         :return: None.
         """
         own = self._gossip.membership.own
-        self._platform.put(PARTITION, own.node, pack_member(own), self._on_written)
+        self._platform.put(PARTITION, row_key(own.node), pack_member(own), self._on_written)
 
     def answer_snapshot(self, message, reply):
         """Give a starting node all that this one holds.
@@ -73,18 +78,16 @@
             self._loop.call_later(self._next_retry(), self.write_row)
 
     def _next_retry(self):
-        # All nodes lose the platform at the same moment; without the spread they would all
-        # come back to it at the same moment too.
-        self._retry_seconds = min(_MAX_RETRY_SECONDS, self._retry_seconds * 2)
-        return self._retry_seconds * self._random.uniform(0.5, 1.5)
+        self._failures += 1
+        return retry_seconds(self._failures, self._random)
 
     def _look(self):
         if not self._joined:
             self._query(self._on_rows)
 
     def _query(self, on_rows):
-        start_after = f"{self._random.getrandbits(32):08x}"
-        self._platform.query(PARTITION, on_rows, limit=_CONTACT_ROWS, start_after=start_after)
+        start_after = random_start(self._random)
+        self._platform.query(PARTITION, on_rows, limit=CONTACT_ROWS, start_after=start_after)
 
     def _on_rows(self, rows):
         own = self._settings.listen.peers
@@ -118,33 +121,44 @@
 
     def _plan_poll(self):
         members = self._gossip.membership.replica.member_count
-        wait = max(_MIN_POLL_SECONDS, members / _POLLS_PER_SECOND)
-        self._loop.call_later(wait * self._random.uniform(0.5, 1.5), self._poll)
+        self._loop.call_later(poll_seconds(members, self._random), self._poll)
 
     def _poll(self):
-        """Read a few rows, so that two groups that started apart find each other.
-
-        The wait grows with the members, so the whole system reads at most one such page a
-        second, whatever its size.
-        """
+        """Read a few rows, so that two groups that started apart find each other."""
         self._plan_poll()
-        self._query(self._ping_unknown)
+        self._query(self._on_polled)
+        key = row_key(self._gossip.membership.own.node)
+        self._platform.get(PARTITION, key, self._on_own_row)
 
-    def _ping_unknown(self, rows):
+    def _on_polled(self, rows):
         replica = self._gossip.membership.replica
-        for row in _read_rows(rows):
-            member = replica.member(row.node)
-            if member is None or not member.in_use:
+        for key, data in (rows or {}).items():
+            row = _read_row(data)
+            member = None if row is None else replica.member(row.node)
+            if member is not None and is_stale(member, self._loop.now() - replica.changed_at(row)):
+                # Hosts are replaced under new names; their rows would pile up until a starting
+                # node finds only dead contacts. Deleted only if unchanged, so the row of a
+                # host that came back at this moment stays.
+                self._platform.delete_if_same(PARTITION, key, data, lambda outcome: None)
+            elif row is not None and (member is None or not member.in_use):
                 self._gossip.ping_address(row.address)
 
+    def _on_own_row(self, result):
+        if isinstance(result, Success) and result.unwrap() is None:
+            self.write_row()
+
 
 def _read_rows(rows):
-    """Read the rows that are members' records; one that is not must not keep a node down."""
-    for data in (rows or {}).values():
-        try:
-            yield unpack_member(data)
-        except ProtocolError:
-            continue
+    read = (_read_row(data) for data in (rows or {}).values())
+    return [row for row in read if row is not None]
+
+
+def _read_row(data):
+    """Read a member's record; a row that is none must not keep a node down."""
+    try:
+        return unpack_member(data)
+    except ProtocolError:
+        return None
 
 
 class _SnapshotQuestion:
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -123,6 +123,13 @@
         gatekeeper = self._gatekeeper
         watch("callers", "Callers' connections.", lambda: self._callers.connections)
         watch("peer.links", "Links that peers opened.", lambda: self._peers.links)
+        gossip, membership = self._gossip, self._gossip.membership
+        watch("gossip.sent_bytes", "Bytes sent to keep the roster.", lambda: gossip.sent_bytes)
+        watch("gossip.received_bytes", "The same, received.", lambda: gossip.received_bytes)
+        watch("gossip.dropped", "Datagrams over the budget.", lambda: membership.dropped_datagrams)
+        watch("roster.members", "Members in use.", lambda: len(membership.members()))
+        watch("roster.isolated", "1 while cut off from most.", lambda: int(membership.is_isolated))
+        watch("roster.superseded", "1 once replaced.", lambda: int(membership.superseded))
         watch("target.in_flight", "Calls at the target.", lambda: gatekeeper.load.in_flight)
         watch("target.queued", "Calls that wait for a slot.", lambda: gatekeeper.load.queued)
         watch("target.slots", "Calls the target takes at once.", lambda: gatekeeper.load.slots)
--- a/packages/node/src/camphorshelf_node/platform.py
+++ b/packages/node/src/camphorshelf_node/platform.py
@@ -16,6 +16,7 @@
 from .rows import (
     TABLE,
     Put,
+    describe_delete,
     describe_key,
     describe_put,
     read_answer,
@@ -109,6 +110,17 @@
 
         self._ask("TransactWriteItems", body, done, background)
 
+    def delete_if_same(self, partition, key, data, on_done):
+        """Delete a row if its bytes are still the same.
+
+        :param partition: the row's partition.
+        :param key: the row's key in it.
+        :param data: the bytes that were read.
+        :param on_done: takes a :class:`Written`.
+        :return: None.
+        """
+        self._write("DeleteItem", describe_delete(partition, key, data), on_done, background=True)
+
     def get(self, partition, key, on_done):
         """Read a row, as the last write left it.
 
--- a/packages/node/src/camphorshelf_node/rows.py
+++ b/packages/node/src/camphorshelf_node/rows.py
@@ -63,6 +63,22 @@
     return body
 
 
+def describe_delete(partition, key, data):
+    """Describe the deletion of a row that must still have the same bytes.
+
+    :param partition: its partition.
+    :param key: its key in it.
+    :param data: its bytes.
+    :return: the document.
+    """
+    return {
+        "TableName": TABLE,
+        "Key": describe_key(partition, key),
+        "ConditionExpression": "doc = :doc",
+        "ExpressionAttributeValues": {":doc": {"B": base64.b64encode(data).decode()}},
+    }
+
+
 def read_row(item):
     """Read a row.
 
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -53,8 +53,7 @@
         self._start("platform", [sys.executable, "-m", "standins.platform", self.platform])
         self._wait(self.platform)
         for plan in plans:
-            ports = [_address() for _ in range(4)]
-            self._nodes[plan.name] = RunningNode(plan.name, *ports)
+            self._plan(plan)
         for plan in plans:
             self.start_node(plan.name)
             self.start_target(plan.name)
@@ -69,6 +68,18 @@
         """Where settings and logs are, as a path."""
         return Path(self._directory.name)
 
+    def add(self, plan):
+        """Start one more node and its target."""
+        self._plan(plan)
+        self.start_node(plan.name)
+        self.start_target(plan.name)
+
+    def replace(self, name, service):
+        """Start a node and a target of another service at the addresses of a dead host."""
+        self._plans[name] = self._plans[name]._replace(service=service)
+        self.start_node(name)
+        self.start_target(name)
+
     def start_node(self, name):
         """Start a node, or start it again at the same addresses."""
         plan, node = self._plans[name], self._nodes[name]
@@ -153,6 +164,11 @@
             process.wait()
         self._directory.cleanup()
 
+    def _plan(self, plan):
+        self._plans[plan.name] = plan
+        addresses = [_address() for _ in range(4)]
+        self._nodes[plan.name] = RunningNode(plan.name, *addresses)
+
     def _settings(self, plan, node):
         settings = {
             "name": plan.name,
