Poll on without circuits' event for each turn while it has nothing to do

Cause: circuits builds, queues and dispatches a generate_events event for every turn of its loop. The loop goes back to circuits as soon as an event is queued, a task waits or it stops.

--- a/packages/node/src/camphorshelf_node/loop.py
+++ b/packages/node/src/camphorshelf_node/loop.py
@@ -121,6 +121,14 @@
         self.resume()
 
     def _generate_events(self, event):
+        # circuits builds, queues and dispatches one event for each turn of its loop. Most turns
+        # here bring it no work, so polling goes on without it until there is some.
+        root = self.root
+        self._turn(event)
+        while event.time_left < 0 and root.running and not len(root):
+            self._turn(event)
+
+    def _turn(self, event):
         for fileno, mask in self._poller.poll(self._poll_timeout(event)):
             callback = self._callbacks.get(fileno)
             if callback is None:
