Pick the stand-ins' ports below the range of outgoing connections

The picked ports came from the kernel's range for outgoing connections, so another test's caller could hold one by the time a node listened on it. That this was the cause is likely, not shown: the failed run's logs were gone.

--- a/tests/features/steps/stop_steps.py
+++ b/tests/features/steps/stop_steps.py
@@ -135,11 +135,13 @@
     answer = context.caller.read()
     assert answer.status == 200, answer
     assert answer.body.startswith(b"c1 POST"), answer
+    return answer
 
 
 @then("the caller gets its answer and its connection closes")
 def check_gets_answer_and_close(context):
-    check_gets_answer(context)
+    answer = check_gets_answer(context)
+    assert answer.headers["connection"] == "close", answer
     assert context.caller.at_end()
 
 
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +17,7 @@
 _TESTS = Path(__file__).resolve().parent.parent
 _START_SECONDS = 20.0
 _STOP_SECONDS = 10.0
+_PORTS = (10_000, 32_000)
 
 
 class NodePlan(NamedTuple):
@@ -186,6 +188,18 @@
 
 
 def _address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    # Below the range from which the kernel takes the ports of outgoing connections: a port picked
+    # from that range is often another test's by the time the process listens on it.
+    while True:
+        port = random.SystemRandom().randrange(*_PORTS)
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
+            return f"127.0.0.1:{port}"
+
+
+def _is_free(port, kind):
+    with socket.socket(socket.AF_INET, kind) as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
