Split the membership into probing, outbox and what joins them

Probing (whom, what a missing answer means), the outbox (byte budget, what rides along) and the merging of records are modules of their own now; behaviour is as before but for one fault found on the way: a node that had left and still finished calls raised in the next round, for it looked for itself among the members in use. Its test now lets the leaving member go on for a while; it failed before. A superseded node is no longer ready.

--- a/packages/core/src/camphorshelf_core/membership.py
+++ b/packages/core/src/camphorshelf_core/membership.py
@@ -5,58 +5,30 @@
 time. The cost for a node does not depend on how many members there are.
 """
 
-import math
 from collections import OrderedDict
-from typing import NamedTuple
 
-from .budget import TokenBucket
 from .messages import (
     AckMessage,
     DeltaMessage,
     PingMessage,
     PingRequestMessage,
     SnapshotMessage,
-    encode,
 )
+from .outbox import Outbox
+from .probing import Prober
 from .replica import BUCKETS, Replica
 from .roster import Entry, MemberState, unpack_entry, unpack_member
 from .settings import RosterSettings
-from .spread import SpreadQueue
 
-# A datagram above the usual path MTU is cut into fragments, and losing one loses them all.
-MAX_DATAGRAM = 1_200
-_HEAD_BYTES = 120
 _DIGESTS_PER_PING = 32
 _DIGEST_BYTES = 5
-# Bare pings and acks keep this much of the budget, so that a burst of changes cannot make
-# living members look dead.
-_RESERVED_BYTES = 2_000
 _INDIRECT_PROBES = 3
 _PUSH_FANOUT = 3
-_RECENT_PROBES = 16
-_MAX_HEALTH_PENALTY = 4
 _LOST_MEMBER_PERIODS = 10
 _MAX_RELAYS = 64
 _YOUNG_SECONDS = 30.0
 
 
-class Datagram(NamedTuple):
-    """Bytes to be sent to a member's ``IP:PORT``."""
-
-    address: str
-    data: bytes
-
-
-class Probe(NamedTuple):
-    """The ping of this period."""
-
-    node: str
-    address: str
-    sequence: int
-    started: float
-    is_indirect: bool
-
-
 class Membership:
     """One node's view of all members; returns the datagrams to send and does no I/O.
 
@@ -74,22 +46,17 @@
         self._on_member = on_member
         self._on_entry = on_entry
         self._replica = Replica()
-        self._queue = SpreadQueue()
-        self._budget = TokenBucket(settings.bytes_per_second, settings.burst_bytes, now)
+        self._outbox = Outbox(own.node, settings, self._replica, now)
+        self._prober = Prober(own.node, settings, random)
         self._started = now
         self._sequence = 0
-        self._probe = None
         self._next_period = now
-        self._order = []
-        self._recent = OrderedDict()
-        self._penalty = 0
         self._suspected_at = {}
         self._relays = OrderedDict()
         self._periods = 0
         self._bucket = 0
         self._own = own
-        self.superseded = False
-        self.dropped_datagrams = 0
+        self._superseded = False
         self._take_member(own, now)
 
     @property
@@ -104,13 +71,18 @@
 
     @property
     def is_isolated(self):
-        """Whether most members that were probed lately did not answer.
+        """Whether this node seems to be cut off from most others."""
+        return self._prober.is_isolated
 
-        Then it is this node that is cut off: were it to take the others for dead, it would
-        drop every target at once and, when it comes back, spread that error to all.
-        """
-        failed = sum(not answered for answered in self._recent.values())
-        return failed * 2 > len(self._recent)
+    @property
+    def superseded(self):
+        """Whether a newer process has this node's name."""
+        return self._superseded
+
+    @property
+    def dropped_datagrams(self):
+        """How many datagrams were not sent because the budget was spent."""
+        return self._outbox.dropped
 
     def members(self):
         """List the members in use, this node among them.
@@ -125,16 +97,14 @@
         :param now: seconds on the monotonic clock.
         :return: a list of :class:`Datagram`.
         """
-        sends = []
         if now >= self._next_period:
-            self._finish_probe(now)
             self._next_period = now + self._settings.period_ms / 1000
-            self._start_probe(now, sends)
-        elif self._probe is not None and not self._probe.is_indirect:
-            if now - self._probe.started >= self._ack_timeout():
-                self._probe_indirectly(now, sends)
+            self._end_probe(now)
+            self._begin_probe(now)
+        else:
+            self._probe_indirectly(now)
         self._expire_suspects(now)
-        return sends
+        return self._outbox.take()
 
     def receive(self, message, address, now):
         """Take in a datagram's message.
@@ -144,16 +114,15 @@
         :param now: seconds on the monotonic clock.
         :return: a list of :class:`Datagram`.
         """
-        sends = []
         if isinstance(message, (PingMessage, AckMessage, DeltaMessage)):
-            self._take_changes(message.members, message.entries, now, sends)
+            self._take_changes(message.members, message.entries, now)
         if isinstance(message, PingMessage):
-            self._answer_ping(message, address, now, sends)
+            self._answer_ping(message, address, now)
         elif isinstance(message, AckMessage):
-            self._on_ack(message, now, sends)
+            self._take_ack(message, now)
         elif isinstance(message, PingRequestMessage):
-            self._relay_ping(message, address, now, sends)
-        return sends
+            self._relay_ping(message, address, now)
+        return self._outbox.take()
 
     def publish(self, topic, key, version, value, now):
         """Make an entry known to all nodes.
@@ -165,9 +134,8 @@
         :param now: seconds on the monotonic clock.
         :return: a list of :class:`Datagram`.
         """
-        sends = []
-        self._take_entry(Entry(topic, key, version, value), now, sends)
-        return sends
+        self._take_entry(Entry(topic, key, version, value), now)
+        return self._outbox.take()
 
     def change_own(self, now, **fields):
         """Change this node's own record.
@@ -176,12 +144,10 @@
         :param fields: the fields of :class:`Member` that change.
         :return: a list of :class:`Datagram`.
         """
-        sends = []
-        changed = self._own._replace(revision=self._own.revision + 1, **fields)
-        self._own = changed
-        self._take_member(changed, now)
-        self._push(now, sends)
-        return sends
+        self._own = self._own._replace(revision=self._own.revision + 1, **fields)
+        self._take_member(self._own, now)
+        self._push(now)
+        return self._outbox.take()
 
     def leave(self, now):
         """Say to others that this node stops.
@@ -209,9 +175,8 @@
         :param now: seconds on the monotonic clock.
         :return: a list of :class:`Datagram`.
         """
-        sends = []
-        self._take_changes(snapshot.members, snapshot.entries, now, sends, spread=False)
-        return sends
+        self._take_changes(snapshot.members, snapshot.entries, now, spread=False)
+        return self._outbox.take()
 
     def ping_address(self, address, now):
         """Ping an address of which no member is known, such as a contact from the settings.
@@ -220,76 +185,44 @@
         :param now: seconds on the monotonic clock.
         :return: a list of :class:`Datagram`.
         """
-        sends = []
-        self._sequence += 1
-        self._send_ping(address, self._sequence, now, sends)
-        return sends
-
-    # -- probing
+        self._send_ping(address, now)
+        return self._outbox.take()
 
-    def _ack_timeout(self):
-        return self._settings.ack_timeout_ms / 1000 * (1 + self._penalty)
-
-    def _start_probe(self, now, sends):
+    def _begin_probe(self, now):
         self._periods += 1
         if self._periods % _LOST_MEMBER_PERIODS == 0:
-            self._ping_lost_member(now, sends)
+            self._ping_lost_member(now)
             self._replica.forget_before(now - self._settings.remember_dead_s)
-        member = self._next_member()
-        if member is None:
-            return
-        self._sequence += 1
-        self._probe = Probe(member.node, member.address, self._sequence, now, False)
-        self._send_ping(member.address, self._sequence, now, sends, member)
-
-    def _next_member(self):
-        """Go through all members in random order, so that each is probed once a round."""
-        while True:
-            if not self._order:
-                nodes = [member.node for member in self.members() if member.node != self._own.node]
-                if not nodes:
-                    return None
-                self._random.shuffle(nodes)
-                self._order = nodes
-            member = self._replica.member(self._order.pop())
-            if member is not None and member.in_use:
-                return member
-
-    def _ping_lost_member(self, now, sends):
+        member = self._prober.next_member(self._replica)
+        if member is not None:
+            sequence = self._send_ping(member.address, now, member.node)
+            self._prober.begin(member, sequence, now)
+
+    def _ping_lost_member(self, now):
         """Ping one member taken for dead, so that parted regions find each other again."""
         lost = [one for one in self._replica.members() if one.state == MemberState.DEAD]
         if lost:
             member = self._random.choice(lost)
-            self._sequence += 1
-            self._send_ping(member.address, self._sequence, now, sends, member)
+            self._send_ping(member.address, now, member.node)
 
-    def _probe_indirectly(self, now, sends):
-        probe = self._probe._replace(is_indirect=True)
-        self._probe = probe
-        for member in self._sample(_INDIRECT_PROBES, exclude=probe.node):
-            request = PingRequestMessage(probe.sequence, self._own.node, probe.address)
-            self._send(member.address, request, now, sends)
-
-    def _finish_probe(self, now):
-        probe, self._probe = self._probe, None
+    def _probe_indirectly(self, now):
+        probe = self._prober.ask_others(now)
         if probe is None:
             return
-        self._note_outcome(probe.node, False)
-        self._penalty = min(_MAX_HEALTH_PENALTY, self._penalty + 1)
-        member = self._replica.member(probe.node)
+        request = PingRequestMessage(probe.sequence, self._own.node, probe.address)
+        for member in self._sample(_INDIRECT_PROBES, exclude=probe.node):
+            self._outbox.send(member.address, request, now)
+
+    def _end_probe(self, now):
+        node = self._prober.end()
+        member = None if node is None else self._replica.member(node)
         if member is not None and member.state == MemberState.ALIVE and not self.is_isolated:
             self._take_member(member._replace(state=MemberState.SUSPECT), now)
 
-    def _note_outcome(self, node, answered):
-        self._recent.pop(node, None)
-        self._recent[node] = answered
-        if len(self._recent) > _RECENT_PROBES:
-            self._recent.popitem(last=False)
-
     def _expire_suspects(self, now):
-        if self.is_isolated:
+        if not self._suspected_at or self.is_isolated:
             return
-        wait = self._suspicion_seconds()
+        wait = self._prober.suspicion_seconds(self._replica.member_count)
         for node, since in list(self._suspected_at.items()):
             if now - since < wait:
                 continue
@@ -298,68 +231,44 @@
             if member is not None and member.state == MemberState.SUSPECT:
                 self._take_member(member._replace(state=MemberState.DEAD), now)
 
-    def _suspicion_seconds(self):
-        periods = max(3.0, 4 * math.log10(self._replica.member_count + 1))
-        return periods * self._settings.period_ms / 1000 * (1 + self._penalty)
-
-    # -- answering
-
-    def _answer_ping(self, message, address, now, sends):
+    def _answer_ping(self, message, address, now):
         def make(members, entries):
             members = self._record_unless_alive(message.sender) + members
             return AckMessage(message.sequence, self._own.node, members, entries)
 
-        self._send_with_changes(address, make, now, sends)
-        self._repair(message, address, now, sends)
+        self._outbox.send_with_changes(address, make, now)
+        self._repair(message, address, now)
 
-    def _repair(self, message, address, now, sends):
+    def _repair(self, message, address, now):
         """Send what is held of the first bucket that differs, in one datagram."""
         for offset, digest in enumerate(message.digests):
             bucket = (message.first_bucket + offset) % BUCKETS
             if digest == self._replica.digest(bucket):
                 continue
             keys = self._replica.bucket_keys(bucket)
-            if keys and self._budget.available(now) > MAX_DATAGRAM + _RESERVED_BYTES:
+            if keys and self._outbox.has_room(1, now):
                 self._random.shuffle(keys)
-                self._send(address, self._make_delta(keys), now, sends)
+                self._outbox.send_items(address, keys, now)
             return
 
-    def _make_delta(self, keys):
-        chosen = {"m": [], "e": []}
-        room = MAX_DATAGRAM - _HEAD_BYTES
-        for key in keys:
-            kind, data = self._replica.packed(key)
-            if len(data) > room:
-                continue
-            room -= len(data)
-            chosen[kind].append(data)
-        return DeltaMessage(self._own.node, tuple(chosen["m"]), tuple(chosen["e"]))
-
-    def _on_ack(self, message, now, sends):
+    def _take_ack(self, message, now):
         relay = self._relays.pop(message.sequence, None)
         if relay is not None:
             sequence, address = relay
-            self._send(address, AckMessage(sequence, message.sender, (), ()), now, sends)
-        probe = self._probe
-        if probe is not None and probe.sequence == message.sequence:
-            self._probe = None
-            self._note_outcome(probe.node, True)
-            self._penalty = max(0, self._penalty - 1)
-
-    def _relay_ping(self, message, address, now, sends):
-        self._sequence += 1
-        self._relays[self._sequence] = (message.sequence, address)
+            self._outbox.send(address, AckMessage(sequence, message.sender, (), ()), now)
+        self._prober.answered(message.sequence)
+
+    def _relay_ping(self, message, address, now):
+        sequence = self._send_ping(message.address, now)
+        self._relays[sequence] = (message.sequence, address)
         if len(self._relays) > _MAX_RELAYS:
             self._relays.popitem(last=False)
-        self._send_ping(message.address, self._sequence, now, sends)
-
-    # -- changes
 
-    def _take_changes(self, members, entries, now, sends, spread=True):
+    def _take_changes(self, members, entries, now, spread=True):
         for data in members:
             self._take_member(unpack_member(data), now, spread)
         for data in entries:
-            self._take_entry(unpack_entry(data), now, sends if spread else None)
+            self._take_entry(unpack_entry(data), now, spread)
 
     def _take_member(self, member, now, spread=True):
         if member.node == self._own.node and member != self._own:
@@ -374,7 +283,7 @@
         else:
             self._suspected_at.pop(member.node, None)
         if spread:
-            self._queue.add(key)
+            self._outbox.spread(key)
         self._on_member(old, member)
 
     def _defend_own(self, member, now):
@@ -389,51 +298,51 @@
             if now - self._started > _YOUNG_SECONDS:
                 # A newer process has this name: this one was frozen or cut off while its host
                 # was replaced. Contradicting would send calls to two hosts in turn.
-                self.superseded = True
+                self._superseded = True
                 return
             self._own = self._own._replace(generation=member.generation + 1, revision=0)
         else:
             self._own = self._own._replace(revision=member.revision + 1)
         self._take_member(self._own, now)
 
-    def _take_entry(self, entry, now, sends):
+    def _take_entry(self, entry, now, spread=True):
         key = self._replica.merge_entry(entry, now)
         if key is None:
             return
         self._on_entry(entry)
-        if sends is not None:
-            self._queue.add(key)
-            self._push(now, sends)
+        if spread:
+            self._outbox.spread(key)
+            self._push(now)
 
-    def _push(self, now, sends):
+    def _push(self, now):
         """Pass a change on at once; the next pings bring it to those it misses."""
-        if self._budget.available(now) < _PUSH_FANOUT * MAX_DATAGRAM + _RESERVED_BYTES:
+        if not self._outbox.has_room(_PUSH_FANOUT, now):
             return
         for member in self._sample(_PUSH_FANOUT):
-            self._send_with_changes(
+            self._outbox.send_with_changes(
                 member.address,
                 lambda members, entries: DeltaMessage(self._own.node, members, entries),
                 now,
-                sends,
             )
 
-    # -- sending
-
     def _sample(self, count, exclude=None):
         others = [one for one in self.members() if one.node not in (self._own.node, exclude)]
         return self._random.sample(others, min(count, len(others)))
 
-    def _send_ping(self, address, sequence, now, sends, member=None):
-        first = self._bucket
+    def _send_ping(self, address, now, node=None):
+        self._sequence += 1
+        sequence, first = self._sequence, self._bucket
         self._bucket = (first + _DIGESTS_PER_PING) % BUCKETS
-        digests = tuple(self._replica.digest(first + index) for index in range(_DIGESTS_PER_PING))
+        buckets = ((first + offset) % BUCKETS for offset in range(_DIGESTS_PER_PING))
+        digests = tuple(self._replica.digest(bucket) for bucket in buckets)
 
         def make(members, entries):
-            if member is not None:
-                members = self._record_unless_alive(member.node) + members
+            if node is not None:
+                members = self._record_unless_alive(node) + members
             return PingMessage(sequence, self._own.node, first, digests, members, entries)
 
-        self._send_with_changes(address, make, now, sends, _DIGESTS_PER_PING * _DIGEST_BYTES)
+        self._outbox.send_with_changes(address, make, now, _DIGESTS_PER_PING * _DIGEST_BYTES)
+        return sequence
 
     def _record_unless_alive(self, node):
         """Give what the other side must hear to contradict that it is suspected or dead."""
@@ -441,16 +350,3 @@
         if member is None or member.state == MemberState.ALIVE:
             return ()
         return (self._replica.packed(("m", node))[1],)
-
-    def _send_with_changes(self, address, make, now, sends, extra_bytes=0):
-        spare = self._budget.available(now) - _RESERVED_BYTES
-        room = min(MAX_DATAGRAM, spare) - 2 * _HEAD_BYTES - extra_bytes
-        members, entries = self._queue.take(self._replica, room, self._replica.member_count)
-        self._send(address, make(tuple(members), tuple(entries)), now, sends)
-
-    def _send(self, address, message, now, sends):
-        data = encode(message)
-        if self._budget.spend(len(data), now):
-            sends.append(Datagram(address, data))
-        else:
-            self.dropped_datagrams += 1
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -78,7 +78,9 @@
     @property
     def ready(self):
         """Whether callers should send requests here."""
-        return self._join.is_joined and not self._stopping
+        if self._stopping or self._gossip.membership.superseded:
+            return False
+        return self._join.is_joined
 
     def announce(self, target):
         """Take an announcement of the target beside this node.
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -153,6 +153,8 @@
 def leave(context, name):
     mesh = context.mesh
     mesh.deliver(name, mesh.members[name].leave(mesh.now))
+    # It goes on for a while, to finish what is in flight.
+    mesh.run(5)
     mesh.freeze(name)
 
 
@@ -197,12 +199,11 @@
         suspect = mesh.members["m2"].own._replace(state=MemberState.SUSPECT)
         member._take_member(suspect, mesh.now, spread=False)
         before = mesh.members["m2"].own.revision
-        target = mesh.members[pinger].replica.member(pinged)
         # Keep the digests of this ping away from m2's bucket, or the repair would tell it too.
         mesh.members[pinger]._bucket = (crc32(b"m/m2") + 1) % BUCKETS
-        sends = []
-        mesh.members[pinger]._send_ping(target.address, 10_000, mesh.now, sends, target)
-        mesh.deliver(pinger, sends[:1])
+        address = mesh.members[pinger].replica.member(pinged).address
+        mesh.members[pinger]._send_ping(address, mesh.now, pinged)
+        mesh.deliver(pinger, mesh.members[pinger]._outbox.take()[:1])
         context.revisions.append((before, mesh.members["m2"].own.revision))
 
 
