--- a/packages/node/src/camphorshelf_node/exchange.py
+++ b/packages/node/src/camphorshelf_node/exchange.py
@@ -2,6 +2,8 @@
 
 from camphorshelf_core.errors import Code, Ran, Refusal, http_status
 
+from .headers import strip_own
+
 
 class Exchange:
     """A caller's request, and the one answer that it gets."""
@@ -48,7 +50,7 @@
         :param response: the :class:`Response`.
         :return: None.
         """
-        self._send(response.status, response.headers, response.body)
+        self._send(response.status, strip_own(response.headers), response.body)
 
     def refuse(self, refusal):
         """Give the caller a final refusal; a second answer is dropped.
--- a/packages/node/src/camphorshelf_node/headers.py
+++ b/packages/node/src/camphorshelf_node/headers.py
@@ -43,16 +43,15 @@
     return tuple([pair for pair in headers if pair[0] not in dropped])
 
 
-def strip_answer(headers):
-    """Drop from a target's answer what concerns one connection, and what only nodes may say.
+def strip_own(headers):
+    """Drop from a target's answer what only nodes may say to callers.
 
     :param headers: pairs of lower-case name and value.
-    :return: the rest, as a tuple.
+    :return: the rest, as a list.
     """
-    # A target that answers with such a header, say because it is itself a caller of a node and
-    # passes the refusal on, would make its own answer look like a node's word on this call.
-    own = [pair for pair in headers if not pair[0].startswith(_OWN_PREFIX)]
-    return strip_hop_by_hop(own)
+    # A target that passes on a refusal it got as a caller itself would make its own answer look
+    # like a node's word on this call: "not run", though it ran.
+    return [pair for pair in headers if not pair[0].startswith(_OWN_PREFIX)]
 
 
 def with_deadline(headers, milliseconds):
--- a/packages/node/src/camphorshelf_node/httpclient.py
+++ b/packages/node/src/camphorshelf_node/httpclient.py
@@ -7,7 +7,7 @@
 
 from camphorshelf_core.calls import Response, is_idempotent
 
-from .headers import BODILESS, render_request, strip_answer
+from .headers import BODILESS, render_request, strip_hop_by_hop
 from .streams import dial
 
 _MAX_HEAD_BYTES = 65_536
@@ -216,7 +216,7 @@
             self._reset_head()
             return
         exchange, self._exchange = self._exchange, None
-        response = Response(status, strip_answer(self._headers), b"".join(self._body))
+        response = Response(status, strip_hop_by_hop(self._headers), b"".join(self._body))
         if self._framed or status in BODILESS or exchange.request.method == "HEAD":
             self._finish(exchange, response, self._parser.should_keep_alive())
         else:
--- a/tests/features/edge.feature
+++ b/tests/features/edge.feature
@@ -165,6 +165,14 @@
     And the target answers with two Set-Cookie headers
     Then the caller got both Set-Cookie headers
 
+  Scenario: A target cannot speak as a node
+    # A target that calls others through camphorshelf and passes their refusal on would make it
+    # look as if its own work had not run; the caller would send its order again.
+    Given a caller's connection to a node
+    When the caller sends "POST / HTTP/1.1~Host: a~Content-Length: 0~~"
+    And the target answers 503 saying NOT_RUN as a node would
+    Then the caller got the target's answer without a word on whether it ran
+
   Scenario: Headers of one connection only are not passed on
     Given request headers named by two Connection headers
     Then only the end-to-end headers are passed on
--- a/tests/features/steps/edge_steps.py
+++ b/tests/features/steps/edge_steps.py
@@ -132,6 +132,20 @@
     context.exchanges[0].answer(Response(200, headers, b""))
 
 
+@when("the target answers 503 saying NOT_RUN as a node would")
+def answer_as_node(context):
+    headers = ((b"camphorshelf-ran", b"NOT_RUN"), (b"x-own", b"1"))
+    context.exchanges[0].answer(Response(503, headers, b"no"))
+
+
+@then("the caller got the target's answer without a word on whether it ran")
+def check_no_word(context):
+    (only,) = read_answers(context)
+    assert only.status == 503, only
+    assert "camphorshelf-ran" not in only.headers, only
+    assert only.headers["x-own"] == "1", only
+
+
 @when("a guarded callback of the call fails")
 def fail_callback(context):
     def callback():
