--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -73,6 +73,25 @@
     remember_dead_s: Annotated[int, Field(ge=60, le=86_400)] = 7_200
 
 
+class ClaimSettings(NamedTuple):
+    """How calls under a key are claimed, and how long their outcome is remembered.
+
+    Answers are kept in a node's memory within ``kept_answers``, ``kept_answer_bytes`` and
+    ``answer_age_ms``; one of at most ``table_answer_bytes`` goes to the table as well, whose rows
+    last ``retention_hours``. ``tickets`` bounds the tickets that a node remembers.
+    """
+
+    batch_ms: Milliseconds = 3
+    batch_items: Annotated[int, Field(ge=1, le=100)] = 25
+    kept_answers: Annotated[int, Field(ge=1, le=1_000_000)] = 4_096
+    kept_answer_bytes: Bytes = 4_194_304
+    answer_age_ms: Milliseconds = 600_000
+    table_answer_bytes: Annotated[int, Field(ge=0, le=100_000)] = 2_048
+    retention_hours: Annotated[int, Field(ge=1, le=8_760)] = 48
+    tickets: Annotated[int, Field(ge=1, le=1_000_000)] = 4_096
+    ticket_age_ms: Milliseconds = 600_000
+
+
 class Settings(NamedTuple):
     """All settings of one node."""
 
@@ -82,6 +101,7 @@
     platform: PlatformSettings
     limits: LimitSettings = LimitSettings()
     roster: RosterSettings = RosterSettings()
+    claims: ClaimSettings = ClaimSettings()
 
 
 _ADAPTER = TypeAdapter(Settings)
