Claim a caller's key in the platform's table before its work is dispatched

Cause: a resend under the same Idempotency-Key ran the work again. Ruled out: a lease on the claim (a paused holder wakes up believing in it); taking over the claim of an owner that is gone (it may have dispatched).

--- a/packages/core/src/camphorshelf_core/claims.py
+++ b/packages/core/src/camphorshelf_core/claims.py
@@ -85,6 +85,22 @@
         """How many calls are under way."""
         return len(self._claims)
 
+    def is_open(self, key):
+        """Tell whether a key's call is under way here.
+
+        :param key: the claim's key.
+        :return: True or False.
+        """
+        return key in self._claims
+
+    def is_running(self, key):
+        """Tell whether a key's call was dispatched and has no result yet.
+
+        :param key: the claim's key.
+        :return: True or False.
+        """
+        return self.is_open(key) and self._claims[key].phase is _Phase.RUNNING
+
     @property
     def answers(self):
         """The memory of finished calls."""
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -4,8 +4,8 @@
 
 import cbor2
 
-from .calls import AttemptId
-from .errors import Code, ProtocolError, Ran
+from .calls import AttemptId, Response
+from .errors import Code, ProtocolError, Ran, Refusal
 from .load import LoadReport
 
 
@@ -55,6 +55,41 @@
     """Asks the peer to send no more calls: this node stops when it has answered those it has."""
 
 
+class ClaimAskMessage(NamedTuple):
+    """Asks the owner of a claim what became of its attempt."""
+
+    call_id: int
+    service: str
+    key: str
+    attempt: AttemptId
+    wait_ms: int
+
+
+class ClaimWordMessage(NamedTuple):
+    """The owner's word; one of ``answer`` and ``refusal`` is set when the call finished."""
+
+    call_id: int
+    state: str
+    answer: tuple | None
+    refusal: tuple | None
+
+
+class MintMessage(NamedTuple):
+    """Asks a target's node for tickets."""
+
+    call_id: int
+    service: str
+    count: int
+
+
+class MintedMessage(NamedTuple):
+    """Carries tickets, or the refusal to mint."""
+
+    call_id: int
+    tickets: tuple
+    refusal: tuple | None
+
+
 class PingMessage(NamedTuple):
     """Asks a member for a sign of life, in a datagram; carries changes and some digests.
 
@@ -115,6 +150,10 @@
     3: RefusedMessage,
     4: CancelMessage,
     5: GoodbyeMessage,
+    10: ClaimAskMessage,
+    11: ClaimWordMessage,
+    12: MintMessage,
+    13: MintedMessage,
     40: PingMessage,
     41: AckMessage,
     42: PingRequestMessage,
@@ -125,6 +164,33 @@
 _NUMBERS = {cls: number for number, cls in _KINDS.items()}
 
 
+def pack_result(result):
+    """Split a call's result into the two fields of a message.
+
+    :param result: a response, a refusal or None.
+    :return: the pair of answer and refusal; the one that it is not is None.
+    """
+    if isinstance(result, Refusal):
+        return None, (int(result.code), result.reason, result.ran.value, result.retry_after_ms)
+    return (None if result is None else tuple(result)), None
+
+
+def unpack_result(answer, refusal):
+    """Put a call's result together again.
+
+    :param answer: the response's fields, or None.
+    :param refusal: the refusal's fields, or None.
+    :return: the response, the refusal or None.
+    """
+    if refusal is not None:
+        code, reason, ran, retry_after_ms = refusal
+        return Refusal(Code(code), reason, Ran(ran), retry_after_ms)
+    if answer is None:
+        return None
+    status, headers, body = answer
+    return Response(status, _pairs(headers), body)
+
+
 def encode(message):
     """Turn a message into bytes.
 
@@ -152,6 +218,8 @@
     if isinstance(message, CallMessage):
         attempt = AttemptId(*message.attempt)
         return message._replace(attempt=attempt, headers=_pairs(message.headers))
+    if isinstance(message, ClaimAskMessage):
+        return message._replace(attempt=AttemptId(*message.attempt))
     if isinstance(message, AnswerMessage):
         load = LoadReport(*message.load)
         return message._replace(load=load, headers=_pairs(message.headers))
--- a/packages/node/src/camphorshelf_node/exchange.py
+++ b/packages/node/src/camphorshelf_node/exchange.py
@@ -18,6 +18,8 @@
         self.service = None
         self.code = Code.OK
         self.caller = None
+        self.is_keyed = False
+        self.timer = None
 
     @property
     def finished(self):
@@ -58,6 +60,10 @@
         """
         if not self._finished:
             self.code = refusal.code
+        if self.is_keyed and refusal.ran is Ran.NOT_RUN:
+            # This request did not run, but an earlier send of its key may have: a caller who
+            # reads NOT_RUN would order again under a new key. Only the claim can tell.
+            refusal = refusal._replace(ran=Ran.OUTCOME_UNKNOWN)
         status, headers, body = render_refusal(refusal)
         self._send(status, headers, body)
 
--- a/packages/node/src/camphorshelf_node/gatekeeper.py
+++ b/packages/node/src/camphorshelf_node/gatekeeper.py
@@ -23,6 +23,8 @@
         self._client = None
         self._latency_ms = 0.0
         self.target = None
+        # Asked just before a call's first byte goes to the target.
+        self.may_start = lambda call, deadline: True
 
     @property
     def load(self):
@@ -61,7 +63,8 @@
             return lambda: None
         work = _Work(self, self._gate, self._client, call, on_done)
         now = self._loop.now()
-        ticket = Ticket(now + call.deadline_ms / 1000, work.start, work.refuse)
+        work.deadline = now + call.deadline_ms / 1000
+        ticket = Ticket(work.deadline, work.start, work.refuse)
         self._gate.offer(ticket, now)
         return work.cancel
 
@@ -83,6 +86,7 @@
         self._on_done = on_done
         self._abandon = None
         self._cancelled = False
+        self.deadline = None
 
     def start(self):
         if self._cancelled:
@@ -91,7 +95,9 @@
         call = self._call
         self._started = self._gatekeeper._loop.now()
         request = Request(call.method, call.path, call.headers, call.body)
-        self._abandon = self._client.send(request, self._on_result)
+        self._abandon = self._client.send(
+            request, self._on_result, lambda: self._gatekeeper.may_start(call, self.deadline)
+        )
 
     def refuse(self, refusal):
         if not self._cancelled:
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -6,10 +6,13 @@
 
 from circuits import Component, handler
 
-from camphorshelf_core.messages import CallMessage, SnapshotRequestMessage
+from camphorshelf_core.attempts import AttemptLedger
+from camphorshelf_core.invariants import Invariants
+from camphorshelf_core.messages import CallMessage, ClaimAskMessage, SnapshotRequestMessage
 from camphorshelf_core.settings import split_address
 
 from .admin import AdminServer
+from .claims import Claims, keyed_filter
 from .dispatch import Dispatcher
 from .filters import make_chain, make_deadline_filter, make_identity_filter
 from .gatekeeper import Gatekeeper
@@ -20,6 +23,7 @@
 from .log import Log
 from .loop import Loop
 from .metrics import Metrics
+from .once import OnceGuard
 from .platform import Platform
 from .roster import Roster
 
@@ -44,8 +48,10 @@
         self._roster = Roster(self._gossip)
         self._join = Join(self._loop, settings, self._gossip, self._platform, self._log)
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
+        self._invariants = Invariants()
+        self._once = OnceGuard(self._loop, self._gatekeeper, AttemptLedger(), self._invariants)
         self._peer_handlers = {
-            CallMessage: make_call_handler(self._gatekeeper, self._log.fault),
+            CallMessage: make_call_handler(self._once, self._log.fault),
             SnapshotRequestMessage: self._join.answer_snapshot,
         }
         self._stopping = False
@@ -54,13 +60,25 @@
             settings,
             self.incarnation,
             self._roster,
-            self._gatekeeper,
+            self._once,
             self._log,
             random.Random(self.incarnation),
         )
+        self._claims = Claims(
+            self._loop,
+            settings,
+            self._platform,
+            dispatcher,
+            self._gossip.membership.replica,
+            self._invariants,
+            random.Random(self.incarnation),
+        )
+        self._peer_handlers[ClaimAskMessage] = self._claims.answer_ask
         filters = (
+            keyed_filter,
             make_identity_filter(self._roster.knows),
             make_deadline_filter(settings.limits, self._loop),
+            self._claims.filter,
         )
         handle = make_chain(filters, dispatcher.dispatch)
         self._callers = CallerListener(
@@ -126,3 +144,8 @@
         watch("target.in_flight", "Calls at the target.", lambda: gatekeeper.load.in_flight)
         watch("target.queued", "Calls that wait for a slot.", lambda: gatekeeper.load.queued)
         watch("target.slots", "Calls the target takes at once.", lambda: gatekeeper.load.slots)
+        claims, broken = self._claims, self._invariants
+        watch("claims.open", "Calls under keys under way.", lambda: claims.book.open_claims)
+        watch("claims.answers", "Answers kept for resends.", lambda: len(claims.book.answers))
+        watch("claims.marks", "Settled claims still to be marked.", lambda: claims.writer.marks)
+        watch("invariants.broken", "Broken invariants.", lambda: sum(broken.broken.values()))
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -45,6 +45,24 @@
     return deployment
 
 
+_ORDERS = (
+    NodePlan("a1", "counter", "fd-a"),
+    NodePlan("b1", "counter", "fd-b"),
+    NodePlan("c1", "orders", "fd-c"),
+    NodePlan("d1", "orders", "fd-a"),
+)
+
+
+@fixture
+def orders_deployment(context):
+    """Two entry nodes and two targets of ``orders``, fresh for each scenario."""
+    deployment = Deployment(_ORDERS)
+    context.add_cleanup(deployment.close)
+    context.deployment = deployment
+    for name in ("a1", "b1"):
+        deployment.wait_served(name, "orders")
+
+
 @fixture
 def platform(context):
     """A platform alone, and its client in the test's own process."""
@@ -68,3 +86,5 @@
     """Give each scenario about the platform's client a fresh platform."""
     if "fixture.platform" in scenario.effective_tags:
         use_fixture(platform, context)
+    if "fixture.orders_deployment" in scenario.effective_tags:
+        use_fixture(orders_deployment, context)
