--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SOURCES := packages tests bench demo
 
-.PHONY: setup demo test lint format bench clean
+.PHONY: setup demo test soak lint format bench clean
 
 setup: $(VENV)/.ready
 
@@ -20,6 +20,12 @@
 test: setup
 	$(BIN)/python tests/run.py
 
+# Random runs for a time, e.g. make soak SECONDS=1200 SEED=7
+SECONDS ?= 60
+SEED ?= 1
+soak: setup
+	PYTHONPATH=tests $(BIN)/python -m soak.runs $(SECONDS) $(SEED)
+
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/ruff check --quiet $(SOURCES)
--- a/tests/soak/claims.py
+++ b/tests/soak/claims.py
@@ -27,22 +27,27 @@
     def submit(self, node, key, digest, vouch):
         self.world.submit(node, key, digest, vouch)
 
-    # Most steps move something on; without the repetition nearly all runs would be of
-    # requests that are never worked on.
-    @rule(which=st.integers(0, 30), choice=_CHOICES)
+    # A call takes a dozen steps in their order to run. Single random steps hardly ever get there,
+    # so most rules let one call succeed up to a random point, and then something else happens.
+    @rule(node=_NODES, key=_KEYS, vouch=st.booleans(), steps=st.integers(0, 6))
+    def submit_and_advance(self, node, key, vouch, steps):
+        self.world.submit(node, key, b"one", vouch)
+        self.world.advance(steps)
+
+    @rule(steps=st.integers(1, 6))
+    def advance(self, steps):
+        self.world.advance(steps)
+
+    @rule(which=st.integers(0, 10), choice=_CHOICES)
     def step(self, which, choice):
         self._step(which, choice)
 
-    @rule(which=st.integers(0, 30), choice=_CHOICES)
-    def step_again(self, which, choice):
-        self._step(which, choice)
-
-    @rule(choices=st.lists(_CHOICES, min_size=2, max_size=6))
-    def step_oldest(self, choices):
-        for choice in choices:
-            self._step(0, choice)
+    @rule(which=st.integers(0, 10))
+    def finish(self, which):
+        self._step(which, "apply")
+        self._step(which, "answer")
 
-    @rule(choices=st.lists(_CHOICES, min_size=2, max_size=6))
+    @rule(choices=st.lists(_CHOICES, min_size=1, max_size=4))
     def step_newest(self, choices):
         for choice in choices:
             self._step(-1, choice)
@@ -51,13 +56,16 @@
     def leave(self, node, token):
         self.world.leave(node, token)
 
-    @rule(node=_NODES)
-    def kill(self, node):
-        self.world.kill(node)
+    # Rarer than the rest, or no run would get far.
+    @rule(node=_NODES, dice=st.integers(0, 4))
+    def kill(self, node, dice):
+        if dice == 0:
+            self.world.kill(node)
 
-    @rule(node=_NODES)
-    def pause(self, node):
-        self.world.pause(node)
+    @rule(node=_NODES, dice=st.integers(0, 2))
+    def pause(self, node, dice):
+        if dice == 0 or self.world.processes[node].is_paused:
+            self.world.pause(node)
 
     @rule(seconds=st.sampled_from([0.1, 11.0]))
     def wait(self, seconds):
--- a/tests/soak/claims_mutants.py
+++ b/tests/soak/claims_mutants.py
@@ -1,28 +1,18 @@
 """Claim books with one safeguard taken out; random runs must catch each of them."""
 
-from camphorshelf_core.attempts import AttemptState
-from camphorshelf_core.claimactions import RunCall
 from camphorshelf_core.claimrecords import OwnerReply, OwnerState, RecordState, unpack_record
 from camphorshelf_core.claims import ClaimBook
 from camphorshelf_core.table import WriteOutcome
 
 
 class DropVoid(ClaimBook):
-    """Refuses without voiding the attempt first, and says so to a peer that asks."""
+    """Lets a claim go on whose caller was told NOT_RUN."""
 
-    def _give_up(self, claim):
-        claim.may_be_written = False
-        return self._refuse(claim, None)
-
-    def _own_word(self, attempt):
-        is_new = self._ledger.state(attempt) in (AttemptState.VOIDED, AttemptState.NEW)
-        return OwnerReply(OwnerState.VOIDED if is_new else OwnerState.FORGOTTEN)
-
-    def on_written(self, key, attempt, written):
-        if written.outcome is WriteOutcome.APPLIED and key not in self._claims:
-            return [RunCall(key, attempt)] if self._ledger.start(attempt) else []
-        actions = super().on_written(key, attempt, written)
-        return actions
+    def leave(self, key, token):
+        claim = self._claims.get(key)
+        if claim is not None and len(claim.waiters) == 1:
+            return []
+        return super().leave(key, token)
 
 
 class DispatchOnUnknown(ClaimBook):
--- a/tests/soak/claims_world.py
+++ b/tests/soak/claims_world.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from camphorshelf_core.calls import AttemptId, Response
-from camphorshelf_core.claimactions import MarkClaim, Settle
+from camphorshelf_core.claimactions import MarkClaim, RunCall, Settle
 from camphorshelf_core.claimrecords import OwnerReply, OwnerState, pack_record
 from camphorshelf_core.claims import ClaimBook, Waiter
 from camphorshelf_core.errors import Code, Ran, Refusal
@@ -70,6 +70,7 @@
         self._book_class = book_class
         self._started = 0
         self._sent = {}
+        self._callers = {}
         self.now = 0.0
         self.rows = {}
         self.pending = []
@@ -87,12 +88,16 @@
         self._sent[token] = Sent(key, digest, self.runs[key])
         waiter = Waiter(token, vouch and key not in self.sent_keys)
         self.sent_keys.add(key)
+        self._callers.setdefault((process, key), set()).add(token)
         self._carry_out(process, process.book.submit(key, digest, waiter, self.now))
 
     def leave(self, index, token):
         process = self.processes[index]
         if process.can_act and token in self._sent:
-            self._carry_out(process, process.book.leave(self._sent[token].key, token))
+            key = self._sent[token].key
+            # The node tells the caller NOT_RUN here, so nobody else may make it run.
+            self._callers.get((process, key), set()).discard(token)
+            self._carry_out(process, process.book.leave(key, token))
 
     def kill(self, index):
         old = self.processes[index]
@@ -103,6 +108,15 @@
         process = self.processes[index]
         process.is_paused = not process.is_paused
 
+    def advance(self, steps):
+        """Let the newest action succeed, and what follows from it, for some steps."""
+        for _ in range(steps):
+            if not self.pending:
+                return
+            newest = self.pending[-1]
+            self.step(newest, "apply")
+            self.step(newest, "answer")
+
     def step(self, pending, choice):
         """Move one pending action on, in one of the ways that can happen to it."""
         steps = {
@@ -127,15 +141,23 @@
     def _carry_out(self, process, actions):
         for action in actions:
             if isinstance(action, Settle):
-                self._settle(action)
-            else:
-                self.pending.append(Pending(process, action))
-
-    def _settle(self, action):
+                self._settle(process, action)
+                continue
+            if isinstance(action, RunCall):
+                self._check_wanted(process, action)
+            self.pending.append(Pending(process, action))
+
+    def _check_wanted(self, process, action):
+        wanted = bool(self._callers.get((process, action.key)))
+        asked = any(one.is_asked and one.action.key == action.key for one in self.pending)
+        assert wanted or asked, f"dispatched after everyone was told NOT_RUN: {action}"
+
+    def _settle(self, process, action):
         if isinstance(action.token, Pending):
             if not action.token.is_answered:
                 self._answer_ask(action.token, action.result)
             return
+        self._callers[process, self._sent[action.token].key].discard(action.token)
         self._check_outcome(self._sent[action.token], action.result)
 
     def _check_outcome(self, sent, result):
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -3,7 +3,7 @@
 import sys
 import time
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
 from soak import MACHINES
@@ -14,13 +14,24 @@
     "suppress_health_check": list(HealthCheck),
     "print_blob": True,
 }
+_ALL_PHASES = (Phase.explicit, Phase.generate, Phase.shrink)
 _STEPS = 60
 _EXAMPLES_PER_SEED = 300
 
 
-def run_fixed(machine, examples, steps=_STEPS):
-    """Run a machine on the same examples each time; raises on the first failure."""
-    chosen = settings(max_examples=examples, stateful_step_count=steps, derandomize=True, **_COMMON)
+def run_fixed(machine, examples, steps=_STEPS, shrink=True):
+    """Run a machine on the same examples each time; raises on the first failure.
+
+    A mutant is only to be caught, so its trace need not be shrunk.
+    """
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=True,
+        phases=_ALL_PHASES if shrink else (Phase.generate,),
+        report_multiple_bugs=False,
+        **_COMMON,
+    )
     run_state_machine_as_test(machine, settings=chosen)
 
 
