--- a/packages/node/src/camphorshelf_node/httpclient.py
+++ b/packages/node/src/camphorshelf_node/httpclient.py
@@ -7,7 +7,7 @@
 
 from camphorshelf_core.calls import Response, is_idempotent
 
-from .headers import BODILESS, render_request, strip_answer
+from .headers import BODILESS, render_request, strip_hop_by_hop
 from .streams import dial
 
 _MAX_HEAD_BYTES = 65_536
@@ -35,14 +35,16 @@
         self._open = 0
         self._waiting = deque()
 
-    def send(self, request, on_done):
+    def send(self, request, on_done, may_send=None):
         """Send a request.
 
         :param request: the :class:`Request`.
         :param on_done: takes the :class:`Response` or a :class:`Failed`.
-        :return: a function that abandons the request.
+        :param may_send: asked just before the first byte is written (a connection may have
+            taken its time); False fails the request unsent.
+        :return: a function that abandons the request and tells whether it may have run.
         """
-        exchange = _ClientExchange(self, request, on_done)
+        exchange = _ClientExchange(self, request, on_done, may_send)
         self._assign(exchange)
         return exchange.abandon
 
@@ -104,24 +106,28 @@
             self._idle.remove(connection)
         while self._waiting and self._open < self._max_connections:
             exchange = self._waiting.popleft()
+            # An abandoned request was reported as not run; it must not go out after all.
             if not exchange.abandoned:
                 self._assign(exchange)
 
 
 class _ClientExchange:
-    def __init__(self, client, request, on_done):
+    def __init__(self, client, request, on_done, may_send):
         self._client = client
         self.request = request
         self.on_done = on_done
+        self.may_send = may_send
         self.idempotent = is_idempotent(request.method)
         self.retried = False
         self.abandoned = False
+        self.sent = False
         self.connection = None
 
     def abandon(self):
         self.abandoned = True
         if self.connection is not None:
             self.connection.close()
+        return self.sent
 
     def retry(self):
         """Send the request once more, on a connection of its own."""
@@ -167,7 +173,7 @@
         self._size = 0
         self._reset_head()
         if self._connected:
-            self._stream.write(render_request(exchange.request))
+            self._write()
 
     def close(self):
         self._stream.close()
@@ -210,7 +216,7 @@
             self._reset_head()
             return
         exchange, self._exchange = self._exchange, None
-        response = Response(status, strip_answer(self._headers), b"".join(self._body))
+        response = Response(status, strip_hop_by_hop(self._headers), b"".join(self._body))
         if self._framed or status in BODILESS or exchange.request.method == "HEAD":
             self._finish(exchange, response, self._parser.should_keep_alive())
         else:
@@ -246,7 +252,17 @@
     def _on_connect(self):
         self._connected = True
         if self._exchange is not None:
-            self._stream.write(render_request(self._exchange.request))
+            self._write()
+
+    def _write(self):
+        exchange = self._exchange
+        if exchange.may_send is not None and not exchange.may_send():
+            self._exchange = None
+            failed = Failed("it was no longer wanted", exchange.sent)
+            self._finish(exchange, failed, keep=True)
+            return
+        exchange.sent = True
+        self._stream.write(render_request(exchange.request))
 
     def _on_data(self, data):
         if self._exchange is None:
@@ -265,10 +281,9 @@
 
     def _fail(self, reason):
         exchange, self._exchange = self._exchange, None
-        sent = self._connected
         self._stream.close()
         if exchange is not None:
-            exchange.finish(Failed(reason, sent))
+            exchange.finish(Failed(reason, exchange.sent))
 
     def _on_close(self):
         self._client._forget(self)
@@ -282,4 +297,4 @@
             exchange.retry()
             return
         reason = "the connection was lost" if self._connected else "no connection"
-        exchange.finish(Failed(reason, sent=self._connected))
+        exchange.finish(Failed(reason, exchange.sent))
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -2,7 +2,10 @@
 
 from behave import fixture, use_fixture
 
+from camphorshelf_core.settings import PlatformSettings
+from camphorshelf_node.platform import Platform
 from standins.deployment import Deployment, NodePlan
+from standins.inner import InnerLoop
 
 _SMALL = (
     NodePlan("a1", "counter", "fd-a"),
@@ -42,9 +45,46 @@
     return deployment
 
 
+_ORDERS = (
+    NodePlan("a1", "counter", "fd-a"),
+    NodePlan("b1", "counter", "fd-b"),
+    NodePlan("c1", "orders", "fd-c"),
+    NodePlan("d1", "orders", "fd-a"),
+)
+
+
+@fixture
+def orders_deployment(context):
+    """Two entry nodes and two targets of ``orders``, fresh for each scenario."""
+    deployment = Deployment(_ORDERS)
+    context.add_cleanup(deployment.close)
+    context.deployment = deployment
+    for name in ("a1", "b1"):
+        deployment.wait_served(name, "orders")
+
+
+@fixture
+def platform(context):
+    """A platform alone, and its client in the test's own process."""
+    context.platform = Deployment(())
+    context.add_cleanup(context.platform.close)
+    context.inner = InnerLoop()
+    address = context.platform.platform
+    settings = PlatformSettings(address, address, timeout_ms=300)
+    context.client = Platform(context.inner.loop, settings)
+
+
 def before_tag(context, tag):
     """Set up the fixture that a tag names."""
     if tag == "fixture.edge_deployment":
         use_fixture(edge_deployment, context)
     if tag == "fixture.small_deployment":
         use_fixture(small_deployment, context)
+
+
+def before_scenario(context, scenario):
+    """Give each scenario about the platform's client a fresh platform."""
+    if "fixture.platform" in scenario.effective_tags:
+        use_fixture(platform, context)
+    if "fixture.orders_deployment" in scenario.effective_tags:
+        use_fixture(orders_deployment, context)
