--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SOURCES := packages tests bench demo
 
-.PHONY: setup demo test soak lint format bench clean
+.PHONY: setup demo test soak lint format bench bench-scenarios clean
 
 setup: $(VENV)/.ready
 
@@ -37,5 +37,12 @@
 bench: setup
 	$(BIN)/python bench/bench.py
 
+bench-scenarios: setup
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r bench/requirements.txt
+	mkdir -p build
+	$(BIN)/python bench/scenarios.py --scenario $(or $(SCENARIO),all) --seeds $(or $(SEEDS),5) \
+		--out build/scenarios.json
+	$(BIN)/python bench/plot_scenarios.py build/scenarios.json build/scenarios.svg
+
 clean:
 	rm -rf $(VENV) build run
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -3,6 +3,7 @@
 import os
 import random
 import signal
+from functools import partial
 
 from circuits import Component, handler
 
@@ -30,6 +31,18 @@
 from .sensing import ProbeController
 
 _INCARNATION_BYTES = 8
+_ENTRY_COUNTS = {
+    "spills": "Calls that went on from a full target to another.",
+    "retries": "Calls that were tried again after a failure.",
+    "hedges": "Lookups that were asked of a second target as well.",
+    "ejections": "Targets taken out for failing.",
+    "probes": "Probes sent.",
+    "probe_answers": "Peers' probes answered.",
+    "probe_bytes": "Bytes charged for probes and answers, with IP and UDP headers.",
+    "probe_microseconds": "Processor time charged for probes and answers.",
+    "probes_denied": "Probes and answers left out as the budget was spent.",
+    "probes_lost": "Probes without an answer.",
+}
 
 
 class Node(Component):
@@ -121,10 +134,14 @@
             "probes": sensing.sent,
             "probe_answers": sensing.answered,
             "probe_bytes": sensing.spent_bytes,
+            "probe_microseconds": sensing.spent_microseconds,
             "probes_denied": sensing.denied,
             "probes_lost": sensing.lost,
         }
 
+    def _count(self, name):
+        return self.entry_counts.get(name, 0)
+
     def announce(self, target):
         """Take an announcement of the target beside this node.
 
@@ -165,6 +182,8 @@
 
     def _watch_gauges(self):
         watch = self._metrics.watch
+        for name, description in _ENTRY_COUNTS.items():
+            watch(f"entry.{name}", description, partial(self._count, name))
         gatekeeper = self._gatekeeper
         watch("callers", "Callers' connections.", lambda: self._callers.connections)
         watch("peer.links", "Links that peers opened.", lambda: self._peers.links)
