--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -51,7 +51,8 @@
         self._plans = {plan.name: plan for plan in plans}
         self._processes = {}
         self._nodes = {}
-        self.platform = _address()
+        self._host = _loopback()
+        self.platform = _address(self._host)
         self._start("platform", [sys.executable, "-m", "standins.platform", self.platform])
         self._wait(self.platform)
         for plan in plans:
@@ -168,7 +169,7 @@
 
     def _plan(self, plan):
         self._plans[plan.name] = plan
-        addresses = [_address() for _ in range(4)]
+        addresses = [_address(self._host) for _ in range(4)]
         self._nodes[plan.name] = RunningNode(plan.name, *addresses)
 
     def _settings(self, plan, node):
@@ -203,19 +204,28 @@
         self.wait_until(connects)
 
 
-def _address():
-    # Below the range from which the kernel takes the ports of outgoing connections: a port picked
-    # from that range is often another test's by the time the process listens on it.
+def _loopback():
+    """Pick an address of the loopback range that no other deployment has at this time.
+
+    Several tests run at once, and a port that is free when it is picked may be another test's by
+    the time the process listens on it: its callers are refused or reach the wrong node.
+    """
+    numbers = random.SystemRandom()
+    return ".".join(["127", *(str(numbers.randrange(1, 255)) for _ in range(3))])
+
+
+def _address(host):
+    # Below the range from which the kernel takes the ports of outgoing connections.
     while True:
         port = random.SystemRandom().randrange(*_PORTS)
-        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
-            return f"127.0.0.1:{port}"
+        if _is_free(host, port, socket.SOCK_STREAM) and _is_free(host, port, socket.SOCK_DGRAM):
+            return f"{host}:{port}"
 
 
-def _is_free(port, kind):
+def _is_free(host, port, kind):
     with socket.socket(socket.AF_INET, kind) as sock:
         try:
-            sock.bind(("127.0.0.1", port))
+            sock.bind((host, port))
         except OSError:
             return False
     return True
