--- a/packages/core/src/camphorshelf_core/load.py
+++ b/packages/core/src/camphorshelf_core/load.py
@@ -170,6 +170,19 @@
             self._own_latency_ms += _SMOOTHING * (milliseconds - self._own_latency_ms)
         self._own_latency_at = now
 
+    def note_slow(self, milliseconds, now):
+        """Take in that a call took at least some time, while nothing spoke for the target.
+
+        Without it a target that hangs is forgotten with each call that was answered elsewhere,
+        and gets the next one as if nothing had been.
+
+        :param milliseconds: from sending to giving up.
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        self._own_latency_ms = max(self._own_latency_ms or 0.0, milliseconds)
+        self._own_latency_at = now
+
     def own_latency(self, now):
         """Give the smoothed latency seen from here and its age.
 
--- a/packages/core/src/camphorshelf_core/routing.py
+++ b/packages/core/src/camphorshelf_core/routing.py
@@ -127,6 +127,9 @@
     :return: milliseconds.
     """
     known = sorted(filter(None, (_latency(one) for one in candidates if not one.ejected)))
+    if len(known) == 2:
+        # One of the two may be the slow one, and must not set the measure.
+        return known[0]
     return known[len(known) // 2] if known else _FALLBACK_LATENCY_MS
 
 
@@ -203,8 +206,9 @@
 def _draw(usable, failure_domain, choices, random):
     # Half of the draw is near where it can be: the near ones are looked at each time, and the
     # far ones often enough to take the spill before the near ones are full.
+    # In random order: equal scores are common when idle, and the first one drawn wins.
     if len(usable) <= choices:
-        return usable
+        return random.sample(usable, len(usable))
     near = [one for one in usable if one.failure_domain == failure_domain]
     drawn = random.sample(near, min(len(near), choices // 2))
     taken = {one.target for one in drawn}
--- a/packages/node/src/camphorshelf_node/calling.py
+++ b/packages/node/src/camphorshelf_node/calling.py
@@ -286,7 +286,7 @@
 
     def cancel(self):
         if not self._done:
-            self._settle()
+            self._settle(given_up_ms=self.elapsed_ms)
             self._dispatcher.keeper.note_done(self.target, None)
             self._cancel()
 
@@ -295,10 +295,10 @@
         self._overdue = keeper.is_suspect(self.target, self._sent_at, typical_ms)
         return self._overdue
 
-    def _settle(self):
+    def _settle(self, given_up_ms=None):
         self._done = True
         if self._overdue:
-            self._dispatcher.keeper.note_overdue_done(self.target)
+            self._dispatcher.keeper.note_overdue_done(self.target, given_up_ms)
 
     def note_missed(self, refusal):
         if blames_target(refusal):
--- a/packages/node/src/camphorshelf_node/listeners.py
+++ b/packages/node/src/camphorshelf_node/listeners.py
@@ -84,7 +84,7 @@
         self._loop = loop
         self._settings = settings
         self._handlers = handlers
-        self._servers = set()
+        self._servers = {}
         self._close_listener = None
 
     @property
@@ -115,7 +115,26 @@
             server.say_goodbye()
 
     def _on_accept(self, stream, _peer):
-        self._servers.add(PeerServer(stream, self._handlers, self._servers.discard))
+        server = PeerServer(stream, self._handlers, self._forget)
+        self._servers[server] = False
+        self._keep_limit()
+
+    def _keep_limit(self):
+        # Every node may be an entry node for this target. Without a limit their links alone use
+        # up the host's connections and memory. The longest kept one that is idle is asked to
+        # close; its peer opens another when it has a call, so no call is lost.
+        excess = len(self._servers) - sum(self._servers.values())
+        excess -= self._settings.entry.link_limit
+        for server, is_leaving in list(self._servers.items()):
+            if excess <= 0:
+                return
+            if not is_leaving and not server.busy:
+                self._servers[server] = True
+                server.say_goodbye()
+                excess -= 1
+
+    def _forget(self, server):
+        self._servers.pop(server, None)
 
 
 def drain(loop, callers, peers, on_drained):
--- a/packages/node/src/camphorshelf_node/load.py
+++ b/packages/node/src/camphorshelf_node/load.py
@@ -100,13 +100,17 @@
         view.note_overdue(1)
         return True
 
-    def note_overdue_done(self, target):
+    def note_overdue_done(self, target, given_up_ms):
         """Take note that a call that was overdue has ended.
 
         :param target: the target's name.
+        :param given_up_ms: how long it took until it was given up, None when it was answered.
         :return: None.
         """
-        self._view(target).note_overdue(-1)
+        view = self._view(target)
+        view.note_overdue(-1)
+        if given_up_ms is not None:
+            view.note_slow(given_up_ms, self._loop.now())
 
     def note_report(self, target, load):
         """Take in the report that answers a probe.
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -74,8 +74,30 @@
     context.client = Platform(context.inner.loop, settings)
 
 
+_ENTRY = (
+    NodePlan("e1", None, "fd-a"),
+    NodePlan("t1", "counter", "fd-a"),
+    NodePlan("t2", "counter", "fd-b"),
+    NodePlan("t3", "single", "fd-c", settings={"entry": {"link_limit": 2}}),
+)
+
+
+@fixture
+def entry_deployment(context):
+    """An entry node, two targets of ``counter`` and one of ``single``."""
+    deployment = Deployment(_ENTRY)
+    context.add_cleanup(deployment.close)
+    for name in ("e1", "t1", "t2", "t3"):
+        for service in ("counter", "single"):
+            deployment.wait_served(name, service)
+    context.deployment = deployment
+    return deployment
+
+
 def before_tag(context, tag):
     """Set up the fixture that a tag names."""
+    if tag == "fixture.entry_deployment":
+        use_fixture(entry_deployment, context)
     if tag == "fixture.edge_deployment":
         use_fixture(edge_deployment, context)
     if tag == "fixture.small_deployment":
