Run work under a ticket of one process at most once, without the table

Cause: each claim costs the platform a write, and in an outage no keyed work can be claimed. Ruled out: a clock in the ticket (a wrong one would run it twice or never); a record outside the process (a replicated store of our own). Conclusion: a ticket names one incarnation; a number minted and not remembered never runs.

--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -8,8 +8,14 @@
 
 from camphorshelf_core.attempts import AttemptLedger
 from camphorshelf_core.invariants import Invariants
-from camphorshelf_core.messages import CallMessage, ClaimAskMessage, SnapshotRequestMessage
+from camphorshelf_core.messages import (
+    CallMessage,
+    ClaimAskMessage,
+    MintMessage,
+    SnapshotRequestMessage,
+)
 from camphorshelf_core.settings import split_address
+from camphorshelf_core.tickets import TicketBook
 
 from .admin import AdminServer
 from .claims import Claims, keyed_filter
@@ -26,8 +32,10 @@
 from .once import OnceGuard
 from .platform import Platform
 from .roster import Roster
+from .tickets import TicketDesk, TicketEntry
 
 _INCARNATION_BYTES = 8
+_SECRET_BYTES = 16
 
 
 class Node(Component):
@@ -50,8 +58,17 @@
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
         self._invariants = Invariants()
         self._once = OnceGuard(self._loop, self._gatekeeper, AttemptLedger(), self._invariants)
+        self._tickets = TicketBook(
+            settings.claims,
+            settings.name,
+            self.incarnation,
+            os.urandom(_SECRET_BYTES),
+            self._invariants,
+        )
+        self._desk = TicketDesk(self._loop, self._once, self._gatekeeper, self._tickets)
         self._peer_handlers = {
-            CallMessage: make_call_handler(self._once, self._log.fault),
+            CallMessage: make_call_handler(self._desk, self._log.fault),
+            MintMessage: self._desk.answer_mint,
             SnapshotRequestMessage: self._join.answer_snapshot,
         }
         self._stopping = False
@@ -73,11 +90,21 @@
             self._invariants,
             random.Random(self.incarnation),
         )
+        tickets = TicketEntry(
+            self._loop,
+            settings,
+            dispatcher,
+            self._roster,
+            self._gossip.membership.replica,
+            self._desk,
+            random.Random(self.incarnation),
+        )
         self._peer_handlers[ClaimAskMessage] = self._claims.answer_ask
         filters = (
             keyed_filter,
             make_identity_filter(self._roster.knows),
             make_deadline_filter(settings.limits, self._loop),
+            tickets.filter,
             self._claims.filter,
         )
         handle = make_chain(filters, dispatcher.dispatch)
@@ -157,4 +184,5 @@
         watch("claims.open", "Calls under keys under way.", lambda: claims.book.open_claims)
         watch("claims.answers", "Answers kept for resends.", lambda: len(claims.book.answers))
         watch("claims.marks", "Settled claims still to be marked.", lambda: claims.writer.marks)
+        watch("tickets", "Tickets remembered.", lambda: len(self._tickets))
         watch("invariants.broken", "Broken invariants.", lambda: sum(broken.broken.values()))
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/tickets.py
@@ -0,0 +1,303 @@
+"""The controllers of calls under tickets: at the target's node and at the entry node."""
+
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from camphorshelf_core.calls import Response, header, is_idempotent
+from camphorshelf_core.errors import Code, Ran, Refusal
+from camphorshelf_core.messages import (
+    AnswerMessage,
+    CallMessage,
+    MintedMessage,
+    MintMessage,
+    pack_result,
+    unpack_result,
+)
+from camphorshelf_core.tickets import TicketStep, is_ticket, parse_ticket
+
+from .claims import KEY_HEADER, REPLAY_HEADER, digest_of, is_valid_key
+from .headers import strip_hop_by_hop, with_deadline
+
+TICKETS_PATH = b"/.camphorshelf/tickets"
+_MAX_COUNT = 100
+_MINT_SECONDS = 1.0
+_RETRY_MS = 1_000
+_RECORD_BYTES = 400
+
+
+class TicketDesk:
+    """Mints tickets for the target beside this node and runs each of them once."""
+
+    def __init__(self, loop, once, gatekeeper, book):
+        self._loop = loop
+        self._once = once
+        self._gatekeeper = gatekeeper
+        self._book = book
+        self._waiting = {}
+
+    def answer_mint(self, message, reply):
+        """Mint tickets for an entry node.
+
+        :param message: its :class:`MintMessage`.
+        :param reply: takes the :class:`MintedMessage`.
+        :return: None.
+        """
+        reply(self.mint(message))
+
+    def mint(self, message):
+        """Mint tickets.
+
+        :param message: the :class:`MintMessage`.
+        :return: the :class:`MintedMessage`.
+        """
+        target = self._gatekeeper.target
+        if target is None or target.service != message.service:
+            return _refuse_mint(Refusal(Code.NO_TARGET, "no such target beside this node"))
+        tickets = []
+        for _ in range(min(message.count, _MAX_COUNT)):
+            minted = self._book.mint(message.service, self._loop.now())
+            if isinstance(minted, Refusal):
+                break
+            tickets.append(minted)
+        return MintedMessage(0, tuple(tickets), None) if tickets else _refuse_mint(minted)
+
+    def run(self, call, on_done):
+        """Run a call; one under a ticket only when it has not run.
+
+        :param call: a :class:`CallMessage`.
+        :param on_done: takes the response or refusal, and the load report.
+        :return: a function that cancels the call.
+        """
+        key = None if is_idempotent(call.method) else header(call.headers, KEY_HEADER)
+        text = None if key is None else key.decode("latin-1")
+        if text is None or not is_ticket(text):
+            return self._once.run(call, on_done)
+        ticket = parse_ticket(text)
+        if ticket is None:
+            on_done(_bad_ticket(), self._gatekeeper.load)
+            return _do_nothing
+        digest = digest_of(call)
+        step, result = self._book.take(ticket, call.service, digest, self._loop.now())
+        if step is TicketStep.ANSWER:
+            on_done(_as_replay(result), self._gatekeeper.load)
+            return _do_nothing
+        if step is TicketStep.WAIT:
+            waiting = self._waiting[ticket]
+            waiting.append(on_done)
+            return lambda: _remove(waiting, on_done)
+        return self._start(call, ticket, on_done)
+
+    def _start(self, call, ticket, on_done):
+        waiting = self._waiting[ticket] = [on_done]
+
+        def finish(result, load):
+            del self._waiting[ticket]
+            self._book.finish(ticket, result, _size(result), self._loop.now())
+            for one in waiting:
+                one(result, load)
+
+        cancel = self._once.run(call, finish)
+
+        def leave():
+            _remove(waiting, on_done)
+            # Once it has started, its answer is worth keeping for a resend. Before that, and
+            # with nobody waiting, it is void and the ticket good for another try.
+            is_current = self._waiting.get(ticket) is waiting
+            if is_current and not waiting and not self._once.has_started(call):
+                cancel()
+                finish(Refusal(Code.CANCELLED, "nobody waits for it"), self._gatekeeper.load)
+
+        return leave
+
+
+class TicketEntry:
+    """Passes calls under tickets to the one node that may run them, and asks for new tickets."""
+
+    def __init__(self, loop, settings, dispatcher, roster, replica, desk, random):
+        self._loop = loop
+        self._settings = settings
+        self._dispatcher = dispatcher
+        self._roster = roster
+        self._replica = replica
+        self._desk = desk
+        self._random = random
+
+    def filter(self, exchange, proceed):
+        """Take calls for or under tickets out of the chain.
+
+        :param exchange: the caller's exchange.
+        :param proceed: the next step of the chain.
+        :return: None.
+        """
+        request = exchange.request
+        if request.path.partition(b"?")[0] == TICKETS_PATH:
+            self._mint(exchange)
+            return
+        key = None if is_idempotent(request.method) else header(request.headers, KEY_HEADER)
+        if key is None or not is_ticket(key.decode("latin-1")):
+            proceed(exchange)
+            return
+        ticket = parse_ticket(key.decode("latin-1"))
+        if ticket is None or not is_valid_key(request.headers):
+            exchange.is_keyed = False
+            exchange.refuse(_bad_ticket())
+            return
+        self._send(exchange, ticket)
+
+    def _mint(self, exchange):
+        request = exchange.request
+        if request.method != "POST":
+            exchange.refuse(Refusal(Code.BAD_REQUEST, "tickets are taken with POST"))
+            return
+        members = self._roster.members(exchange.service)
+        if not members:
+            reason = "no target of the service takes work"
+            exchange.refuse(Refusal(Code.NO_TARGET, reason, retry_after_ms=_RETRY_MS))
+            return
+        member = self._random.choice(members)
+        message = MintMessage(0, exchange.service, _read_count(request.path))
+        if member.address == self._settings.listen.peers:
+            self._give_tickets(exchange, self._desk.mint(message))
+            return
+
+        def done(answer):
+            timer.cancel()
+            self._give_tickets(exchange, answer)
+
+        def give_up():
+            cancel()
+            self._give_tickets(exchange, None)
+
+        timer = self._loop.call_later(_MINT_SECONDS, exchange.guard(give_up))
+        link = self._dispatcher.link(member.address)
+        cancel = link.call(message, exchange.guard(done))
+
+    def _give_tickets(self, exchange, answer):
+        if not isinstance(answer, MintedMessage):
+            reason = "the target's node did not answer"
+            exchange.refuse(Refusal(Code.PEER_LOST, reason, retry_after_ms=_RETRY_MS))
+            return
+        refusal = unpack_result(None, answer.refusal)
+        if refusal is not None:
+            exchange.refuse(refusal)
+            return
+        body = json.dumps({"tickets": list(answer.tickets)}).encode()
+        exchange.answer(Response(200, ((b"content-type", b"application/json"),), body))
+
+    def _send(self, exchange, ticket):
+        member = self._replica.member(ticket.node)
+        if member is None or not member.in_use or member.incarnation != ticket.incarnation:
+            exchange.refuse(_node_gone(is_final=member is not None))
+            return
+        message = self._make_message(exchange, ticket)
+        call = _TicketCall(self._loop, exchange)
+        if member.address == self._settings.listen.peers:
+            call.start(lambda done: self._desk.run(message, lambda result, _load: done(result)))
+        else:
+            link = self._dispatcher.link(member.address)
+            call.start(lambda done: link.call(message, lambda answer: done(_read(answer))))
+
+    def _make_message(self, exchange, ticket):
+        request = exchange.request
+        deadline_ms = max(1, int((exchange.deadline - self._loop.now()) * 1000))
+        return CallMessage(
+            call_id=0,
+            attempt=self._dispatcher.next_attempt(),
+            service=exchange.service,
+            target=ticket.node,
+            deadline_ms=deadline_ms,
+            caller=exchange.caller or "",
+            method=request.method,
+            path=request.path,
+            headers=with_deadline(strip_hop_by_hop(request.headers), deadline_ms),
+            body=request.body,
+        )
+
+
+class _TicketCall:
+    """One call under a ticket on its way to its node."""
+
+    def __init__(self, loop, exchange):
+        self._loop = loop
+        self._exchange = exchange
+        self._timer = None
+        self._cancel = _do_nothing
+
+    def start(self, send):
+        exchange = self._exchange
+        exchange.when_hung_up(self._give_up)
+        wait = max(0.0, exchange.deadline - self._loop.now())
+        self._timer = self._loop.call_later(wait, exchange.guard(self._on_deadline))
+        self._cancel = send(exchange.guard(self._on_result))
+
+    def _on_result(self, result):
+        self._timer.cancel()
+        exchange = self._exchange
+        if isinstance(result, Response):
+            exchange.answer(result)
+            return
+        # Only the node that minted the ticket may say that it did not run. That this node
+        # could not reach it tells nothing of an earlier send through another one.
+        exchange.is_keyed = result.code is Code.PEER_LOST
+        if result.code is Code.PEER_LOST:
+            result = _node_gone(is_final=False)
+        exchange.refuse(result)
+
+    def _on_deadline(self):
+        self._give_up()
+        reason = "the deadline passed before the answer came"
+        self._exchange.refuse(Refusal(Code.DEADLINE_EXCEEDED, reason, Ran.OUTCOME_UNKNOWN))
+
+    def _give_up(self):
+        self._timer.cancel()
+        self._cancel()
+
+
+def _read(answer):
+    if isinstance(answer, Refusal):
+        return answer
+    if isinstance(answer, AnswerMessage):
+        return Response(answer.status, answer.headers, answer.body)
+    return Refusal(Code(answer.code), answer.reason, Ran(answer.ran), answer.retry_after_ms)
+
+
+def _refuse_mint(refusal):
+    return MintedMessage(0, (), pack_result(refusal)[1])
+
+
+def _read_count(path):
+    values = parse_qs(urlsplit(path.decode("latin-1")).query).get("count", ["1"])
+    is_count = values[0].isdecimal() and len(values[0]) <= len(str(_MAX_COUNT))
+    return max(1, int(values[0])) if is_count else 1
+
+
+def _node_gone(is_final):
+    reason = "the node that minted the ticket is gone or cannot be reached; no other runs it"
+    retry_after_ms = None if is_final else _RETRY_MS
+    return Refusal(Code.TICKET_NODE_GONE, reason, Ran.OUTCOME_UNKNOWN, retry_after_ms)
+
+
+def _bad_ticket():
+    return Refusal(Code.BAD_TICKET, "the ticket is malformed")
+
+
+def _as_replay(result):
+    if isinstance(result, Response):
+        return result._replace(headers=(*result.headers, REPLAY_HEADER))
+    return result
+
+
+def _size(result):
+    if not isinstance(result, Response):
+        return _RECORD_BYTES
+    headers = sum(len(name) + len(value) for name, value in result.headers)
+    return _RECORD_BYTES + headers + len(result.body)
+
+
+def _remove(waiting, on_done):
+    if on_done in waiting:
+        waiting.remove(on_done)
+
+
+def _do_nothing():
+    """Stands for the cancellation of a call that never began."""
--- a/tests/features/steps/keyed_steps.py
+++ b/tests/features/steps/keyed_steps.py
@@ -5,38 +5,7 @@
 from behave import given, then, when
 
 from standins.caller import Caller, call, render
-
-_TARGETS = ("c1", "d1")
-
-
-def send_order(context, key, node, query="", headers=(), body=b"order"):
-    """Send an order under a key, keep its answer and what had run when it came."""
-    before = count_runs(context, key)
-    address = context.deployment.nodes[node].callers
-    keyed = (("Idempotency-Key", key), *headers)
-    answer = call(address, "POST", "orders", f"/orders?key={key}{query}", keyed, body)
-    note_answer(context, answer, before)
-    return answer
-
-
-def note_answer(context, answer, runs_before):
-    """Keep an answer, and check at once that a NOT_RUN is true."""
-    context.answer = answer
-    context.answers = [*getattr(context, "answers", ()), answer]
-    reused = answer.headers.get("camphorshelf-code") == "242"
-    if answer.headers.get("camphorshelf-ran") == "NOT_RUN" and not reused:
-        assert runs_before == 0, "told NOT_RUN of a key that had run"
-
-
-def count_runs(context, key):
-    """Count a key's runs at all targets of orders that are still up."""
-    total = 0
-    for name in _TARGETS:
-        try:
-            total += context.deployment.runs(name).get(key, 0)
-        except OSError:
-            continue
-    return total
+from standins.orders import TARGETS, count_runs, end_process, note_answer, send_order
 
 
 @given("the platform loses the answer of 1 claim")
@@ -180,8 +149,7 @@
 
 @when("{process:S} is killed")
 def kill_process(context, process):
-    context.deployment.signal(process, signal.SIGKILL)
-    context.deployment.wait_end(process)
+    end_process(context, process)
 
 
 @when("{process:S} gets {name:w}")
@@ -191,9 +159,9 @@
 
 @when("the node beside the running target is killed")
 def kill_targets_node(context):
-    runs = {name: context.deployment.runs(name) for name in _TARGETS}
-    (name,) = [name for name in _TARGETS if runs[name].get(context.begun_key)]
-    kill_process(context, f"node-{name}")
+    runs = {name: context.deployment.runs(name) for name in TARGETS}
+    (name,) = [name for name in TARGETS if runs[name].get(context.begun_key)]
+    end_process(context, f"node-{name}")
 
 
 @when("node {name:w} is started anew")
@@ -273,7 +241,7 @@
 @then("none is answered, and those told NOT_RUN have not run")
 def check_none_answered(context):
     assert all(answer.status != 200 for answer in context.answers), context.answers
-    runs = [context.deployment.runs(name) for name in _TARGETS]
+    runs = [context.deployment.runs(name) for name in TARGETS]
     assert runs == [{}, {}], runs
 
 
@@ -286,7 +254,7 @@
             return True
         return False
 
-    assert [is_dead(name) for name in _TARGETS].count(True) == 1
+    assert [is_dead(name) for name in TARGETS].count(True) == 1
 
 
 @then("{count:d} lookups through node {node:w} are served")
