--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -132,7 +132,13 @@
             if condition():
                 return
             time.sleep(0.02)
-        raise TimeoutError("the condition did not come to hold")
+        raise TimeoutError(f"the condition did not come to hold; {self._describe()}")
+
+    def _describe(self):
+        ended = {name: one.poll() for name, one in self._processes.items()}
+        ended = {name: status for name, status in ended.items() if status is not None}
+        logs = {name: self.log(name)[-500:] for name in self._processes}
+        return f"ended: {ended}, logs: {logs}"
 
     def wait_served(self, name, service):
         """Wait until a node serves calls to a service."""
