--- a/packages/core/src/camphorshelf_core/load.py
+++ b/packages/core/src/camphorshelf_core/load.py
@@ -6,7 +6,8 @@
 class LoadReport(NamedTuple):
     """What a target's node knows of its target at the moment of answering.
 
-    Times are milliseconds; ``in_flight`` and ``queued`` are exact counts.
+    Times are milliseconds; ``in_flight`` and ``queued`` are exact counts. ``config_version`` is
+    the version of the configuration by which the node acted.
     """
 
     in_flight: int
@@ -14,3 +15,4 @@
     slots: int
     latency_ms: float
     leaving: bool = False
+    config_version: int = 0
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -51,6 +51,28 @@
     call_id: int
 
 
+class VersionRequestMessage(NamedTuple):
+    """Tells the own version of the configuration and asks for the peer's."""
+
+    call_id: int
+    version: int
+    digest: str
+    address: str
+    want_body: bool
+
+
+class VersionMessage(NamedTuple):
+    """Answers with the own version, and with its body when that was asked for."""
+
+    call_id: int
+    node: str
+    failure_domain: str
+    version: int
+    digest: str
+    proved: bool
+    body: bytes | None
+
+
 class PingMessage(NamedTuple):
     """Asks a member for a sign of life, in a datagram; carries changes and some digests.
 
@@ -110,6 +132,8 @@
     2: AnswerMessage,
     3: RefusedMessage,
     4: CancelMessage,
+    20: VersionRequestMessage,
+    21: VersionMessage,
     40: PingMessage,
     41: AckMessage,
     42: PingRequestMessage,
--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -69,6 +69,35 @@
     remember_dead_s: Annotated[int, Field(ge=60, le=86_400)] = 7_200
 
 
+class TokenSettings(NamedTuple):
+    """One operators' token: whose it is and its hash; the token itself is kept nowhere."""
+
+    team: Name
+    sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    services: tuple[Name, ...] = ()
+
+
+class AdministrationSettings(NamedTuple):
+    """Who may administer and how much a request may weigh."""
+
+    tokens: tuple[TokenSettings, ...] = ()
+    request_bytes: Bytes = 262_144
+    request_timeout_ms: Milliseconds = 10_000
+    connections: Annotated[int, Field(ge=1, le=10_000)] = 64
+    decisions_kept: Annotated[int, Field(ge=1, le=100_000)] = 1_000
+
+
+class ConfigurationSettings(NamedTuple):
+    """How the configuration spreads and when a node stops trusting its own."""
+
+    polls_per_second: Annotated[float, Field(gt=0, le=100)] = 4.0
+    partners: Annotated[int, Field(ge=1, le=16)] = 4
+    proof_domains: Annotated[int, Field(ge=1, le=12)] = 2
+    freeze_ms: Milliseconds = 3_000
+    behind_ms: Milliseconds = 5_000
+    cut_off_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 10_000
+
+
 class Settings(NamedTuple):
     """All settings of one node."""
 
@@ -78,6 +107,8 @@
     platform: PlatformSettings
     limits: LimitSettings = LimitSettings()
     roster: RosterSettings = RosterSettings()
+    administration: AdministrationSettings = AdministrationSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
 
 
 _ADAPTER = TypeAdapter(Settings)
--- a/packages/node/src/camphorshelf_node/admin.py
+++ b/packages/node/src/camphorshelf_node/admin.py
@@ -1,25 +1,44 @@
 """The administration listener, served by circuits.web."""
 
 import json
+from ipaddress import ip_address
+from typing import NamedTuple
 
 from circuits import handler
 from circuits.web import BaseServer
-from circuits.web.errors import httperror
+from circuits.web.events import response as response_event
 from pydantic import TypeAdapter, ValidationError
 
+from camphorshelf_core.errors import Code, Refusal
 from camphorshelf_core.roster import Announcement
 
+from .adminguard import AdminGuard
+from .reply import reply_refusal
+
 _ANNOUNCEMENT = TypeAdapter(Announcement)
 
 
+class AdminRequest(NamedTuple):
+    """One request as the handlers of the administration API see it."""
+
+    method: str
+    path: str
+    query: dict
+    token: str | None
+    body: bytes
+    from_loopback: bool
+
+
 class AdminServer(BaseServer):
-    """Takes announcements of the target beside the node and answers health checks."""
+    """Takes announcements, answers health checks and hands on what operators ask."""
 
     channel = "admin"
 
-    def __init__(self, address, node):
+    def __init__(self, address, loop, settings, node, operators):
         super().__init__(address, channel=self.channel, display_banner=False)
         self._node = node
+        self._operators = operators
+        self._guard = AdminGuard(loop, settings, self.http).register(self)
         self._routes = {
             ("POST", "/announce"): self._announce,
             ("GET", "/healthz"): self._health,
@@ -37,25 +56,80 @@
     @handler("request", priority=1)
     def _on_request(self, event, request, response):
         event.stop()
+        finished = []
+
+        def reply(status, document):
+            if finished or not self._guard.is_open(request.sock):
+                return
+            finished.append(True)
+            _fill(response, status, document)
+            self.fire(response_event(response))
+
+        try:
+            self._route(_read_request(request), reply)
+        except Exception as error:
+            # The library would answer with the traceback, which tells a stranger about the
+            # node's insides; the traceback belongs in the node's own log.
+            self._node.note_error(error)
+            reply_refusal(reply, Refusal(Code.ADMIN_FAILED, "the request failed in the node"))
+        return True
+
+    def _route(self, request, reply):
         route = self._routes.get((request.method, request.path))
-        if route is None:
-            return httperror(request, response, 404)
-        response.headers["Content-Type"] = "application/json"
-        status, document = route(request)
-        response.status = status
-        return json.dumps(document)
-
-    def _announce(self, request):
+        if route is not None:
+            route(request, reply)
+        else:
+            self._operators.handle(request, reply)
+
+    def _announce(self, request, reply):
+        if not request.from_loopback:
+            reason = "a target announces itself to the node on its own host"
+            reply_refusal(reply, Refusal(Code.NOT_FROM_LOOPBACK, reason))
+            return
         try:
-            target = _ANNOUNCEMENT.validate_python(json.loads(request.body.read()))
+            target = _ANNOUNCEMENT.validate_python(json.loads(request.body))
         except (ValueError, ValidationError) as error:
-            return 400, {"error": str(error)}
+            reply_refusal(reply, Refusal(Code.BAD_ANNOUNCEMENT, _first_line(error)))
+            return
         self._node.announce(target)
-        return 200, {"node": self._node.settings.name}
+        reply(200, {"node": self._node.settings.name})
+
+    def _health(self, request, reply):
+        reply(200, {"status": "up"})
+
+    def _ready(self, request, reply):
+        reason = self._node.find_unready_reason()
+        if reason is None:
+            reply(200, {"ready": True})
+        else:
+            reply(503, {"ready": False, "reason": reason})
+
+
+def _read_request(request):
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    return AdminRequest(
+        method=request.method,
+        path=request.path,
+        query=dict(part.partition("=")[::2] for part in request.qs.split("&") if part),
+        token=token.strip() if scheme.lower() == "bearer" else None,
+        body=request.body.read(),
+        from_loopback=ip_address(request.remote.ip.split("%")[0]).is_loopback,
+    )
+
+
+def _fill(response, status, document):
+    response.status = status
+    response.close = True
+    response.headers["Content-Type"] = "application/json"
+    if status == 401:
+        response.headers["WWW-Authenticate"] = "Bearer"
+    if "retry_after_ms" in document:
+        response.headers["Retry-After"] = str(-(-document["retry_after_ms"] // 1000))
+    response.body = json.dumps(document)
 
-    def _health(self, request):
-        return 200, {"status": "up"}
 
-    def _ready(self, request):
-        ready = self._node.ready
-        return (200 if ready else 503), {"ready": ready}
+def _first_line(error):
+    if isinstance(error, ValidationError):
+        problem = error.errors()[0]
+        return f"{'.'.join(str(part) for part in problem['loc'])}: {problem['msg']}"
+    return f"not JSON: {error}"
--- a/packages/node/src/camphorshelf_node/dispatch.py
+++ b/packages/node/src/camphorshelf_node/dispatch.py
@@ -14,7 +14,7 @@
 class Dispatcher:
     """Routes exchanges that passed the filters."""
 
-    def __init__(self, loop, settings, incarnation, roster, gatekeeper, log, random):
+    def __init__(self, loop, settings, incarnation, roster, gatekeeper, log, random, configuration):
         self._loop = loop
         self._settings = settings
         self._incarnation = incarnation
@@ -22,6 +22,7 @@
         self._gatekeeper = gatekeeper
         self._log = log
         self._random = random
+        self._configuration = configuration
         self._numbers = 0
         self._links = {}
 
@@ -82,7 +83,9 @@
         if chosen.address == dispatcher._settings.listen.peers:
             self._cancel = dispatcher._gatekeeper.run(message, self._on_local)
         else:
-            self._cancel = dispatcher.link(chosen.address).call(message, self._on_remote)
+            link = dispatcher.link(chosen.address)
+            dispatcher._configuration.ride_on(link, chosen.address)
+            self._cancel = link.call(message, self._on_remote)
 
     def _message(self, wait):
         request = self._exchange.request
@@ -120,6 +123,9 @@
 
     def _finish(self, result, load):
         self._timer.cancel()
+        if load is not None:
+            configuration = self._dispatcher._configuration
+            configuration.hear_from(self._chosen.address, load.config_version)
         self._dispatcher._roster.note_done(self._chosen.target, load)
         if isinstance(result, Refusal):
             self._exchange.refuse(result)
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/explain.py
@@ -0,0 +1,44 @@
+"""Keeps the node's last decisions, so that operators can ask why a call went where it did."""
+
+import time
+from collections import deque
+from typing import NamedTuple
+
+
+class Decision(NamedTuple):
+    """One routing or placement decision; ``at`` is the wall clock's time."""
+
+    at: float
+    kind: str
+    fields: dict
+
+
+class Decisions:
+    """The newest decisions in a ring of fixed size, so that its memory is bounded."""
+
+    def __init__(self, limit):
+        self._ring = deque(maxlen=limit)
+
+    def __len__(self):
+        return len(self._ring)
+
+    def note(self, kind, fields):
+        """Keep a decision in place of the oldest one.
+
+        :param kind: what was decided.
+        :param fields: its reasons.
+        :return: None.
+        """
+        self._ring.append(Decision(time.time(), kind, fields))
+
+    def find(self, call):
+        """Find the decisions about a call.
+
+        :param call: the attempt or request id.
+        :return: a list of :class:`Decision`, oldest first.
+        """
+        return [
+            one
+            for one in self._ring
+            if call in (one.fields.get("attempt"), one.fields.get("request"))
+        ]
--- a/packages/node/src/camphorshelf_node/gatekeeper.py
+++ b/packages/node/src/camphorshelf_node/gatekeeper.py
@@ -22,13 +22,14 @@
         self._gate = Gate(slots=0, queue_limit=0)
         self._client = None
         self._latency_ms = 0.0
+        self._leaving = False
         self.target = None
 
     @property
     def load(self):
         """The load report of this moment."""
         gate = self._gate
-        return LoadReport(gate.in_flight, gate.queued, gate.slots, self._latency_ms)
+        return LoadReport(gate.in_flight, gate.queued, gate.slots, self._latency_ms, self._leaving)
 
     def announce(self, target):
         """Take note of the target that announced itself.
@@ -48,6 +49,14 @@
         )
         return True
 
+    def set_leaving(self, leaving):
+        """Close or open the door of the target for new calls.
+
+        :param leaving: True to close it.
+        :return: None.
+        """
+        self._leaving = leaving
+
     def run(self, call, on_done):
         """Run a call at the target, or refuse it.
 
@@ -59,6 +68,9 @@
             refusal = Refusal(Code.NO_TARGET, "no such target beside this node")
             on_done(refusal, self.load)
             return lambda: None
+        if self._leaving:
+            on_done(Refusal(Code.TARGET_LEAVING, "the target is leaving"), self.load)
+            return lambda: None
         work = _Work(self, self._gate, self._client, call, on_done)
         now = self._loop.now()
         ticket = Ticket(now + call.deadline_ms / 1000, work.start, work.refuse)
--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -108,6 +108,7 @@
         self._ids = itertools.count(1)
         self._pending = {}
         self.unknown_answers = 0
+        self.told_version = None
         uri = parse_uri(f"ws://{host}:{port}/")
         protocol = ClientProtocol(uri, max_size=_MAX_MESSAGE)
         stream = dial(loop, address)
@@ -215,15 +216,26 @@
             cancel()
 
 
-def make_call_handler(gatekeeper):
+def make_call_handler(gatekeeper, configuration):
     """Make the handler that runs calls at the target beside the node.
 
     :param gatekeeper: the node's :class:`~camphorshelf_node.gatekeeper.Gatekeeper`.
+    :param configuration: the node's :class:`~camphorshelf_node.config.Configuration`.
     :return: the handler of :class:`CallMessage`.
     """
 
+    def finish(reply, result, load):
+        version = configuration.held.version
+        reply(_make_answer(result, load._replace(config_version=version)))
+
     def handle(message, reply):
-        return gatekeeper.run(message, lambda result, load: reply(_make_answer(result, load)))
+        # A woken or fresh node may not know yet that its own target is leaving; an entry node
+        # that does not know either would get new work through this door.
+        refusal = configuration.find_refusal()
+        if refusal is not None:
+            finish(reply, refusal, gatekeeper.load)
+            return None
+        return gatekeeper.run(message, lambda result, load: finish(reply, result, load))
 
     return handle
 
--- a/packages/node/src/camphorshelf_node/log.py
+++ b/packages/node/src/camphorshelf_node/log.py
@@ -6,8 +6,9 @@
 class Log:
     """Writes structured lines through logbook."""
 
-    def __init__(self, name):
+    def __init__(self, name, decisions):
         self._logger = logbook.Logger(name)
+        self._decisions = decisions
 
     def decision(self, kind, **fields):
         """Write the line of a routing or placement decision.
@@ -16,9 +17,18 @@
         :param fields: the reasons.
         :return: None.
         """
+        self._decisions.note(kind, fields)
         if self._logger.level <= logbook.DEBUG:
             self._logger.debug("{} {}", kind, " ".join(f"{k}={v}" for k, v in fields.items()))
 
+    def error(self, error):
+        """Write the line of an error that was answered for, with its traceback.
+
+        :param error: the exception.
+        :return: None.
+        """
+        self._logger.error("{!r}", error, exc_info=(type(error), error, error.__traceback__))
+
     def info(self, text):
         """Write a line about the node itself.
 
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -6,12 +6,19 @@
 
 from circuits import Component, handler
 
-from camphorshelf_core.messages import CallMessage, SnapshotRequestMessage
+from camphorshelf_core.messages import CallMessage, SnapshotRequestMessage, VersionRequestMessage
 from camphorshelf_core.settings import split_address
 
 from .admin import AdminServer
+from .config import Configuration
 from .dispatch import Dispatcher
-from .filters import make_chain, make_deadline_filter, make_identity_filter
+from .explain import Decisions
+from .filters import (
+    make_chain,
+    make_configuration_filter,
+    make_deadline_filter,
+    make_identity_filter,
+)
 from .gatekeeper import Gatekeeper
 from .gossip import Gossip
 from .http import HttpConnection
@@ -19,6 +26,7 @@
 from .links import PeerServer, make_call_handler
 from .log import Log
 from .loop import Loop
+from .operators import NoQuarantine, Operators
 from .platform import Platform
 from .roster import Roster
 from .streams import listen
@@ -37,19 +45,30 @@
         self.settings = settings
         self.incarnation = os.urandom(_INCARNATION_BYTES).hex()
         self._loop = Loop().register(self)
-        self._log = Log(settings.name)
+        self._decisions = Decisions(settings.administration.decisions_kept)
+        self._log = Log(settings.name, self._decisions)
         self._platform = Platform(self._loop, settings.platform)
         self._gossip = Gossip(self._loop, settings, self.incarnation)
-        self._roster = Roster(self._gossip)
+        self._configuration = Configuration(
+            self._loop,
+            settings,
+            self.incarnation,
+            self._platform,
+            self._gossip,
+            lambda address: self._dispatcher.link(address),
+            self._log,
+        )
+        self._roster = Roster(self._gossip, self._configuration)
         self._join = Join(self._loop, settings, self._gossip, self._platform, self._log)
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
         self._peer_handlers = {
-            CallMessage: make_call_handler(self._gatekeeper),
+            CallMessage: make_call_handler(self._gatekeeper, self._configuration),
+            VersionRequestMessage: self._configuration.answer_peer,
             SnapshotRequestMessage: self._join.answer_snapshot,
         }
         self._connections = set()
         self._stopping = False
-        dispatcher = Dispatcher(
+        self._dispatcher = Dispatcher(
             self._loop,
             settings,
             self.incarnation,
@@ -57,18 +76,55 @@
             self._gatekeeper,
             self._log,
             random.Random(self.incarnation),
+            self._configuration,
         )
         filters = (
+            make_configuration_filter(self._configuration),
             make_identity_filter(self._roster.knows),
             make_deadline_filter(settings.limits, self._loop),
         )
-        self._handle = make_chain(filters, dispatcher.dispatch)
-        self._admin = AdminServer(split_address(settings.listen.admin), self).register(self)
+        self._handle = make_chain(filters, self._dispatcher.dispatch)
+        operators = Operators(
+            settings,
+            self._configuration,
+            self._platform,
+            self._roster,
+            self._decisions,
+            NoQuarantine(),
+        )
+        self._admin = AdminServer(
+            split_address(settings.listen.admin),
+            self._loop,
+            settings.administration,
+            self,
+            operators,
+        ).register(self)
+        self._configuration.on_change(self._apply_configuration)
 
     @property
     def ready(self):
         """Whether callers should send requests here."""
-        return self._join.is_joined and not self._stopping
+        return self.find_unready_reason() is None
+
+    def find_unready_reason(self):
+        """Tell why callers should not send requests here.
+
+        :return: a sentence, or None when they should.
+        """
+        if self._stopping:
+            return "the node is stopping"
+        if not self._join.is_joined:
+            return "the node has not found its peers yet"
+        refusal = self._configuration.find_refusal()
+        return None if refusal is None else refusal.reason
+
+    def note_error(self, error):
+        """Write an error of a handler to the log.
+
+        :param error: the exception.
+        :return: None.
+        """
+        self._log.error(error)
 
     def announce(self, target):
         """Take an announcement of the target beside this node.
@@ -77,10 +133,17 @@
         :return: None.
         """
         if self._gatekeeper.announce(target):
+            self._apply_configuration()
             self._gossip.change_own(target=target)
             self._join.write_row()
             self._log.info(f"target announced: {target.service} at {target.address}")
 
+    def _apply_configuration(self):
+        target = self._gatekeeper.target
+        if target is not None:
+            leaving = self._configuration.is_leaving(target.service, self.settings.name)
+            self._gatekeeper.set_leaving(leaving)
+
     @handler("started", channel="*")
     def _on_started(self, _manager):
         signal.signal(signal.SIGTERM, self._on_signal)
@@ -94,6 +157,7 @@
         )
         self._gossip.start()
         self._join.start()
+        self._configuration.start()
         self._log.info(f"listening for callers on {listening.callers}")
 
     def _on_caller(self, stream, _peer):
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/operators.py
@@ -0,0 +1,292 @@
+"""The operators' part of the administration API: plan, confirm, state, history, explanation."""
+
+import json
+import time
+
+from returns.result import Success
+
+from camphorshelf_core.config import TargetIntent
+from camphorshelf_core.confirm import (
+    MAX_HISTORY,
+    Planned,
+    confirm_steps,
+    history_steps,
+    plan_steps,
+    read_plan_steps,
+)
+from camphorshelf_core.errors import Code, Refusal
+from camphorshelf_core.intents import parse_intents, read_wishes
+from camphorshelf_core.teams import find_operator
+
+from .reply import reply_refusal
+from .steps import run_steps
+
+_DEFAULT_HISTORY = 20
+
+
+class Operators:
+    """Answers requests that carry an operator's token; without one nothing is told."""
+
+    def __init__(self, settings, configuration, platform, roster, decisions, quarantine):
+        self._settings = settings
+        self._configuration = configuration
+        self._platform = platform
+        self._roster = roster
+        self._decisions = decisions
+        self._quarantine = quarantine
+        self._routes = {
+            "status": {"GET": self._status},
+            "plans": {"POST": self._plan, "GET": self._show_plan},
+            "confirm": {"POST": self._confirm},
+            "history": {"GET": self._history},
+            "explain": {"GET": self._explain},
+            "quarantines": {"GET": self._list_quarantines, "DELETE": self._lift_quarantine},
+        }
+
+    def handle(self, request, reply):
+        """Answer a request.
+
+        :param request: the :class:`~camphorshelf_node.admin.AdminRequest`.
+        :param reply: takes the HTTP status and the document.
+        :return: None.
+        """
+        operator = None
+        if request.token is not None:
+            operator = find_operator(self._settings.administration.tokens, request.token)
+        if operator is None:
+            reason = "a valid bearer token is required"
+            reply_refusal(reply, Refusal(Code.UNAUTHENTICATED, reason))
+            return
+        route, argument = self._find_route(request.path)
+        if route is None:
+            reply_refusal(reply, Refusal(Code.UNKNOWN_RESOURCE, "there is no such resource"))
+        elif request.method not in route:
+            allowed = ", ".join(sorted(route))
+            reply_refusal(reply, Refusal(Code.WRONG_METHOD, f"allowed here: {allowed}"))
+        else:
+            route[request.method](operator, request, argument, reply)
+
+    def _find_route(self, path):
+        version, _, rest = path.strip("/").partition("/")
+        name, _, argument = rest.partition("/")
+        if version != "v1":
+            return None, None
+        if name == "plans" and argument.endswith("/confirm"):
+            return self._routes["confirm"], argument.removesuffix("/confirm")
+        return self._routes.get(name), argument
+
+    def _status(self, operator, _request, _argument, reply):
+        held = self._configuration.held
+        refusal = self._configuration.find_refusal()
+        names = {*self._roster.services(), *self._configuration.services}
+        reply(
+            200,
+            {
+                "node": self._settings.name,
+                "failure_domain": self._settings.failure_domain,
+                "version": held.version,
+                "digest": held.digest,
+                "in_force": refusal is None,
+                "reason": None if refusal is None else refusal.reason,
+                "services": {
+                    name: self._describe_service(name)
+                    for name in sorted(names)
+                    if self._in_scope(operator, name)
+                },
+            },
+        )
+
+    def _describe_service(self, name):
+        config = self._configuration.services.get(name)
+        intents = config.targets if config is not None else {}
+        candidates = {one.target: one for one in self._roster.candidates(name)}
+        return {
+            "owner": config.owner if config is not None else "",
+            "targets": [
+                _describe_target(target, candidates.get(target), intents.get(target))
+                for target in sorted({*candidates, *intents})
+            ],
+        }
+
+    def _in_scope(self, operator, service):
+        """Rivals share the platform: a team sees what it owns or may own, and no more."""
+        config = self._configuration.services.get(service)
+        if config is not None and config.owner:
+            return config.owner == operator.team
+        return service in operator.services
+
+    def _plan(self, operator, request, argument, reply):
+        if argument:
+            reply_refusal(reply, Refusal(Code.WRONG_METHOD, "a stored plan cannot be changed"))
+            return
+        wishes = _read_intents(request.body)
+        if not isinstance(wishes, Success):
+            reply_refusal(reply, wishes.failure())
+            return
+        self._run_plan(operator, wishes.unwrap(), lambda result: _reply_plan(reply, result))
+
+    def _run_plan(self, operator, wishes, on_done):
+        targets = {
+            service: {one.target: one.slots for one in self._roster.candidates(service)}
+            for service in {wish.service for wish in wishes}
+        }
+        steps = plan_steps(wishes, operator, targets, int(time.time()))
+        run_steps(steps, self._platform, on_done)
+
+    def _show_plan(self, operator, _request, digest, reply):
+        def done(result):
+            if isinstance(result, Planned) and operator.team not in result.plan.confirmers:
+                # Told in the same words as a plan that is not there: another team's plans are
+                # not to be found out by asking.
+                result = Refusal(Code.UNKNOWN_PLAN, "there is no plan of this digest")
+            _reply_plan(reply, result, status=200)
+
+        run_steps(read_plan_steps(digest), self._platform, done)
+
+    def _confirm(self, operator, _request, digest, reply):
+        def done(result):
+            if not isinstance(result, Refusal):
+                self._configuration.confirm(result.head, result.body)
+                version = {"version": result.version, "digest": result.head.digest}
+                reply(200, {**version, "newest": result.head.version, "plan": digest})
+            elif result.code is Code.CONFLICT:
+                self._plan_again(operator, digest, result, reply)
+            else:
+                reply_refusal(reply, result, plan=digest)
+
+        run_steps(confirm_steps(digest, operator), self._platform, done)
+
+    def _plan_again(self, operator, digest, conflict, reply):
+        """Give the loser of a race what its changes would do to the winner's version."""
+
+        def done(result):
+            fresh = _describe_plan(result) if isinstance(result, Planned) else None
+            reason = None if fresh is not None else result.reason
+            reply_refusal(reply, conflict, plan=digest, fresh_plan=fresh, no_fresh_plan=reason)
+
+        def plan(result):
+            if isinstance(result, Refusal):
+                done(result)
+            else:
+                self._run_plan(operator, read_wishes(result.plan.changes), done)
+
+        run_steps(read_plan_steps(digest), self._platform, plan)
+
+    def _history(self, operator, request, _argument, reply):
+        limit = request.query.get("limit", str(_DEFAULT_HISTORY))
+        if not limit.isdigit() or not 1 <= int(limit) <= MAX_HISTORY:
+            reason = f"limit: must be 1 to {MAX_HISTORY}; saw {limit:.20}"
+            reply_refusal(reply, Refusal(Code.MALFORMED_REQUEST, reason))
+            return
+
+        def done(result):
+            if isinstance(result, Refusal):
+                reply_refusal(reply, result)
+            else:
+                versions = [self._describe_version(operator, one) for one in result]
+                reply(200, {"versions": versions})
+
+        run_steps(history_steps(int(limit)), self._platform, done)
+
+    def _describe_version(self, operator, document):
+        seen = [one for one in document.changes if self._in_scope(operator, one.service)]
+        if operator.team in document.confirmed_by:
+            seen = list(document.changes)
+        return {
+            "version": document.version,
+            "planned_at": document.planned_at,
+            "planned_by": document.planned_by if seen else None,
+            "confirmed_by": list(document.confirmed_by) if seen else [],
+            "plan": document.plan if seen else None,
+            "changes": [change._asdict() for change in seen],
+            "hidden_changes": len(document.changes) - len(seen),
+        }
+
+    def _explain(self, operator, _request, call, reply):
+        found = [
+            one
+            for one in self._decisions.find(call)
+            if self._in_scope(operator, one.fields.get("service"))
+        ]
+        if not found:
+            reason = "this node remembers no decision about such a call of your services"
+            reply_refusal(reply, Refusal(Code.UNKNOWN_CALL, reason))
+            return
+        decisions = [{"at": one.at, "kind": one.kind, **one.fields} for one in found]
+        reply(200, {"call": call, "node": self._settings.name, "decisions": decisions})
+
+    def _list_quarantines(self, operator, _request, _argument, reply):
+        rows = self._quarantine.list_entries()
+        seen = [row for row in rows if self._in_scope(operator, row["service"])]
+        reply(200, {"quarantines": seen})
+
+    def _lift_quarantine(self, operator, _request, entry, reply):
+        rows = {row["id"]: row for row in self._quarantine.list_entries()}
+        row = rows.get(entry)
+        if row is None or not self._in_scope(operator, row["service"]):
+            reply_refusal(reply, Refusal(Code.UNKNOWN_QUARANTINE, "there is no such quarantine"))
+            return
+        self._quarantine.lift(entry)
+        reply(200, {"lifted": entry})
+
+
+class NoQuarantine:
+    """Stands in where nothing is ever quarantined."""
+
+    def list_entries(self):
+        """List what is quarantined.
+
+        :return: a list of documents with ``id`` and ``service``.
+        """
+        return []
+
+    def lift(self, entry):
+        """Let a quarantined request run again.
+
+        :param entry: its id.
+        :return: None.
+        """
+
+
+def _describe_target(name, candidate, intent):
+    intent = intent or TargetIntent()
+    document = {"target": name, "state": intent.state, "weight": intent.weight}
+    if candidate is None:
+        return {**document, "known": False}
+    return {
+        **document,
+        "known": True,
+        "failure_domain": candidate.failure_domain,
+        "slots": candidate.slots,
+        "in_flight": candidate.reported_in_flight,
+        "leaving": candidate.leaving,
+    }
+
+
+def _read_intents(body):
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        document = None
+    intents = document.get("intents") if isinstance(document, dict) else None
+    return parse_intents(intents)
+
+
+def _describe_plan(planned):
+    plan = planned.plan
+    return {
+        "plan": planned.digest,
+        "base": plan.base,
+        "changes": [change._asdict() for change in plan.changes],
+        "effect": list(plan.effect),
+        "confirmers": list(plan.confirmers),
+        "planned_by": plan.planned_by,
+        "planned_at": plan.planned_at,
+    }
+
+
+def _reply_plan(reply, result, status=201):
+    if isinstance(result, Refusal):
+        reply_refusal(reply, result)
+    else:
+        reply(status, _describe_plan(result))
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/reply.py
@@ -0,0 +1,50 @@
+"""The JSON answers of the administration API."""
+
+import json
+
+from camphorshelf_core.errors import http_status
+
+
+def describe_refusal(refusal):
+    """Turn a refusal into the body of an answer.
+
+    :param refusal: the :class:`~camphorshelf_core.errors.Refusal`.
+    :return: a document.
+    """
+    document = {
+        "code": int(refusal.code),
+        "name": refusal.code.name,
+        "error": refusal.reason,
+    }
+    if refusal.retry_after_ms is not None:
+        document["retry_after_ms"] = refusal.retry_after_ms
+    return document
+
+
+def reply_refusal(reply, refusal, **more):
+    """Answer with a refusal.
+
+    :param reply: the request's reply function.
+    :param refusal: the :class:`Refusal`.
+    :param more: further fields of the answer's document.
+    :return: None.
+    """
+    reply(http_status(refusal.code), {**describe_refusal(refusal), **more})
+
+
+def render_error(code, reason):
+    """Turn an error into a whole HTTP answer that ends its connection.
+
+    :param code: the :class:`~camphorshelf_core.errors.Code`.
+    :param reason: one sentence.
+    :return: the bytes.
+    """
+    document = {"code": int(code), "name": code.name, "error": reason}
+    body = json.dumps(document).encode()
+    lines = (
+        f"HTTP/1.1 {http_status(code)} Refused",
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+    )
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/packages/node/src/camphorshelf_node/roster.py
+++ b/packages/node/src/camphorshelf_node/roster.py
@@ -6,7 +6,8 @@
 class Roster:
     """Keeps the members in use by service, and what is known of their load."""
 
-    def __init__(self, gossip):
+    def __init__(self, gossip, configuration):
+        self._configuration = configuration
         self._services = {}
         self._own_in_flight = {}
         self._load = {}
@@ -20,6 +21,13 @@
         """
         return service in self._services
 
+    def services(self):
+        """List the services that some target serves.
+
+        :return: a list of names.
+        """
+        return list(self._services)
+
     def members(self, service):
         """List the members whose target serves a service.
 
@@ -64,9 +72,14 @@
             own_in_flight=self._own_in_flight.get(member.node, 0),
             reported_in_flight=load.in_flight + load.queued if load else 0,
             slots=member.target.slots,
-            leaving=load.leaving if load else False,
+            leaving=self._is_leaving(member, load),
         )
 
+    def _is_leaving(self, member, load):
+        if self._configuration.is_leaving(member.target.service, member.node):
+            return True
+        return load.leaving if load else False
+
     def _on_member(self, old, new):
         if old is not None and old.target is not None:
             members = self._services.get(old.target.service, {})
