--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -73,6 +73,10 @@
     body: bytes | None
 
 
+class GoodbyeMessage(NamedTuple):
+    """Asks the peer to send no more calls: this node stops when it has answered those it has."""
+
+
 class PingMessage(NamedTuple):
     """Asks a member for a sign of life, in a datagram; carries changes and some digests.
 
@@ -132,6 +136,7 @@
     2: AnswerMessage,
     3: RefusedMessage,
     4: CancelMessage,
+    5: GoodbyeMessage,
     20: VersionRequestMessage,
     21: VersionMessage,
     40: PingMessage,
--- a/packages/node/src/camphorshelf_node/admin.py
+++ b/packages/node/src/camphorshelf_node/admin.py
@@ -13,6 +13,7 @@
 from camphorshelf_core.roster import Announcement
 
 from .adminguard import AdminGuard
+from .metrics import CONTENT_TYPE
 from .reply import reply_refusal
 
 _ANNOUNCEMENT = TypeAdapter(Announcement)
@@ -34,15 +35,18 @@
 
     channel = "admin"
 
-    def __init__(self, address, loop, settings, node, operators):
+    def __init__(self, address, loop, settings, node, operators, on_fault):
         super().__init__(address, channel=self.channel, display_banner=False)
         self._node = node
         self._operators = operators
+        self._on_fault = on_fault
+        self._own_ip = ip_address(address[0])
         self._guard = AdminGuard(loop, settings, self.http).register(self)
         self._routes = {
             ("POST", "/announce"): self._announce,
             ("GET", "/healthz"): self._health,
             ("GET", "/readyz"): self._ready,
+            ("GET", "/metrics"): self._tell_metrics,
         }
 
     @handler("ready", override=True)
@@ -66,11 +70,11 @@
             self.fire(response_event(response))
 
         try:
-            self._route(_read_request(request), reply)
+            self._route(_read_request(request, self._own_ip), reply)
         except Exception as error:
             # The library would answer with the traceback, which tells a stranger about the
             # node's insides; the traceback belongs in the node's own log.
-            self._node.note_error(error)
+            self._on_fault(error)
             reply_refusal(reply, Refusal(Code.ADMIN_FAILED, "the request failed in the node"))
         return True
 
@@ -97,6 +101,9 @@
     def _health(self, request, reply):
         reply(200, {"status": "up"})
 
+    def _tell_metrics(self, _request, reply):
+        reply(200, self._node.metrics.render())
+
     def _ready(self, request, reply):
         reason = self._node.find_unready_reason()
         if reason is None:
@@ -105,7 +112,9 @@
             reply(503, {"ready": False, "reason": reason})
 
 
-def _read_request(request):
+def _read_request(request, own_ip):
+    # A connection from the listener's own address comes from this host as well.
+    remote = ip_address(request.remote.ip.split("%")[0])
     scheme, _, token = request.headers.get("Authorization", "").partition(" ")
     return AdminRequest(
         method=request.method,
@@ -113,13 +122,17 @@
         query=dict(part.partition("=")[::2] for part in request.qs.split("&") if part),
         token=token.strip() if scheme.lower() == "bearer" else None,
         body=request.body.read(),
-        from_loopback=ip_address(request.remote.ip.split("%")[0]).is_loopback,
+        from_loopback=remote.is_loopback or remote == own_ip,
     )
 
 
 def _fill(response, status, document):
     response.status = status
     response.close = True
+    if isinstance(document, str):
+        response.headers["Content-Type"] = CONTENT_TYPE
+        response.body = document
+        return
     response.headers["Content-Type"] = "application/json"
     if status == 401:
         response.headers["WWW-Authenticate"] = "Bearer"
