Put operators' plans in force by one compare-and-set and prove each version before acting on it

Two operators, a lost answer or a woken node must not undo or repeat what was confirmed. Ruled out: a lease or clock on the configuration (a paused process would believe in it), a table read by each node each second (2,100 reads of the table's two thousand), gossip alone (a fresh or woken node cannot tell the last value it hears from the newest). Admin: test seen to fail on an over-long head that came in one piece, then mended.

--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocol, checked exhaustively."""
--- /dev/null
+++ b/packages/cli/src/camphorshelf_cli/commands.py
@@ -0,0 +1,184 @@
+"""What operators can do from the command line."""
+
+import hashlib
+import json
+import secrets
+import sys
+from importlib.metadata import version as read_version
+from urllib.parse import quote
+
+import json5
+from returns.result import Success
+
+from camphorshelf_core.settings import read_settings
+
+from .client import ask, find_node
+from .tables import render_explanation, render_history, render_plan, render_status
+
+EXIT_BAD_USAGE = 2
+EXIT_NO_CONNECTION = 3
+# Result codes of the administration API are 401 and up, exit codes end at 255: 401 gives 11.
+_EXIT_BASE = 390
+_TOKEN_BYTES = 32
+
+
+class Commands:
+    """Plans, confirms and looks at the configuration of a camphorshelf deployment.
+
+    The node to ask is --node IP:PORT or CAMPHORSHELF_NODE, the token is read from
+    CAMPHORSHELF_TOKEN or from the file named by CAMPHORSHELF_TOKEN_FILE.
+    """
+
+    def plan(self, *intents, file=None, node=None, json=False):
+        """Show what intents would change, without changing it.
+
+        :param intents: each like "counter/a1 leave", "counter/a1 weight=50",
+            "counter owner=flock", "counter POST class=deferrable", "counter POST idempotent=yes"
+            or "counter caller:shop-7 share=30".
+        :param file: a file with the intents instead, as JSON with comments.
+        :param node: which node to ask.
+        :param json: print JSON for programs.
+        """
+        wishes = _read_file(file) if file is not None else [_read_intent(one) for one in intents]
+        _show("POST", "/v1/plans", node, json, render_plan, {"intents": wishes})
+
+    def show(self, plan, node=None, json=False):
+        """Show a stored plan.
+
+        :param plan: the plan's digest.
+        :param node: which node to ask.
+        :param json: print JSON for programs.
+        """
+        _show("GET", f"/v1/plans/{_quoted(plan)}", node, json, render_plan)
+
+    def confirm(self, plan, node=None, json=False):
+        """Put a plan in force; may be repeated.
+
+        :param plan: the plan's digest.
+        :param node: which node to ask.
+        :param json: print JSON for programs.
+        """
+        path = f"/v1/plans/{_quoted(plan)}/confirm"
+        _show("POST", path, node, json, lambda one: f"version {one['version']} is in force")
+
+    def status(self, node=None, json=False):
+        """Show the targets of the team's services and what is wanted of them.
+
+        :param node: which node to ask.
+        :param json: print JSON for programs.
+        """
+        _show("GET", "/v1/status", node, json, render_status)
+
+    def history(self, limit=20, node=None, json=False):
+        """Show the newest confirmed versions.
+
+        :param limit: how many.
+        :param node: which node to ask.
+        :param json: print JSON for programs.
+        """
+        _show("GET", f"/v1/history?limit={_quoted(limit)}", node, json, render_history)
+
+    def explain(self, call, node=None, json=False):
+        """Show why a call went where it did.
+
+        :param call: the id from the header Camphorshelf-Call of its answer.
+        :param node: the node that took the call.
+        :param json: print JSON for programs.
+        """
+        _show("GET", f"/v1/explain/{_quoted(call)}", node, json, render_explanation)
+
+    def check(self, path):
+        """Check a settings file.
+
+        :param path: the file's path.
+        """
+        result = read_settings(path)
+        if not isinstance(result, Success):
+            _end(EXIT_BAD_USAGE, result.failure())
+        print(f"{path}: good")
+
+    def token(self):
+        """Make a token and the hash that belongs into the nodes' settings."""
+        token = secrets.token_urlsafe(_TOKEN_BYTES)
+        print(f"token   {token}")
+        print(f"sha256  {hashlib.sha256(token.encode()).hexdigest()}")
+
+    def version(self):
+        """Show the version of this program."""
+        print(read_version("camphorshelf-cli"))
+
+
+def _show(method, path, node, as_json, render, document=None):
+    result = ask(find_node(node), method, path, document)
+    if not isinstance(result, Success):
+        _end(EXIT_NO_CONNECTION, result.failure())
+    answer = result.unwrap()
+    refused = "code" in answer.document
+    if as_json:
+        print(json.dumps(answer.document, indent=2))
+    elif not refused:
+        print(render(answer.document))
+    if refused:
+        _explain_refusal(answer.document, as_json)
+        sys.exit(answer.document["code"] - _EXIT_BASE)
+
+
+def _explain_refusal(document, as_json):
+    print(f"{document['code']} {document['name']}: {document['error']}", file=sys.stderr)
+    if not as_json and document.get("fresh_plan"):
+        print("the same changes on the version now in force:", file=sys.stderr)
+        print(render_plan(document["fresh_plan"]), file=sys.stderr)
+
+
+def _read_file(path):
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = json5.loads(file.read())
+    except OSError as error:
+        _end(EXIT_BAD_USAGE, f"{path}: {error.strerror}")
+    except ValueError as error:
+        _end(EXIT_BAD_USAGE, f"{path}: not JSON with comments: {error}")
+    return document.get("intents") if isinstance(document, dict) else document
+
+
+_STATES = frozenset({"take", "leave"})
+_FLAGS = {"yes": True, "no": False}
+_NUMBERS = frozenset({"weight", "share"})
+
+
+def _read_intent(text):
+    """Turn one intent of the command line into the form of the API."""
+    subject, *words = str(text).split()
+    service, slash, target = subject.partition("/")
+    intent = {"service": service}
+    if slash:
+        intent["target"] = target
+    for word in words:
+        intent.update(_read_word(word, text))
+    return intent
+
+
+def _read_word(word, text):
+    key, equals, value = word.partition("=")
+    if word in _STATES:
+        return {"state": word}
+    if word.startswith("caller:"):
+        return {"caller": word.removeprefix("caller:")}
+    if not equals:
+        if not word.isupper():
+            _end(EXIT_BAD_USAGE, f"{text!r}: {word!r} is not understood; see camphorshelf plan -h")
+        return {"method": word}
+    if key in _NUMBERS and value.isdigit():
+        return {key: int(value)}
+    if key == "idempotent":
+        return {key: _FLAGS.get(value, value)}
+    return {"request_class" if key == "class" else key: value}
+
+
+def _quoted(value):
+    return quote(str(value), safe="")
+
+
+def _end(code, text):
+    print(text, file=sys.stderr)
+    sys.exit(code)
--- a/packages/cli/src/camphorshelf_cli/main.py
+++ b/packages/cli/src/camphorshelf_cli/main.py
@@ -1,26 +1,8 @@
 """The command line for operators."""
 
-import sys
-
 import fire
-from returns.result import Success
-
-from camphorshelf_core.settings import read_settings
-
-EXIT_BAD_SETTINGS = 2
 
-
-def check(path):
-    """Check a settings file.
-
-    :param path: the file's path.
-    :return: one line that says the file is good.
-    """
-    result = read_settings(path)
-    if not isinstance(result, Success):
-        print(result.failure(), file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
-    return f"{path}: good"
+from .commands import Commands
 
 
 def main():
@@ -28,4 +10,4 @@
 
     :return: None.
     """
-    fire.Fire({"check": check})
+    fire.Fire(Commands, name="camphorshelf")
--- /dev/null
+++ b/packages/cli/src/camphorshelf_cli/tables.py
@@ -0,0 +1,101 @@
+"""Tables for people."""
+
+import time
+
+
+def render_table(header, rows):
+    """Lay rows out in columns.
+
+    :param header: the columns' names.
+    :param rows: tuples of values.
+    :return: the lines as one text.
+    """
+    cells = [tuple(header), *[tuple(_cell(value) for value in row) for row in rows]]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return "\n".join(_line(row, widths) for row in cells)
+
+
+def render_plan(document):
+    """Tell what a plan does.
+
+    :param document: the plan as the node described it.
+    :return: the lines as one text.
+    """
+    lines = [f"plan {document['plan']} on version {document['base']}"]
+    lines.extend(f"  {sentence}" for sentence in document["effect"])
+    confirmers = " and ".join(document["confirmers"])
+    lines.append(f"nothing has changed yet; to be confirmed by {confirmers}:")
+    lines.append(f"  camphorshelf confirm {document['plan']}")
+    return "\n".join(lines)
+
+
+def render_status(document):
+    """Tell the state of the targets.
+
+    :param document: the node's status.
+    :return: the lines as one text.
+    """
+    rows = [
+        (
+            name,
+            service["owner"] or "nobody",
+            target["target"],
+            target["state"],
+            target["weight"],
+            target.get("in_flight", ""),
+            target.get("slots", ""),
+            target.get("failure_domain", "unknown here"),
+        )
+        for name, service in document["services"].items()
+        for target in service["targets"]
+    ]
+    header = ("SERVICE", "OWNER", "TARGET", "STATE", "WEIGHT", "BUSY", "SLOTS", "DOMAIN")
+    force = "in force" if document["in_force"] else f"NOT IN FORCE: {document['reason']}"
+    title = f"node {document['node']}: configuration {document['version']}, {force}"
+    return f"{title}\n{render_table(header, rows)}"
+
+
+def render_history(document):
+    """Tell the confirmed versions.
+
+    :param document: the node's history.
+    :return: the lines as one text.
+    """
+    header = ("VERSION", "PLANNED", "BY", "SERVICE", "CHANGE", "BEFORE", "AFTER")
+    rows = []
+    for version in document["versions"]:
+        start = (version["version"], _moment(version["planned_at"]), version["planned_by"] or "-")
+        for change in version["changes"]:
+            what = f"{change['field']} {change['name']}".strip()
+            rows.append((*start, change["service"], what, change["before"], change["after"]))
+        if version["hidden_changes"]:
+            hidden = f"{version['hidden_changes']} of other teams"
+            rows.append((*start, "-", hidden, "", ""))
+    return render_table(header, rows)
+
+
+def render_explanation(document):
+    """Tell the decisions about a call.
+
+    :param document: the node's explanation.
+    :return: the lines as one text.
+    """
+    lines = [f"call {document['call']} at node {document['node']}"]
+    for decision in document["decisions"]:
+        fields = {key: value for key, value in decision.items() if key not in ("at", "kind")}
+        reasons = " ".join(f"{key}={value}" for key, value in fields.items())
+        lines.append(f"  {_moment(decision['at'])} {decision['kind']}: {reasons}")
+    return "\n".join(lines)
+
+
+def _moment(seconds):
+    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(seconds))
+
+
+def _cell(value):
+    return "-" if value is None else str(value)
+
+
+def _line(row, widths):
+    cells = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+    return "  ".join(cells).rstrip()
--- a/packages/node/src/camphorshelf_node/adminguard.py
+++ b/packages/node/src/camphorshelf_node/adminguard.py
@@ -105,8 +105,8 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return Code.MALFORMED_REQUEST, "not a valid request"
-        limit = _MAX_HEAD_BYTES if self._in_head else _MAX_HEAD_BYTES + self._max_bytes
-        if len(self.data) > limit:
+        head_bytes = len(self.data) if self._in_head else self.data.find(b"\r\n\r\n")
+        if head_bytes > _MAX_HEAD_BYTES or len(self.data) > _MAX_HEAD_BYTES + self._max_bytes:
             return Code.REQUEST_TOO_LARGE, "the request is larger than allowed"
         if not self._in_head:
             return self._check_head()
--- a/packages/node/src/camphorshelf_node/config.py
+++ b/packages/node/src/camphorshelf_node/config.py
@@ -25,6 +25,8 @@
 _TICK_SECONDS = 0.25
 _TICKS_PER_PERIOD = 4
 _PERIOD_SECONDS = _TICK_SECONDS * _TICKS_PER_PERIOD
+_LARGE_ROSTER = 200
+_TICKS_PER_LARGE_CHOICE = 16
 _ANSWER_SECONDS = 1.0
 _FIRST_RETRY_SECONDS = 0.25
 _MAX_RETRY_SECONDS = 8.0
@@ -165,7 +167,7 @@
 
     def _tick(self):
         now = self._loop.now()
-        if self._peers is None:
+        if self._peers is None and self._may_choose():
             self._find_peers()
         if self._held.run(now, self._largest_roster > 1):
             self._log.info("woken after a freeze: the configuration has to be proved again")
@@ -302,8 +304,13 @@
     def _on_member(self, _old, _new):
         self._peers = None
 
+    def _may_choose(self):
+        # Choosing hashes every member's name: some 6 ms at 2,100, which each of many restarts
+        # would cost again; a partner that is missing for a few seconds is one of four.
+        return self._largest_roster < _LARGE_ROSTER or self._ticks % _TICKS_PER_LARGE_CHOICE == 0
+
     def _find_peers(self):
-        """Choose the partners again, at most once a tick however many members changed."""
+        """Choose the partners among the members that are in use."""
         own, settings = self._settings.name, self._settings
         members = self._gossip.membership.replica.members()
         self._peers = {one.node: one for one in members if one.in_use and one.node != own}
--- a/packages/node/src/camphorshelf_node/dispatch.py
+++ b/packages/node/src/camphorshelf_node/dispatch.py
@@ -39,7 +39,12 @@
             exchange.refuse(Refusal(Code.NO_TARGET, reason, retry_after_ms=1000))
             return
         self._log.decision(
-            "route", service=exchange.service, target=chosen.target, candidates=len(candidates)
+            "route",
+            call=exchange.call_id,
+            service=exchange.service,
+            target=chosen.target,
+            candidates=len(candidates),
+            version=self._configuration.held.version,
         )
         _Dispatch(self, exchange, chosen).start()
 
--- a/packages/node/src/camphorshelf_node/exchange.py
+++ b/packages/node/src/camphorshelf_node/exchange.py
@@ -2,6 +2,8 @@
 
 from camphorshelf_core.errors import Code, Ran, Refusal, http_status
 
+CALL_HEADER = b"camphorshelf-call"
+
 
 class Exchange:
     """A caller's request, and the one answer that it gets."""
@@ -18,6 +20,7 @@
         self.service = None
         self.code = Code.OK
         self.caller = None
+        self.call_id = None
 
     @property
     def finished(self):
@@ -98,6 +101,8 @@
         if self._finished:
             return
         self._finished = True
+        if self.call_id is not None:
+            headers = (*headers, (CALL_HEADER, self.call_id.encode()))
         self._connection.answer(status, headers, body)
 
 
--- a/packages/node/src/camphorshelf_node/explain.py
+++ b/packages/node/src/camphorshelf_node/explain.py
@@ -34,11 +34,7 @@
     def find(self, call):
         """Find the decisions about a call.
 
-        :param call: the attempt or request id.
+        :param call: the id that its answer carried.
         :return: a list of :class:`Decision`, oldest first.
         """
-        return [
-            one
-            for one in self._ring
-            if call in (one.fields.get("attempt"), one.fields.get("request"))
-        ]
+        return [one for one in self._ring if one.fields.get("call") == call]
--- a/packages/node/src/camphorshelf_node/filters.py
+++ b/packages/node/src/camphorshelf_node/filters.py
@@ -23,23 +23,6 @@
     return lambda exchange: one(exchange, following)
 
 
-def make_configuration_filter(configuration):
-    """Make the filter that refuses calls while the configuration may be an older one.
-
-    :param configuration: the node's :class:`~camphorshelf_node.config.Configuration`.
-    :return: the filter.
-    """
-
-    def check(exchange, proceed):
-        refusal = configuration.find_refusal()
-        if refusal is None:
-            proceed(exchange)
-        else:
-            exchange.refuse(refusal)
-
-    return check
-
-
 def make_identity_filter(services):
     """Make the filter that tells the service from the Host header.
 
--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -256,29 +256,18 @@
         _run_all(cancels.values())
 
 
-def make_call_handler(gatekeeper, configuration, on_fault=None):
+def make_call_handler(gatekeeper, on_fault=None):
     """Make the handler that runs calls at the target beside the node.
 
     :param gatekeeper: the node's :class:`~camphorshelf_node.gatekeeper.Gatekeeper`.
-    :param configuration: the node's :class:`~camphorshelf_node.config.Configuration`.
     :param on_fault: takes the exception when a call ends in one.
     :return: the handler of :class:`CallMessage`.
     """
 
-    def finish(reply, result, load):
-        version = configuration.held.version
-        reply(_make_answer(result, load._replace(config_version=version)))
-
     def handle(message, reply):
         def done(result, load):
-            finish(reply, result, load)
+            reply(_make_answer(result, load))
 
-        # A woken or fresh node may not know yet that its own target is leaving; an entry node
-        # that does not know either would get new work through this door.
-        refusal = configuration.find_refusal()
-        if refusal is not None:
-            done(refusal, gatekeeper.load)
-            return None
         try:
             return gatekeeper.run(message, done)
         except Exception as error:
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -13,12 +13,7 @@
 from .config import Configuration
 from .dispatch import Dispatcher
 from .explain import Decisions
-from .filters import (
-    make_chain,
-    make_configuration_filter,
-    make_deadline_filter,
-    make_identity_filter,
-)
+from .filters import make_chain, make_deadline_filter, make_identity_filter
 from .gatekeeper import Gatekeeper
 from .gossip import Gossip
 from .join import Join
@@ -30,6 +25,7 @@
 from .operators import NoQuarantine, Operators
 from .platform import Platform
 from .roster import Roster
+from .versionguard import guard_calls, make_call_id_filter, make_configuration_filter
 
 _INCARNATION_BYTES = 8
 
@@ -63,7 +59,11 @@
         self._join = Join(self._loop, settings, self._gossip, self._platform, self._log)
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
         self._peer_handlers = {
-            CallMessage: make_call_handler(self._gatekeeper, self._configuration, self._log.fault),
+            CallMessage: guard_calls(
+                make_call_handler(self._gatekeeper, self._log.fault),
+                self._gatekeeper,
+                self._configuration,
+            ),
             VersionRequestMessage: self._configuration.answer_peer,
             SnapshotRequestMessage: self._join.answer_snapshot,
         }
@@ -79,6 +79,7 @@
             self._configuration,
         )
         filters = (
+            make_call_id_filter(self.incarnation),
             make_configuration_filter(self._configuration),
             make_identity_filter(self._roster.knows),
             make_deadline_filter(settings.limits, self._loop),
