--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -1,5 +1,6 @@
 """The settings of a node, read from JSON with comments and checked field by field."""
 
+import json
 from ipaddress import ip_address
 from typing import Annotated, NamedTuple
 
@@ -135,11 +136,15 @@
     :return: ``Success`` of the settings, or ``Failure`` of the lines that name each bad field.
     """
     try:
-        raw = json5.loads(text)
+        raw = json5.loads(text, allow_duplicate_keys=False)
     except ValueError as error:
         return Failure(f"not JSON with comments: {error}")
+    if not isinstance(raw, dict):
+        return Failure("(whole file): must be an object of fields")
     try:
-        return Success(_ADAPTER.validate_python(raw))
+        # Strict: a number in quotes or a truth value in a number's place is a slip of the pen
+        # that would otherwise be read as something that nobody meant.
+        return Success(_ADAPTER.validate_json(json.dumps(raw), strict=True))
     except ValidationError as error:
         return Failure("\n".join(_describe(problem) for problem in error.errors()))
 
@@ -162,4 +167,8 @@
 
 def _describe(problem):
     field = ".".join(str(part) for part in problem["loc"]) or "(whole file)"
-    return f"{field}: {problem['msg']}; saw {problem['input']!r}"
+    if problem["type"] == "missing":
+        return f"{field}: is required and not there"
+    if problem["type"] == "extra_forbidden":
+        return f"{field}: is no field; saw {problem['input']!r:.100}"
+    return f"{field}: {problem['msg']}; saw {problem['input']!r:.100}"
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -46,7 +46,10 @@
     return deployment
 
 
-_TEAMS = administration({"flock": ("counter", "orders"), "paper": ("rollyard",)})
+_TEAMS = {
+    **administration({"flock": ("counter", "orders"), "paper": ("rollyard",)}),
+    "configuration": {"cut_off_ms": 4000},
+}
 _OWNED = (
     NodePlan("a1", "counter", "fd-a", settings=_TEAMS),
     NodePlan("b1", "counter", "fd-b", settings=_TEAMS),
--- /dev/null
+++ b/tests/features/steps/configuration_steps.py
@@ -0,0 +1,261 @@
+"""Steps about the configuration's promises, with real processes."""
+
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from standins.caller import Caller, call, render
+from standins.operator import ask, change, confirm, plan, version_at, wait_version
+
+_HEAD = '"sk": {"S": "head"}'
+_LEAVE = {"service": "counter", "target": "b1", "state": "leave"}
+_WAITING = 12
+
+
+@given("{count:d} operators have planned different weights of counter/b1 on version {base:d}")
+def plan_weights(context, count, base):
+    context.digests = []
+    for number in range(count):
+        weight = {"service": "counter", "target": "b1", "weight": number}
+        status, planned = plan(context.deployment, "abc"[number % 3] + "1", "flock", weight)
+        assert (status, planned["base"]) == (201, base), planned
+        context.digests.append(planned["plan"])
+
+
+@when("all of them confirm at once")
+def confirm_all(context):
+    def send(pair):
+        number, digest = pair
+        return confirm(context.deployment, "abc"[number % 3] + "1", "flock", digest)
+
+    with ThreadPoolExecutor(len(context.digests)) as pool:
+        context.replies = list(pool.map(send, enumerate(context.digests)))
+
+
+@then("one wins with version {version:d} and the others get CONFLICT with a plan on version 2")
+def check_race(context, version):
+    won = [document for status, document in context.replies if status == 200]
+    assert [document["version"] for document in won] == [version], context.replies
+    context.fresh = [document for status, document in context.replies if status == 409]
+    assert len(context.fresh) == len(context.replies) - 1, context.replies
+    for document in context.fresh:
+        assert document["code"] == 406 and document["fresh_plan"]["base"] == version, document
+
+
+@when("one of the losers confirms its fresh plan")
+def confirm_fresh(context):
+    digest = context.fresh[0]["fresh_plan"]["plan"]
+    context.reply = confirm(context.deployment, "a1", "flock", digest)
+
+
+@given("the platform loses the answer of 1 write of the head")
+def lose_answer(context):
+    context.deployment.set_faults(lose_answers=1, only=_HEAD)
+
+
+@given("the platform holds 1 write of the head")
+def hold_write(context):
+    context.deployment.set_faults(hold_writes=1, only=_HEAD)
+
+
+@when("the platform lets go of the write")
+def release_write(context):
+    assert context.deployment.counts()["held"] == 1
+    context.deployment.release()
+
+
+@then("the history tells {count:d} versions")
+def check_history(context, count):
+    status, document = ask(context.deployment, "b1", "GET", "/v1/history", "flock")
+    assert status == 200 and len(document["versions"]) == count, document
+
+
+@given("the platform is down")
+def stop_platform(context):
+    context.deployment.set_faults(refuse=True)
+
+
+@when("the platform is up again")
+def start_platform(context):
+    context.deployment.set_faults()
+
+
+@when("the confirm is sent again until the platform answers")
+def confirm_until(context):
+    def confirmed():
+        context.reply = confirm(context.deployment, "a1", "flock", context.planned["plan"])
+        return context.reply[0] != 503
+
+    context.deployment.wait_until(confirmed)
+
+
+@then("calls to counter through every node are served")
+def check_lookups(context):
+    for node in context.deployment.nodes.values():
+        answer = call(node.callers, "GET", "counter", "/")
+        assert answer.status == 200, answer
+
+
+@when("node b1 is frozen for longer than its limit with calls waiting for counter")
+def freeze_with_calls(context):
+    deployment = context.deployment
+    deployment.signal("node-b1", signal.SIGSTOP)
+    context.frozen_at = time.monotonic()
+    context.callers = [Caller(deployment.nodes["b1"].callers) for _ in range(_WAITING)]
+    for caller in context.callers:
+        caller.send(render("GET", "counter", "/waiting"))
+
+
+@given("flock has had counter/b1 leave")
+def leave(context):
+    version = change(context.deployment, "a1", "flock", _LEAVE)
+    wait_version(context.deployment, context.deployment.nodes, version)
+
+
+@when("flock has counter/b1 leave meanwhile")
+def leave_meanwhile(context):
+    version = change(context.deployment, "a1", "flock", _LEAVE)
+    wait_version(context.deployment, ("a1", "c1"), version)
+    # Longer than freeze_ms, so that the node has to notice; the sleep decides nothing else.
+    time.sleep(max(0.0, context.frozen_at + 4.0 - time.monotonic()))
+
+
+@when("node b1 wakes")
+def wake(context):
+    context.deployment.signal("node-b1", signal.SIGCONT)
+
+
+@then("no waiting call was run by b1")
+def check_waiting(context):
+    answers = [caller.read() for caller in context.callers]
+    assert {answer.headers.get("camphorshelf-code") for answer in answers} <= {None, "207"}
+    assert not [answer for answer in answers if answer.body.startswith(b"b1 ")], answers
+
+
+@when("node {name} is killed")
+def kill(context, name):
+    context.deployment.signal(f"node-{name}", signal.SIGKILL)
+    context.deployment.wait_end(f"node-{name}")
+
+
+@when("node {name} is killed and starts again with {one} and {other} as contacts")
+def restart(context, name, one, other):
+    deployment = context.deployment
+    kill(context, name)
+    contacts = [deployment.nodes[one].peers, deployment.nodes[other].peers]
+    deployment.change_settings(name, roster={"contacts": contacts})
+    deployment.start_node(name)
+
+
+@then("{name} becomes ready with version {version:d}")
+@then("{name} becomes ready with version {version:d} without the platform")
+def check_ready(context, name, version):
+    def ready():
+        return ask(context.deployment, name, "GET", "/readyz")[0] == 200
+
+    context.deployment.wait_until(ready, seconds=60)
+    assert version_at(context.deployment, name) == version
+
+
+@then("{name} says that it is not ready because {reason}")
+def check_reason(context, name, reason):
+    def says():
+        status, document = ask(context.deployment, name, "GET", "/readyz")
+        assert status == 503, document
+        return "peers in 1 of 2 failure domains do" in document["reason"]
+
+    context.deployment.wait_until(says)
+
+
+@then("a call through {name} is refused with code {code:d}")
+def check_call_refused(context, name, code):
+    answer = call(context.deployment.nodes[name].callers, "GET", "counter", "/")
+    assert answer.headers.get("camphorshelf-code") == str(code), answer
+
+
+@when("the platform is down and nodes a1 and b1 are frozen")
+def cut_off(context):
+    stop_platform(context)
+    for name in ("a1", "b1"):
+        context.deployment.signal(f"node-{name}", signal.SIGSTOP)
+
+
+@then("c1 comes to refuse calls because nothing answers")
+def check_cut_off(context):
+    def refused():
+        reason = ask(context.deployment, "c1", "GET", "/readyz")[1].get("reason", "")
+        return "neither the platform nor any peer answers" in reason
+
+    context.deployment.wait_until(refused, seconds=60)
+    check_call_refused(context, "c1", 207)
+
+
+@when("lookups for counter run through every node")
+def run_lookups(context):
+    context.load = _Load(context.deployment)
+    context.add_cleanup(context.load.stop)
+    context.deployment.wait_until(lambda: len(context.load.answers) > 100)
+
+
+@when("flock has counter/b1 leave while c1 is frozen for a moment")
+def leave_unheard(context):
+    context.deployment.signal("node-c1", signal.SIGSTOP)
+    change(context.deployment, "a1", "flock", _LEAVE)
+    context.confirmed_at = time.monotonic()
+    context.deployment.signal("node-c1", signal.SIGCONT)
+
+
+@then("counter/b1 gets no call later than {seconds:d} seconds after the confirm")
+def check_left(context, seconds):
+    end = context.confirmed_at + seconds + 2
+    context.deployment.wait_until(lambda: time.monotonic() > end)
+    context.load.stop()
+    late = [
+        one
+        for one in context.load.answers
+        if one.sent_at > context.confirmed_at + seconds and one.answer.body.startswith(b"b1 ")
+    ]
+    assert any(one.sent_at > context.confirmed_at + seconds for one in context.load.answers)
+    assert not late, late
+
+
+@then("each call was served or truly not run")
+def check_none_lost(context):
+    refused = [one.answer for one in context.load.answers if one.answer.status != 200]
+    assert {answer.headers.get("camphorshelf-ran") for answer in refused} <= {"NOT_RUN"}, refused
+    assert len(refused) < len(context.load.answers) / 50, (len(refused), refused[:3])
+
+
+class _Sent:
+    def __init__(self, sent_at, answer):
+        self.sent_at = sent_at
+        self.answer = answer
+
+
+class _Load:
+    """Callers that send one lookup after the other until they are stopped."""
+
+    def __init__(self, deployment):
+        self.answers = []
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(node.callers,))
+            for node in deployment.nodes.values()
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, address):
+        caller = Caller(address)
+        while not self._stopped.wait(0.01):
+            sent_at = time.monotonic()
+            self.answers.append(_Sent(sent_at, caller.request("GET", "counter", "/load")))
+        caller.close()
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -82,6 +82,11 @@
         self.start_node(name)
         self.start_target(name)
 
+    def change_settings(self, name, **sections):
+        """Give a node other sections of settings from its next start on."""
+        plan = self._plans[name]
+        self._plans[name] = plan._replace(settings={**plan.settings, **sections})
+
     def start_node(self, name):
         """Start a node, or start it again at the same addresses."""
         plan, node = self._plans[name], self._nodes[name]
