--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -6,10 +6,18 @@
 
 from circuits import Component, handler
 
-from camphorshelf_core.messages import CallMessage, SnapshotRequestMessage, VersionRequestMessage
+from camphorshelf_core.attempts import AttemptLedger
+from camphorshelf_core.invariants import Invariants
+from camphorshelf_core.messages import (
+    CallMessage,
+    ClaimAskMessage,
+    SnapshotRequestMessage,
+    VersionRequestMessage,
+)
 from camphorshelf_core.settings import split_address
 
 from .admin import AdminServer
+from .claims import Claims, keyed_filter
 from .config import Configuration
 from .dispatch import Dispatcher
 from .explain import Decisions
@@ -22,6 +30,7 @@
 from .log import Log
 from .loop import Loop
 from .metrics import Metrics
+from .once import OnceGuard
 from .operators import NoQuarantine, Operators
 from .platform import Platform
 from .roster import Roster
@@ -58,9 +67,11 @@
         self._roster = Roster(self._gossip, self._configuration)
         self._join = Join(self._loop, settings, self._gossip, self._platform, self._log)
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
+        self._invariants = Invariants()
+        self._once = OnceGuard(self._loop, self._gatekeeper, AttemptLedger(), self._invariants)
         self._peer_handlers = {
             CallMessage: guard_calls(
-                make_call_handler(self._gatekeeper, self._log.fault),
+                make_call_handler(self._once, self._log.fault),
                 self._gatekeeper,
                 self._configuration,
             ),
@@ -73,16 +84,28 @@
             settings,
             self.incarnation,
             self._roster,
-            self._gatekeeper,
+            self._once,
             self._log,
             random.Random(self.incarnation),
             self._configuration,
         )
+        self._claims = Claims(
+            self._loop,
+            settings,
+            self._platform,
+            self._router,
+            self._gossip.membership.replica,
+            self._invariants,
+            random.Random(self.incarnation),
+        )
+        self._peer_handlers[ClaimAskMessage] = self._claims.answer_ask
         filters = (
             make_call_id_filter(self.incarnation),
+            keyed_filter,
             make_configuration_filter(self._configuration),
             make_identity_filter(self._roster.knows),
             make_deadline_filter(settings.limits, self._loop),
+            self._claims.filter,
         )
         handle = make_chain(filters, self._router.dispatch)
         self._callers = CallerListener(
@@ -125,6 +148,8 @@
         """
         if self._stopping:
             return "the node is stopping"
+        if self._gossip.membership.superseded:
+            return "another process of this node has been started"
         if not self._join.is_joined:
             return "the node has not found its peers yet"
         refusal = self._configuration.find_refusal()
@@ -191,3 +216,8 @@
         watch("target.in_flight", "Calls at the target.", lambda: gatekeeper.load.in_flight)
         watch("target.queued", "Calls that wait for a slot.", lambda: gatekeeper.load.queued)
         watch("target.slots", "Calls the target takes at once.", lambda: gatekeeper.load.slots)
+        claims, broken = self._claims, self._invariants
+        watch("claims.open", "Calls under keys under way.", lambda: claims.book.open_claims)
+        watch("claims.answers", "Answers kept for resends.", lambda: len(claims.book.answers))
+        watch("claims.marks", "Settled claims still to be marked.", lambda: claims.writer.marks)
+        watch("invariants.broken", "Broken invariants.", lambda: sum(broken.broken.values()))
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -46,6 +46,24 @@
     return deployment
 
 
+_ORDERS = (
+    NodePlan("a1", "counter", "fd-a"),
+    NodePlan("b1", "counter", "fd-b"),
+    NodePlan("c1", "orders", "fd-c"),
+    NodePlan("d1", "orders", "fd-a"),
+)
+
+
+@fixture
+def orders_deployment(context):
+    """Two entry nodes and two targets of ``orders``, fresh for each scenario."""
+    deployment = Deployment(_ORDERS)
+    context.add_cleanup(deployment.close)
+    context.deployment = deployment
+    for name in ("a1", "b1"):
+        deployment.wait_served(name, "orders")
+
+
 _TEAMS = {
     **administration({"flock": ("counter", "orders"), "paper": ("rollyard",)}),
     "configuration": {"cut_off_ms": 4000},
@@ -95,3 +113,5 @@
         use_fixture(owned_deployment, context)
     if "fixture.platform" in scenario.effective_tags:
         use_fixture(platform, context)
+    if "fixture.orders_deployment" in scenario.effective_tags:
+        use_fixture(orders_deployment, context)
