--- a/packages/core/src/camphorshelf_core/load.py
+++ b/packages/core/src/camphorshelf_core/load.py
@@ -14,7 +14,8 @@
     """What a target's node knows of its target at the moment of answering.
 
     Times are milliseconds; ``in_flight`` and ``queued`` are exact counts; ``at_ms`` is the
-    reporting node's own monotonic clock, 0 when it gives none.
+    reporting node's own monotonic clock, 0 when it gives none. ``config_version`` is
+    the version of the configuration by which the node acted.
     """
 
     in_flight: int
@@ -23,6 +24,7 @@
     latency_ms: float
     leaving: bool = False
     at_ms: float = 0.0
+    config_version: int = 0
 
 
 class LoadView:
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -69,6 +69,28 @@
     load: LoadReport
 
 
+class VersionRequestMessage(NamedTuple):
+    """Tells the own version of the configuration and asks for the peer's."""
+
+    call_id: int
+    version: int
+    digest: str
+    address: str
+    want_body: bool
+
+
+class VersionMessage(NamedTuple):
+    """Answers with the own version, and with its body when that was asked for."""
+
+    call_id: int
+    node: str
+    failure_domain: str
+    version: int
+    digest: str
+    proved: bool
+    body: bytes | None
+
+
 class GoodbyeMessage(NamedTuple):
     """Asks the peer to send no more calls: this node stops when it has answered those it has."""
 
@@ -174,6 +196,8 @@
     11: ClaimWordMessage,
     12: MintMessage,
     13: MintedMessage,
+    20: VersionRequestMessage,
+    21: VersionMessage,
     40: PingMessage,
     41: AckMessage,
     42: PingRequestMessage,
--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -1,5 +1,6 @@
 """The settings of a node, read from JSON with comments and checked field by field."""
 
+import json
 from ipaddress import ip_address
 from typing import Annotated, Literal, NamedTuple
 
@@ -125,6 +126,35 @@
     ticket_age_ms: Milliseconds = 600_000
 
 
+class TokenSettings(NamedTuple):
+    """One operators' token: whose it is and its hash; the token itself is kept nowhere."""
+
+    team: Name
+    sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    services: tuple[Name, ...] = ()
+
+
+class AdministrationSettings(NamedTuple):
+    """Who may administer and how much a request may weigh."""
+
+    tokens: tuple[TokenSettings, ...] = ()
+    request_bytes: Bytes = 262_144
+    request_timeout_ms: Milliseconds = 10_000
+    connections: Annotated[int, Field(ge=1, le=10_000)] = 64
+    decisions_kept: Annotated[int, Field(ge=1, le=100_000)] = 1_000
+
+
+class ConfigurationSettings(NamedTuple):
+    """How the configuration spreads and when a node stops trusting its own."""
+
+    polls_per_second: Annotated[float, Field(gt=0, le=100)] = 4.0
+    partners: Annotated[int, Field(ge=1, le=16)] = 4
+    proof_domains: Annotated[int, Field(ge=1, le=12)] = 2
+    freeze_ms: Milliseconds = 3_000
+    behind_ms: Milliseconds = 5_000
+    cut_off_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 10_000
+
+
 class Settings(NamedTuple):
     """All settings of one node."""
 
@@ -137,6 +167,8 @@
     entry: EntrySettings = EntrySettings()
     sensing: SensingSettings = SensingSettings()
     claims: ClaimSettings = ClaimSettings()
+    administration: AdministrationSettings = AdministrationSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
 
 
 _ADAPTER = TypeAdapter(Settings)
@@ -159,11 +191,15 @@
     :return: ``Success`` of the settings, or ``Failure`` of the lines that name each bad field.
     """
     try:
-        raw = json5.loads(text)
+        raw = json5.loads(text, allow_duplicate_keys=False)
     except ValueError as error:
         return Failure(f"not JSON with comments: {error}")
+    if not isinstance(raw, dict):
+        return Failure("(whole file): must be an object of fields")
     try:
-        return Success(_ADAPTER.validate_python(raw))
+        # Strict: a number in quotes or a truth value in a number's place is a slip of the pen
+        # that would otherwise be read as something that nobody meant.
+        return Success(_ADAPTER.validate_json(json.dumps(raw), strict=True))
     except ValidationError as error:
         return Failure("\n".join(_describe(problem) for problem in error.errors()))
 
@@ -186,4 +222,8 @@
 
 def _describe(problem):
     field = ".".join(str(part) for part in problem["loc"]) or "(whole file)"
-    return f"{field}: {problem['msg']}; saw {problem['input']!r}"
+    if problem["type"] == "missing":
+        return f"{field}: is required and not there"
+    if problem["type"] == "extra_forbidden":
+        return f"{field}: is no field; saw {problem['input']!r:.100}"
+    return f"{field}: {problem['msg']}; saw {problem['input']!r:.100}"
--- a/packages/node/src/camphorshelf_node/calling.py
+++ b/packages/node/src/camphorshelf_node/calling.py
@@ -108,6 +108,7 @@
         chosen = choice.candidate
         self._dispatcher.log.decision(
             "route",
+            call=self._exchange.call_id,
             attempt=kind,
             service=self._exchange.service,
             target=chosen.target,
@@ -117,6 +118,7 @@
             others=chosen.others_in_flight,
             age=chosen.report_age,
             longest_wait_ms=longest_wait_ms,
+            version=self._dispatcher.configuration.held.version,
         )
 
     def make_message(self, target, longest_wait_ms):
@@ -281,7 +283,9 @@
         if candidate.address == dispatcher.settings.listen.peers:
             cancel = dispatcher.gatekeeper.run(message, guard(self._on_result))
         else:
-            cancel = dispatcher.link(candidate.address).call(message, guard(self._on_message))
+            link = dispatcher.link(candidate.address)
+            dispatcher.configuration.ride_on(link, candidate.address)
+            cancel = link.call(message, guard(self._on_message))
         self._cancel = cancel
 
     def cancel(self):
@@ -321,6 +325,9 @@
             return
         self._settle()
         keeper = self._dispatcher.keeper
+        if load is not None:
+            configuration = self._dispatcher.configuration
+            configuration.hear_from(self._candidate.address, load.config_version)
         failed = blames_target(result)
         good = isinstance(result, Response) and not failed
         keeper.note_done(self.target, load, self.elapsed_ms if good else None)
--- a/packages/node/src/camphorshelf_node/dispatch.py
+++ b/packages/node/src/camphorshelf_node/dispatch.py
@@ -22,10 +22,13 @@
     and ``when_hung_up``; its ``answer`` or ``refuse`` is called once, with the final outcome.
     """
 
-    def __init__(self, loop, settings, incarnation, keeper, gatekeeper, sensing, log, random):
+    def __init__(
+        self, loop, settings, incarnation, keeper, gatekeeper, sensing, log, random, configuration
+    ):
         self._incarnation = incarnation
         self._choose = make_chosen_policy(settings.entry, settings.failure_domain, random)
         self._random = random
+        self.configuration = configuration
         self._numbers = 0
         self._links = {}
         self._quantiles = {}
--- a/packages/node/src/camphorshelf_node/exchange.py
+++ b/packages/node/src/camphorshelf_node/exchange.py
@@ -5,6 +5,8 @@
 
 from .headers import strip_own
 
+CALL_HEADER = b"camphorshelf-call"
+
 
 class Exchange:
     """A caller's request, and the one answer that it gets."""
@@ -24,6 +26,7 @@
         self.retries_left = None
         self.is_keyed = False
         self.timer = None
+        self.call_id = None
 
     @property
     def finished(self):
@@ -110,6 +113,8 @@
         if self._finished:
             return
         self._finished = True
+        if self.call_id is not None:
+            headers = (*headers, (CALL_HEADER, self.call_id.encode()))
         self._connection.answer(status, headers, body)
 
 
--- a/packages/node/src/camphorshelf_node/gatekeeper.py
+++ b/packages/node/src/camphorshelf_node/gatekeeper.py
@@ -23,6 +23,7 @@
         self._gate = Gate(slots=0, queue_limit=0)
         self._client = None
         self._latency_ms = 0.0
+        self._leaving = False
         self.target = None
         # Asked just before a call's first byte goes to the target.
         self.may_start = lambda call, deadline: True
@@ -36,6 +37,7 @@
             gate.queued,
             gate.slots,
             round(self._latency_ms, 2),
+            self._leaving,
             at_ms=int(self._loop.now() * 1000),
         )
 
@@ -57,6 +59,14 @@
         )
         return True
 
+    def set_leaving(self, leaving):
+        """Close or open the door of the target for new calls.
+
+        :param leaving: True to close it.
+        :return: None.
+        """
+        self._leaving = leaving
+
     def run(self, call, on_done):
         """Run a call at the target, or refuse it.
 
@@ -68,6 +78,9 @@
             refusal = Refusal(Code.NO_TARGET, "no such target beside this node")
             on_done(refusal, self.load)
             return lambda: None
+        if self._leaving:
+            on_done(Refusal(Code.TARGET_LEAVING, "the target is leaving"), self.load)
+            return lambda: None
         if not takes_now(self.load, call.longest_wait_ms):
             on_done(Refusal(Code.TARGET_BUSY, "no slot is free soon enough"), self.load)
             return lambda: None
--- a/packages/node/src/camphorshelf_node/load.py
+++ b/packages/node/src/camphorshelf_node/load.py
@@ -10,15 +10,17 @@
 
 # Members heard of this soon after the node's own start were there before it: they are not cold.
 _ACQUAINTANCE_SECONDS = 5.0
+_FULL_WEIGHT = 100
 
 
 class LoadKeeper:
     """Own calls in flight, reports with their age, health and weights, by target."""
 
-    def __init__(self, loop, settings, roster, gossip, random):
+    def __init__(self, loop, settings, roster, configuration, gossip, random):
         self._loop = loop
         self._settings = settings
         self._roster = roster
+        self._configuration = configuration
         self._gossip = gossip
         self._random = random
         self._views = {}
@@ -45,12 +47,32 @@
         health = self._health_of(service)
         return [self._candidate(member, health, now) for member in self._subset(service)]
 
-    def set_weights(self, weights):
-        """Take the weights of the confirmed configuration; targets left out weigh 1.
+    def survey(self, service):
+        """List all targets of a service, also those that this node does not use.
+
+        :param service: its name.
+        :return: a list of :class:`Candidate`.
+        """
+        now = self._loop.now()
+        health = self._health_of(service)
+        members = self._roster.members(service)
+        return [self._candidate(member, health, now) for member in members]
+
+    def take_configuration(self):
+        """Take the weights of the version in force; targets left out have the full weight.
 
-        :param weights: a mapping of target to weight; 0 takes a target out.
         :return: None.
         """
+        services = self._configuration.weights.values()
+        self._set_weights(
+            {
+                target: weight / _FULL_WEIGHT
+                for weights in services
+                for target, weight in weights.items()
+            }
+        )
+
+    def _set_weights(self, weights):
         now = self._loop.now()
         for target in self._weights.keys() | weights.keys():
             wanted = weights.get(target, 1.0)
@@ -152,10 +174,15 @@
             overdue=view.overdue,
             failure_share=health.failure_share(name, now),
             weight=self._weight(name, now) * health.return_share(name, now),
-            leaving=report.leaving if report else False,
+            leaving=self._is_leaving(member, report),
             ejected=health.update(name, now),
         )
 
+    def _is_leaving(self, member, report):
+        if self._configuration.is_leaving(member.target.service, member.node):
+            return True
+        return report.leaving if report else False
+
     def _weight(self, target, now):
         weight = self._weights.get(target)
         share = ramp_share(self._joined_at.get(target), now)
--- a/packages/node/src/camphorshelf_node/roster.py
+++ b/packages/node/src/camphorshelf_node/roster.py
@@ -16,6 +16,13 @@
         """
         return service in self._services
 
+    def services(self):
+        """List the services that some target serves.
+
+        :return: a list of names.
+        """
+        return list(self._services)
+
     def members(self, service):
         """List the members whose target serves a service.
 
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -83,6 +83,11 @@
         self.start_node(name)
         self.start_target(name)
 
+    def change_settings(self, name, **sections):
+        """Give a node other sections of settings from its next start on."""
+        plan = self._plans[name]
+        self._plans[name] = plan._replace(settings={**plan.settings, **sections})
+
     def start_node(self, name):
         """Start a node, or start it again at the same addresses."""
         plan, node = self._plans[name], self._nodes[name]
@@ -133,7 +138,13 @@
             if condition():
                 return
             time.sleep(0.02)
-        raise TimeoutError("the condition did not come to hold")
+        raise TimeoutError(f"the condition did not come to hold; {self._describe()}")
+
+    def _describe(self):
+        ended = {name: one.poll() for name, one in self._processes.items()}
+        ended = {name: status for name, status in ended.items() if status is not None}
+        logs = {name: self.log(name)[-500:] for name in self._processes}
+        return f"ended: {ended}, logs: {logs}"
 
     def wait_served(self, name, service):
         """Wait until a node serves calls to a service."""
--- a/tests/standins/simulated.py
+++ b/tests/standins/simulated.py
@@ -192,6 +192,7 @@
         self.request = Request(method, str(work_ms).encode(), headers, b"")
         self.service = SERVICE
         self.caller = "store-1"
+        self.call_id = None
         self.started = loop.now()
         self.deadline = self.started + deadline_ms / 1000
         self.retries_left = None
@@ -258,6 +259,25 @@
         return self._members
 
 
+class _Configuration:
+    version = 0
+    weights = {}
+
+    @property
+    def held(self):
+        return self
+
+    def is_leaving(self, service, target):
+        """Let all stay."""
+        return False
+
+    def ride_on(self, link, address):
+        """Tell nothing."""
+
+    def hear_from(self, address, version):
+        """Hear nothing."""
+
+
 class _NoProbes:
     def probe_one(self, candidates):
         """Send none."""
@@ -298,9 +318,19 @@
             f"e{index}", domain, listen, PlatformSettings(_NOWHERE, _NOWHERE), entry=entry
         )
         chance = random.Random(self.random.random())
-        keeper = LoadKeeper(self.loop, settings, _Roster(self.members), self.gossip, chance)
+        keeper = LoadKeeper(
+            self.loop, settings, _Roster(self.members), _Configuration(), self.gossip, chance
+        )
         dispatcher = Dispatcher(
-            self.loop, settings, f"i{index}", keeper, None, _NoProbes(), _Log(), chance
+            self.loop,
+            settings,
+            f"i{index}",
+            keeper,
+            None,
+            _NoProbes(),
+            _Log(),
+            chance,
+            _Configuration(),
         )
         dispatcher.link = links.get
         return dispatcher
