--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -101,7 +101,7 @@
     def _flush(self):
         for data in self._protocol.data_to_send():
             if data:
-                self._stream.gather(data)
+                self._stream.write(data)
         # A peer that takes nothing any more would fill this node's memory with its answers.
         if self._stream.unsent > _MAX_UNSENT:
             self._stream.close()
--- a/packages/node/src/camphorshelf_node/loop.py
+++ b/packages/node/src/camphorshelf_node/loop.py
@@ -51,7 +51,6 @@
         self._cancelled = 0
         self._order = itertools.count()
         self._interrupts = deque()
-        self._turn_ends = []
         self.on_error = None
 
     @staticmethod
@@ -110,14 +109,6 @@
 
         self.call_later(seconds, run)
 
-    def at_turn_end(self, callback):
-        """Call back when all that is ready in this turn has been seen to.
-
-        :param callback: takes no argument.
-        :return: None.
-        """
-        self._turn_ends.append(callback)
-
     def interrupt(self, callback):
         """Call back in the loop's next turn; safe to use in a signal's handler.
 
@@ -147,10 +138,6 @@
         while self._interrupts:
             self._run(self._interrupts.popleft())
         self._run_timers()
-        while self._turn_ends:
-            callbacks, self._turn_ends = self._turn_ends, []
-            for callback in callbacks:
-                self._run(callback)
 
     def _run(self, callback, *arguments):
         # A fault in one call's code must not end the loop, or every other call of the node
--- a/packages/node/src/camphorshelf_node/streams.py
+++ b/packages/node/src/camphorshelf_node/streams.py
@@ -20,7 +20,6 @@
         self._loop = loop
         self._sock = sock
         self._unsent = bytearray()
-        self._gathered = []
         self._connecting = False
         self._closing = False
         self._lingering = False
@@ -87,16 +86,6 @@
         if not self._connecting:
             self._watch()
 
-    def gather(self, data):
-        """Send bytes at the end of the loop's turn, in one piece with others of the turn.
-
-        :param data: the bytes.
-        :return: None.
-        """
-        if not self._gathered:
-            self._loop.at_turn_end(self._send_gathered)
-        self._gathered.append(data)
-
     def pause(self):
         """Stop reading, so that the peer's sending comes to a halt.
 
@@ -138,10 +127,6 @@
         if self.on_close is not None:
             self.on_close()
 
-    def _send_gathered(self):
-        gathered, self._gathered = self._gathered, []
-        self.write(b"".join(gathered))
-
     def _set_reading(self, reading):
         if self._reading is not reading and not self._lingering:
             self._reading = reading
