Set a connection's timer once, not twice for each request

A timer that fires too early is set again for the moment then due; the body's time starts only when a body is awaited.

--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -42,8 +42,10 @@
         self._continue_due = False
         self._last_request = False
         self._timer = None
-        self._timer_phase = None
-        self._timer_unsent = 0
+        self._timer_due = 0.0
+        self._due = None
+        self._due_unsent = 0
+        self._phase = None
         self._requests = 0
         self._refused = None
         stream.on_data = self._on_data
@@ -140,8 +142,6 @@
             raise _RefusedError(Code.BODY_TOO_LARGE, "the body is larger than allowed")
         self._in_head = False
         self._continue_due = _wants_continue(version, self._headers)
-        if not self._pending:
-            self._start_body()
 
     def on_body(self, body):
         """Called by the parser with a part of the body."""
@@ -227,7 +227,7 @@
         if self._stream.unsent:
             # The answers of further requests would pile up behind what a slow reader has not
             # taken yet.
-            self._arm(self._limits.body_timeout_ms)
+            self._arm(self._limits.body_timeout_ms, "drain")
             return
         if self._unread and not self._full:
             data, self._unread = self._unread, b""
@@ -280,20 +280,38 @@
     def _arm(self, milliseconds, phase=None):
         # More bytes of the same head or body give no more time, or a sender could trickle.
         phase = phase and (phase, self._requests)
-        if phase is not None and phase == self._timer_phase and self._timer is not None:
+        if phase is not None and phase == self._phase:
+            return
+        self._phase = phase
+        self._due_unsent = self._stream.unsent
+        if milliseconds is None or self._stream.closed:
+            self._due = None
             return
-        self._timer_phase = phase
+        # A timer that falls due too early is set again then. Two new ones for each request would
+        # be two thirds of what all timers cost.
+        self._due = self._loop.now() + milliseconds / 1000
+        if self._timer is None or self._timer_due > self._due:
+            self._set_timer()
+
+    def _set_timer(self):
         if self._timer is not None:
             self._timer.cancel()
-            self._timer = None
-        if milliseconds is not None and not self._stream.closed:
-            self._timer_unsent = self._stream.unsent
-            self._timer = self._loop.call_later(milliseconds / 1000, self._on_timeout)
+        self._timer_due = self._due
+        self._timer = self._loop.call_later(self._due - self._loop.now(), self._on_timer)
 
-    def _on_timeout(self):
+    def _on_timer(self):
         self._timer = None
+        if self._due is None:
+            return
+        if self._due > self._loop.now():
+            self._set_timer()
+        else:
+            self._due = self._phase = None
+            self._on_timeout()
+
+    def _on_timeout(self):
         if self._stream.unsent:
-            if self._stream.unsent >= self._timer_unsent:
+            if self._stream.unsent >= self._due_unsent:
                 self._stream.close()
             else:
                 self._arm(self._limits.body_timeout_ms)
@@ -307,7 +325,10 @@
             self._next()
 
     def _on_close(self):
-        self._arm(None)
+        self._due = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         exchange, self._exchange = self._exchange, None
         self._waiting.clear()
         self._unread = b""
