Start the node without the command line's library in its memory

The command line checks the settings and replaces itself by the node: the same process id, a fresh memory. Ruled out for now: a start without pydantic (some 10 MB), since the settings' types are built on it.

--- a/packages/node/src/camphorshelf_node/main.py
+++ b/packages/node/src/camphorshelf_node/main.py
@@ -1,6 +1,6 @@
 """The command line of the node."""
 
-import gc
+import os
 import sys
 
 import fire
@@ -9,13 +9,7 @@
 
 from camphorshelf_core.settings import read_settings
 
-from .log import FORMAT
-from .node import Node
-
 EXIT_BAD_SETTINGS = 2
-_YOUNG_OBJECTS = 10_000
-_YOUNG_ROUNDS = 10
-_MIDDLE_ROUNDS = 10
 
 
 def run(settings, log_level="INFO"):
@@ -29,21 +23,11 @@
     if not isinstance(result, Success):
         print(result.failure(), file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    level = logbook.lookup_level(log_level.upper())
-    handler = logbook.StreamHandler(sys.stderr, level=level, format_string=FORMAT)
-    with handler.applicationbound():
-        node = Node(result.unwrap(), logbook.get_level_name(level))
-        _tune_collector()
-        node.run()
-
-
-def _tune_collector():
-    # A full collection looks at all 50,000 objects that the libraries made at import, for some
-    # 30 ms, and stops every call meanwhile. They live as long as the process, so they are
-    # taken out of it; the rest is small, and collected less often.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(_YOUNG_OBJECTS, _YOUNG_ROUNDS, _MIDDLE_ROUNDS)
+    level = logbook.get_level_name(logbook.lookup_level(log_level.upper()))
+    # The library for command lines brings asyncio and more into memory for good. The node runs
+    # as the same process with a fresh memory that never sees it.
+    command = [sys.executable, "-m", "camphorshelf_node.serve", settings, level]
+    os.execv(sys.executable, command)
 
 
 def main():
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -1,8 +1,8 @@
 """Starts a platform, nodes and targets as separate processes on loopback and ends them."""
 
+import itertools
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -17,7 +17,9 @@
 _TESTS = Path(__file__).resolve().parent.parent
 _START_SECONDS = 20.0
 _STOP_SECONDS = 10.0
-_PORTS = (10_000, 32_000)
+_FIRST_PORT = 10_000
+_PORT_BLOCKS = 170
+_PORTS_PER_BLOCK = 128
 
 
 class NodePlan(NamedTuple):
@@ -56,9 +58,15 @@
         self._wait(self.platform)
         for plan in plans:
             self._plan(plan)
-        for plan in plans:
-            self.start_node(plan.name)
-            self.start_target(plan.name)
+        try:
+            for plan in plans:
+                self.start_node(plan.name)
+                self.start_target(plan.name)
+        except TimeoutError as error:
+            # Nobody holds what did not come up; its processes would outlive the test.
+            logs = "\n".join(self.log(process) for process in self._processes)
+            self.close()
+            raise TimeoutError(f"{error}\n{logs}") from error
 
     @property
     def nodes(self):
@@ -203,17 +211,31 @@
         self.wait_until(connects)
 
 
-def _address():
-    # Below the range from which the kernel takes the ports of outgoing connections: a port picked
-    # from that range is often another test's by the time the process listens on it.
-    while True:
-        port = random.SystemRandom().randrange(*_PORTS)
+def _make_ports():
+    """Give ports that no other test process picks at the same moment.
+
+    They lie below the range from which the kernel takes the ports of outgoing connections; a port
+    of that range is often another test's by the time the process listens on it. Each process
+    has a block of its own by its process id.
+    """
+    start = _FIRST_PORT + os.getpid() % _PORT_BLOCKS * _PORTS_PER_BLOCK
+    for number in itertools.count():
+        port = start + number % _PORTS_PER_BLOCK
         if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
-            return f"127.0.0.1:{port}"
+            yield port
+
+
+_ports = _make_ports()
+
+
+def _address():
+    return f"127.0.0.1:{next(_ports)}"
 
 
 def _is_free(port, kind):
     with socket.socket(socket.AF_INET, kind) as sock:
+        if kind is socket.SOCK_STREAM:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             sock.bind(("127.0.0.1", port))
         except OSError:
