--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 from typing import NamedTuple
 
@@ -110,6 +111,7 @@
             "slots": plan.slots,
             "work_ms": plan.work_ms,
             "announce": node.admin,
+            "journal": str(self.directory / "runs.log"),
         }
         command = [sys.executable, "-m", "standins.target", json.dumps(options)]
         self._start(f"target-{name}", command)
@@ -168,6 +170,11 @@
         address = self._nodes[name].target
         return json.loads(call(address, "GET", "target", "/_runs").body)
 
+    def all_runs(self):
+        """How often each key ran at any target, those that are dead by now included."""
+        journal = self.directory / "runs.log"
+        return Counter(journal.read_text().split()) if journal.exists() else Counter()
+
     def close(self):
         """End every process that was started and remove the files."""
         for process in self._processes.values():
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -41,7 +41,7 @@
 
     async def _work(self, received, query):
         if received.method == "POST":
-            self._runs[query.get("key", "")] += 1
+            self._note_run(query.get("key", ""))
         await asyncio.sleep(float(query.get("work_ms", self._slow_ms)) / 1000)
         fail = query.get("fail")
         if fail == "crash":
@@ -52,6 +52,13 @@
         body = f"{self._options['name']} {received.method} {received.path}\n".encode()
         return Reply(headers=(("content-type", "text/plain"),), body=body + b"x" * size)
 
+    def _note_run(self, key):
+        self._runs[key] += 1
+        if "journal" in self._options:
+            # What a killed target ran must still be counted.
+            with open(self._options["journal"], "a", encoding="utf-8") as journal:
+                journal.write(f"{key}\n")
+
     async def announce(self):
         """Announce the target to the node beside it every second."""
         document = {key: self._options[key] for key in ("service", "address", "slots")}
