Make the tests of a woken node and of the leaving target's door able to fail

Both passed without their safeguard: the waiting calls were read only after the news (now they wait on kept connections, and the limit for being cut off lies beyond the freeze), and no entry node stayed unaware for long (now a peer that never hears sends a call). Seen to fail now: without the check for a freeze b1 runs waiting calls; without the door the call is served.

--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -83,3 +83,10 @@
     And flock has counter/b1 leave while c1 is frozen for a moment
     Then counter/b1 gets no call later than 3 seconds after the confirm
     And each call was served or truly not run
+
+  Scenario: The leaving target's own node closes the door to peers that have not heard
+    # A peer that is cut off from the news goes on sending calls. Only the node beside the
+    # target can keep them out, and say for sure that they did not run.
+    Given flock has had counter/b1 leave
+    When a peer that has not heard sends a call for counter to b1
+    Then the peer is told 205 and NOT_RUN
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -66,7 +66,7 @@
 
 _TEAMS = {
     **administration({"flock": ("counter", "orders"), "paper": ("rollyard",)}),
-    "configuration": {"cut_off_ms": 4000},
+    "configuration": {"cut_off_ms": 8000},
 }
 _OWNED = (
     NodePlan("a1", "counter", "fd-a", settings=_TEAMS),
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -7,7 +7,12 @@
 
 from behave import given, then, when
 
+from camphorshelf_core.calls import AttemptId
+from camphorshelf_core.messages import CallMessage
+from camphorshelf_core.settings import split_address
+from camphorshelf_node.links import PeerLink
 from standins.caller import Caller, call, render
+from standins.inner import InnerLoop
 from standins.operator import ask, change, confirm, plan, version_at, wait_version
 
 _HEAD = '"sk": {"S": "head"}'
@@ -102,9 +107,13 @@
 @when("node b1 is frozen for longer than its limit with calls waiting for counter")
 def freeze_with_calls(context):
     deployment = context.deployment
+    context.callers = [Caller(deployment.nodes["b1"].callers) for _ in range(_WAITING)]
+    for caller in context.callers:
+        # Kept connections: their calls are all read in the first turn after waking, before
+        # any news can have been fetched.
+        assert caller.request("GET", "counter", "/first").status == 200
     deployment.signal("node-b1", signal.SIGSTOP)
     context.frozen_at = time.monotonic()
-    context.callers = [Caller(deployment.nodes["b1"].callers) for _ in range(_WAITING)]
     for caller in context.callers:
         caller.send(render("GET", "counter", "/waiting"))
 
@@ -229,6 +238,24 @@
     assert len(refused) < len(context.load.answers) / 50, (len(refused), refused[:3])
 
 
+@when("a peer that has not heard sends a call for counter to b1")
+def send_unheard(context):
+    inner = InnerLoop()
+    link = PeerLink(inner.loop, split_address(context.deployment.nodes["b1"].peers))
+    attempt = AttemptId("unheard", 1)
+    message = CallMessage(
+        0, attempt, "counter", "b1", 5000, "", "GET", b"/", ((b"host", b"counter"),), b""
+    )
+    context.message = inner.ask(lambda on_done: link.call(message, on_done))
+    link.close()
+
+
+@then("the peer is told {code:d} and NOT_RUN")
+def check_unheard(context, code):
+    assert (context.message.code, context.message.ran) == (code, "NOT_RUN"), context.message
+    assert context.message.load.config_version == 2
+
+
 class _Sent:
     def __init__(self, sent_at, answer):
         self.sent_at = sent_at
