--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -11,10 +11,12 @@
 from camphorshelf_core.messages import (
     CallMessage,
     ClaimAskMessage,
+    MintMessage,
     SnapshotRequestMessage,
     VersionRequestMessage,
 )
 from camphorshelf_core.settings import split_address
+from camphorshelf_core.tickets import TicketBook
 
 from .admin import AdminServer
 from .claims import Claims, keyed_filter
@@ -34,9 +36,11 @@
 from .operators import NoQuarantine, Operators
 from .platform import Platform
 from .roster import Roster
+from .tickets import TicketDesk, TicketEntry
 from .versionguard import guard_calls, make_call_id_filter, make_configuration_filter
 
 _INCARNATION_BYTES = 8
+_SECRET_BYTES = 16
 
 
 class Node(Component):
@@ -69,13 +73,22 @@
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
         self._invariants = Invariants()
         self._once = OnceGuard(self._loop, self._gatekeeper, AttemptLedger(), self._invariants)
+        self._tickets = TicketBook(
+            settings.claims,
+            settings.name,
+            self.incarnation,
+            os.urandom(_SECRET_BYTES),
+            self._invariants,
+        )
+        self._desk = TicketDesk(self._loop, self._once, self._gatekeeper, self._tickets)
         self._peer_handlers = {
             CallMessage: guard_calls(
-                make_call_handler(self._once, self._log.fault),
+                make_call_handler(self._desk, self._log.fault),
                 self._gatekeeper,
                 self._configuration,
             ),
             VersionRequestMessage: self._configuration.answer_peer,
+            MintMessage: self._desk.answer_mint,
             SnapshotRequestMessage: self._join.answer_snapshot,
         }
         self._stopping = False
@@ -98,6 +111,15 @@
             self._invariants,
             random.Random(self.incarnation),
         )
+        tickets = TicketEntry(
+            self._loop,
+            settings,
+            self._router,
+            self._roster,
+            self._gossip.membership.replica,
+            self._desk,
+            random.Random(self.incarnation),
+        )
         self._peer_handlers[ClaimAskMessage] = self._claims.answer_ask
         filters = (
             make_call_id_filter(self.incarnation),
@@ -105,6 +127,7 @@
             make_configuration_filter(self._configuration),
             make_identity_filter(self._roster.knows),
             make_deadline_filter(settings.limits, self._loop),
+            tickets.filter,
             self._claims.filter,
         )
         handle = make_chain(filters, self._router.dispatch)
@@ -220,4 +243,5 @@
         watch("claims.open", "Calls under keys under way.", lambda: claims.book.open_claims)
         watch("claims.answers", "Answers kept for resends.", lambda: len(claims.book.answers))
         watch("claims.marks", "Settled claims still to be marked.", lambda: claims.writer.marks)
+        watch("tickets", "Tickets remembered.", lambda: len(self._tickets))
         watch("invariants.broken", "Broken invariants.", lambda: sum(broken.broken.values()))
