--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -52,7 +52,8 @@
         self._processes = {}
         self._nodes = {}
         self._host = _loopback()
-        self.platform = _address(self._host)
+        self._given = set()
+        self.platform = self._find_address()
         self._start("platform", [sys.executable, "-m", "standins.platform", self.platform])
         self._wait(self.platform)
         for plan in plans:
@@ -180,9 +181,17 @@
 
     def _plan(self, plan):
         self._plans[plan.name] = plan
-        addresses = [_address(self._host) for _ in range(4)]
+        addresses = [self._find_address() for _ in range(4)]
         self._nodes[plan.name] = RunningNode(plan.name, *addresses)
 
+    def _find_address(self):
+        # Ports are free until their process starts: with 160 of them drawn from a few thousand
+        # two nodes would often be given the same one.
+        while (address := _address(self._host)) in self._given:
+            continue
+        self._given.add(address)
+        return address
+
     def _settings(self, plan, node):
         settings = {
             "name": plan.name,
