--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -1,8 +1,8 @@
 """Starts a platform, nodes and targets as separate processes on loopback and ends them."""
 
-import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,9 +17,7 @@
 _TESTS = Path(__file__).resolve().parent.parent
 _START_SECONDS = 20.0
 _STOP_SECONDS = 10.0
-_FIRST_PORT = 10_000
-_PORT_BLOCKS = 170
-_PORTS_PER_BLOCK = 128
+_PORTS = (10_000, 32_000)
 
 
 class NodePlan(NamedTuple):
@@ -53,7 +51,8 @@
         self._plans = {plan.name: plan for plan in plans}
         self._processes = {}
         self._nodes = {}
-        self.platform = _address()
+        self._host = _loopback()
+        self.platform = _address(self._host)
         self._start("platform", [sys.executable, "-m", "standins.platform", self.platform])
         self._wait(self.platform)
         for plan in plans:
@@ -140,7 +139,13 @@
             if condition():
                 return
             time.sleep(0.02)
-        raise TimeoutError("the condition did not come to hold")
+        raise TimeoutError(f"the condition did not come to hold; {self._describe()}")
+
+    def _describe(self):
+        ended = {name: one.poll() for name, one in self._processes.items()}
+        ended = {name: status for name, status in ended.items() if status is not None}
+        logs = {name: self.log(name)[-500:] for name in self._processes}
+        return f"ended: {ended}, logs: {logs}"
 
     def wait_served(self, name, service):
         """Wait until a node serves calls to a service."""
@@ -176,7 +181,7 @@
 
     def _plan(self, plan):
         self._plans[plan.name] = plan
-        addresses = [_address() for _ in range(4)]
+        addresses = [_address(self._host) for _ in range(4)]
         self._nodes[plan.name] = RunningNode(plan.name, *addresses)
 
     def _settings(self, plan, node):
@@ -211,33 +216,28 @@
         self.wait_until(connects)
 
 
-def _make_ports():
-    """Give ports that no other test process picks at the same moment.
+def _loopback():
+    """Pick an address of the loopback range that no other deployment has at this time.
 
-    They lie below the range from which the kernel takes the ports of outgoing connections; a port
-    of that range is often another test's by the time the process listens on it. Each process
-    has a block of its own by its process id.
+    Several tests run at once, and a port that is free when it is picked may be another test's by
+    the time the process listens on it: its callers are refused or reach the wrong node.
     """
-    start = _FIRST_PORT + os.getpid() % _PORT_BLOCKS * _PORTS_PER_BLOCK
-    for number in itertools.count():
-        port = start + number % _PORTS_PER_BLOCK
-        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
-            yield port
-
-
-_ports = _make_ports()
+    numbers = random.SystemRandom()
+    return ".".join(["127", *(str(numbers.randrange(1, 255)) for _ in range(3))])
 
 
-def _address():
-    return f"127.0.0.1:{next(_ports)}"
+def _address(host):
+    # Below the range from which the kernel takes the ports of outgoing connections.
+    while True:
+        port = random.SystemRandom().randrange(*_PORTS)
+        if _is_free(host, port, socket.SOCK_STREAM) and _is_free(host, port, socket.SOCK_DGRAM):
+            return f"{host}:{port}"
 
 
-def _is_free(port, kind):
+def _is_free(host, port, kind):
     with socket.socket(socket.AF_INET, kind) as sock:
-        if kind is socket.SOCK_STREAM:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            sock.bind(("127.0.0.1", port))
+            sock.bind((host, port))
         except OSError:
             return False
     return True
