--- a/tests/features/metrics.feature
+++ b/tests/features/metrics.feature
@@ -36,7 +36,8 @@
   Scenario: Decisions are not noted above their level
     Given a log at level WARNING on a loop of the test
     When two decisions 100 ms apart are noted
-    And 0.3 seconds pass on that loop
+    Then none of them is kept
+    When 0.3 seconds pass on that loop
     Then nothing was written yet
 
   Scenario: The table of result codes is whole
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -121,6 +121,11 @@
         context.log.fault(error)
 
 
+@then("none of them is kept")
+def check_none_kept(context):
+    assert context.log._noted == []
+
+
 @then("nothing was written yet")
 def check_unwritten(context):
     assert context.output.getvalue() == ""
