--- a/packages/node/src/camphorshelf_node/dispatch.py
+++ b/packages/node/src/camphorshelf_node/dispatch.py
@@ -13,7 +13,7 @@
 class Dispatcher:
     """Routes exchanges that passed the filters."""
 
-    def __init__(self, loop, settings, incarnation, roster, gatekeeper, log, random):
+    def __init__(self, loop, settings, incarnation, roster, gatekeeper, log, random, configuration):
         self._loop = loop
         self._settings = settings
         self._incarnation = incarnation
@@ -21,6 +21,7 @@
         self._gatekeeper = gatekeeper
         self._log = log
         self._random = random
+        self._configuration = configuration
         self._numbers = 0
         self._links = {}
 
@@ -38,7 +39,12 @@
             exchange.refuse(Refusal(Code.NO_TARGET, reason, retry_after_ms=1000))
             return
         self._log.decision(
-            "route", service=exchange.service, target=chosen.target, candidates=len(candidates)
+            "route",
+            call=exchange.call_id,
+            service=exchange.service,
+            target=chosen.target,
+            candidates=len(candidates),
+            version=self._configuration.held.version,
         )
         _Dispatch(self, exchange, chosen).start()
 
@@ -82,9 +88,9 @@
         if chosen.address == dispatcher._settings.listen.peers:
             self._cancel = dispatcher._gatekeeper.run(message, exchange.guard(self._on_local))
         else:
-            self._cancel = dispatcher.link(chosen.address).call(
-                message, exchange.guard(self._on_remote)
-            )
+            link = dispatcher.link(chosen.address)
+            dispatcher._configuration.ride_on(link, chosen.address)
+            self._cancel = link.call(message, exchange.guard(self._on_remote))
 
     def _message(self, wait):
         request = self._exchange.request
@@ -119,6 +125,9 @@
             self._finish(refusal, message.load)
 
     def _finish(self, result, load):
+        if load is not None:
+            configuration = self._dispatcher._configuration
+            configuration.hear_from(self._chosen.address, load.config_version)
         self._settle(load)
         if isinstance(result, Refusal):
             self._exchange.refuse(result)
--- a/packages/node/src/camphorshelf_node/exchange.py
+++ b/packages/node/src/camphorshelf_node/exchange.py
@@ -4,6 +4,8 @@
 
 from .headers import strip_own
 
+CALL_HEADER = b"camphorshelf-call"
+
 
 class Exchange:
     """A caller's request, and the one answer that it gets."""
@@ -22,6 +24,7 @@
         self.caller = None
         self.is_keyed = False
         self.timer = None
+        self.call_id = None
 
     @property
     def finished(self):
@@ -106,6 +109,8 @@
         if self._finished:
             return
         self._finished = True
+        if self.call_id is not None:
+            headers = (*headers, (CALL_HEADER, self.call_id.encode()))
         self._connection.answer(status, headers, body)
 
 
--- a/packages/node/src/camphorshelf_node/keyedcall.py
+++ b/packages/node/src/camphorshelf_node/keyedcall.py
@@ -18,6 +18,7 @@
         self.started = exchange.started
         self.deadline = exchange.deadline
         self.caller = exchange.caller
+        self.call_id = exchange.call_id
 
     @property
     def finished(self):
