--- a/packages/node/src/camphorshelf_node/log.py
+++ b/packages/node/src/camphorshelf_node/log.py
@@ -17,10 +17,11 @@
 class Log:
     """Writes structured lines of ``key=value`` through logbook."""
 
-    def __init__(self, name, loop=None, level="INFO"):
+    def __init__(self, name, loop=None, level="INFO", note_decision=None):
         self._logger = logbook.Logger(name, level=logbook.lookup_level(level))
         self._name = name
         self._loop = loop
+        self._note_decision = note_decision
         self._noted = []
         self._decides = self._logger.level <= logbook.INFO
 
@@ -31,6 +32,8 @@
         :param fields: the reasons.
         :return: None.
         """
+        if self._note_decision is not None:
+            self._note_decision(kind, fields)
         if self._decides:
             self._note("info", kind, fields)
 
--- a/tests/soak/claims_mutants.py
+++ b/tests/soak/claims_mutants.py
@@ -6,13 +6,16 @@
 
 
 class DropVoid(ClaimBook):
-    """Lets a claim go on whose caller was told NOT_RUN."""
+    """Lets a claim go on when nobody waits any more, and says that it has ended."""
+
+    def is_open(self, key):
+        return super().is_open(key) and bool(self._claims[key].waiters)
 
     def leave(self, key, token):
         claim = self._claims.get(key)
-        if claim is not None and len(claim.waiters) == 1:
-            return []
-        return super().leave(key, token)
+        if claim is not None:
+            claim.waiters = [waiter for waiter in claim.waiters if waiter.token != token]
+        return []
 
 
 class DispatchOnUnknown(ClaimBook):
