--- a/tests/features/keyed.feature
+++ b/tests/features/keyed.feature
@@ -192,3 +192,14 @@
     And node-b1 gets SIGCONT
     And order k17 is sent to node a1 again
     Then order k17 has run at most 1 time
+
+  @fixture.orders_deployment
+  Scenario: A caller's deadline passes while a resend waits for its claim
+    # Found by random runs (seed 1026). The first caller vouches for a first send and its deadline
+    # passes while the claim's answer is held. Told NOT_RUN, it would be wrong: a resend waits
+    # for the very attempt, which then runs.
+    Given the platform holds the answer of 1 claim
+    When order k18 is begun for the first time at node a1 with a deadline of 300 ms
+    And the platform has held 1
+    And order k18 is sent to node a1 while the first waits
+    Then the first caller was not told NOT_RUN if order k18 has run
--- a/tests/features/steps/keyed_steps.py
+++ b/tests/features/steps/keyed_steps.py
@@ -262,3 +262,26 @@
     address = context.deployment.nodes[node].callers
     statuses = [call(address, "GET", "orders", f"/o/{n}").status for n in range(count)]
     assert statuses == [200] * count, statuses
+
+
+@when("order {key:w} is begun for the first time at node {node:w} with a deadline of {limit:d} ms")
+def begin_first(context, key, node, limit):
+    caller = Caller(context.deployment.nodes[node].callers)
+    context.add_cleanup(caller.close)
+    headers = (("Idempotency-Key", key), ("Idempotency-Attempt", "1"), ("Deadline-Ms", str(limit)))
+    caller.send(render("POST", "orders", f"/orders?key={key}", headers, b"order"))
+    context.begun = caller
+
+
+@when("order {key:w} is sent to node {node:w} while the first waits")
+def send_while_waiting(context, key, node):
+    send_order(context, key, node)
+    context.first = context.begun.read()
+
+
+@then("the first caller was not told NOT_RUN if order {key:w} has run")
+def check_first_told(context, key):
+    assert context.first.headers.get("camphorshelf-ran"), context.first
+    was_told = context.first.headers["camphorshelf-ran"] == "NOT_RUN"
+    assert not (was_told and count_runs(context, key)), (context.first, context.answer)
+    assert count_runs(context, key) == 1, "the claim was read back and run for the resend"
--- a/tests/soak/claims.py
+++ b/tests/soak/claims.py
@@ -56,6 +56,11 @@
     def leave(self, node, token):
         self.world.leave(node, token)
 
+    @rule()
+    def leave_last(self):
+        if self.world.last_sent is not None:
+            self.world.leave(*self.world.last_sent)
+
     # Rarer than the rest, or no run would get far.
     @rule(node=_NODES, dice=st.integers(0, 4))
     def kill(self, node, dice):
