--- a/bench/bench.py
+++ b/bench/bench.py
@@ -10,6 +10,7 @@
 import statistics
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 from typing import NamedTuple
 
@@ -49,7 +50,7 @@
     p99: float
     direct_p99: float
     cpu_ms: float
-    failed: int
+    failed: Counter
 
 
 def main():
@@ -64,6 +65,7 @@
 def _measure(deployment):
     for name, service in ROUTES.items():
         deployment.wait_served(name, service)
+    print_figure("machine_load", os.getloadavg()[0], "processes")
     print_figure("idle_cpu_percent", _idle_percent(deployment), "percent")
     print_figure("node_rss_idle_mb", rss(deployment), "MB")
     _print_rounds(deployment, _CALLS_PER_NODE, "")
@@ -74,6 +76,7 @@
     print_figure("calls_per_s_saturated_max", max(rates), "1/s")
     _print_rounds(deployment, saturated / 2, "_half")
     print_figure("node_rss_mb", rss(deployment), "MB")
+    print_figure("machine_load_at_end", os.getloadavg()[0], "processes")
 
 
 def _print_rounds(deployment, rate, suffix):
@@ -87,7 +90,10 @@
         f"direct_p99_ms{suffix}", statistics.median(one.direct_p99 for one in rounds), "ms"
     )
     print_figure(f"cpu_ms_per_call{suffix}", statistics.median(one.cpu_ms for one in rounds), "ms")
-    print_figure(f"failed_calls{suffix}", sum(one.failed for one in rounds), "calls")
+    codes = sum((one.failed for one in rounds), Counter())
+    print_figure(f"failed_calls{suffix}", sum(codes.values()), "calls")
+    for code, count in sorted(codes.items()):
+        print_figure(f"failed_calls{suffix}_code_{code}", count, "calls")
 
 
 def _run_round(deployment, rate, seed):
@@ -104,7 +110,7 @@
         p99=milliseconds(through, 99) - milliseconds(direct, 99),
         direct_p99=milliseconds(direct, 99),
         cpu_ms=spent * 1000 / sum(outcome.tag != "d" for outcome in outcomes),
-        failed=sum(outcome.status != 200 for outcome in outcomes),
+        failed=Counter(outcome.code for outcome in outcomes if outcome.status != 200),
     )
 
 
