--- /dev/null
+++ b/packages/core/src/camphorshelf_core/effects.py
@@ -0,0 +1,66 @@
+"""Says in words and numbers what a plan does, for operators to read before they confirm."""
+
+from .config import FULL_WEIGHT, TAKE, ServiceConfig, TargetIntent
+from .intents import apply_changes
+
+
+def describe_effect(services, changes, targets):
+    """Say in words and numbers what a plan does.
+
+    :param services: the services of the base version.
+    :param changes: the plan's changes.
+    :param targets: service -> target -> slots, as this node knows them now.
+    :return: a tuple of sentences.
+    """
+    after = apply_changes(services, changes)
+    lines = []
+    for service in sorted({change.service for change in changes}):
+        lines.extend(_describe_targets(service, services, after, targets.get(service, {})))
+    lines.extend(_describe_other(change) for change in changes if change.field in _WORDS)
+    return tuple(lines)
+
+
+def carried_slots(services, service, targets):
+    """Count what a service's targets carry under a configuration.
+
+    :param services: the services of a version.
+    :param service: the service's name.
+    :param targets: target -> slots.
+    :return: the pair of targets that take work and of their weighted slots.
+    """
+    config = services.get(service, ServiceConfig(""))
+    intents = {name: config.targets.get(name, TargetIntent()) for name in targets}
+    taking = [name for name, one in intents.items() if one.state == TAKE and one.weight]
+    return len(taking), sum(targets[name] * intents[name].weight for name in taking) / FULL_WEIGHT
+
+
+def _describe_targets(service, before, after, targets):
+    count_before, slots_before = carried_slots(before, service, targets)
+    count_after, slots_after = carried_slots(after, service, targets)
+    if (count_before, slots_before) == (count_after, slots_after):
+        return
+    yield (
+        f"{service}: {count_before} of {len(targets)} targets take work now "
+        f"({slots_before:g} weighted slots), {count_after} will ({slots_after:g})"
+    )
+    if not count_after:
+        yield f"{service}: WARNING: no target takes work; every call will be refused"
+    elif slots_after < slots_before:
+        more = 100 * (slots_before / slots_after - 1)
+        yield f"{service}: the targets that stay carry {more:.0f}% more each"
+
+
+_WORDS = {
+    "owner": "{service}: handed from {before} to {after}",
+    "idempotent": "{service}: {name} counts as idempotent: {after}",
+    "class": "{service}: {name} calls are {after}",
+    "share": "{service}: {name} may hold {after} of 100 slots (before: {before})",
+    "state": "{service}: {name} will {after} (before: {before})",
+    "weight": "{service}: {name} carries weight {after} of 100 (before: {before})",
+}
+
+
+def _describe_other(change):
+    words = change._asdict()
+    words["before"] = "nobody" if change.field == "owner" and not change.before else change.before
+    return _WORDS[change.field].format(**words)
--- a/packages/core/src/camphorshelf_core/plans.py
+++ b/packages/core/src/camphorshelf_core/plans.py
@@ -14,8 +14,9 @@
     digest_of,
     encode_document,
 )
+from .effects import describe_effect
 from .errors import ProtocolError
-from .intents import apply_changes, describe_effect, find_changes
+from .intents import apply_changes, find_changes
 from .teams import check_scope, find_confirmers
 
 
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -227,6 +227,10 @@
     def _watch_gauges(self):
         watch = self._metrics.watch
         gatekeeper = self._gatekeeper
+        held = self._configuration.held
+        watch("config.version", "The configuration in force.", lambda: held.version)
+        watch("config.violations", "Versions that two bodies claim.", lambda: held.violations)
+        watch("config.rejected", "Bodies that were not what they claim.", lambda: held.rejected)
         watch("callers", "Callers' connections.", lambda: self._callers.connections)
         watch("peer.links", "Links that peers opened.", lambda: self._peers.links)
         gossip, membership = self._gossip, self._gossip.membership
--- a/packages/node/src/camphorshelf_node/operators.py
+++ b/packages/node/src/camphorshelf_node/operators.py
@@ -5,7 +5,6 @@
 
 from returns.result import Success
 
-from camphorshelf_core.config import TargetIntent
 from camphorshelf_core.confirm import (
     MAX_HISTORY,
     Planned,
@@ -18,6 +17,7 @@
 from camphorshelf_core.intents import parse_intents, read_wishes
 from camphorshelf_core.teams import find_operator
 
+from .descriptions import describe_plan, describe_target
 from .reply import reply_refusal
 from .steps import run_steps
 
@@ -103,7 +103,7 @@
         return {
             "owner": config.owner if config is not None else "",
             "targets": [
-                _describe_target(target, candidates.get(target), intents.get(target))
+                describe_target(target, candidates.get(target), intents.get(target))
                 for target in sorted({*candidates, *intents})
             ],
         }
@@ -160,7 +160,7 @@
         """Give the loser of a race what its changes would do to the winner's version."""
 
         def done(result):
-            fresh = _describe_plan(result) if isinstance(result, Planned) else None
+            fresh = describe_plan(result) if isinstance(result, Planned) else None
             reason = None if fresh is not None else result.reason
             reply_refusal(reply, conflict, plan=digest, fresh_plan=fresh, no_fresh_plan=reason)
 
@@ -248,21 +248,6 @@
         """
 
 
-def _describe_target(name, candidate, intent):
-    intent = intent or TargetIntent()
-    document = {"target": name, "state": intent.state, "weight": intent.weight}
-    if candidate is None:
-        return {**document, "known": False}
-    return {
-        **document,
-        "known": True,
-        "failure_domain": candidate.failure_domain,
-        "slots": candidate.slots,
-        "in_flight": candidate.reported_in_flight,
-        "leaving": candidate.leaving,
-    }
-
-
 def _read_intents(body):
     try:
         document = json.loads(body)
@@ -272,21 +257,8 @@
     return parse_intents(intents)
 
 
-def _describe_plan(planned):
-    plan = planned.plan
-    return {
-        "plan": planned.digest,
-        "base": plan.base,
-        "changes": [change._asdict() for change in plan.changes],
-        "effect": list(plan.effect),
-        "confirmers": list(plan.confirmers),
-        "planned_by": plan.planned_by,
-        "planned_at": plan.planned_at,
-    }
-
-
 def _reply_plan(reply, result, status=201):
     if isinstance(result, Refusal):
         reply_refusal(reply, result)
     else:
-        reply(status, _describe_plan(result))
+        reply(status, describe_plan(result))
