--- a/models/__init__.py
+++ b/models/__init__.py
@@ -1,1 +1,1 @@
-"""Small specifications of the core protocol, checked exhaustively."""
+"""Small specifications of the core protocols, checked exhaustively by minicheck."""
--- a/packages/core/src/camphorshelf_core/claims.py
+++ b/packages/core/src/camphorshelf_core/claims.py
@@ -241,6 +241,16 @@
             return None
         return self._word(key, attempt, now)
 
+    def leave_ask(self, key, attempt, token):
+        """Let a peer go that asked and no longer waits.
+
+        :param key: the claim's key.
+        :param attempt: the attempt it asked after.
+        :param token: the asker's.
+        :return: a list of actions.
+        """
+        return self.leave(key, _PeerToken(token, attempt))
+
     def next_mark(self, mark, written):
         """Decide what follows from a try to mark a claim.
 
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -10,7 +10,11 @@
 
 
 class CallMessage(NamedTuple):
-    """Asks a target's node to run a call; ``call_id`` is never reused on its link."""
+    """Asks a target's node to run a call; ``call_id`` is never reused on its link.
+
+    A call that would wait longer than ``longest_wait_ms`` for a slot is refused at once,
+    TARGET_BUSY and NOT_RUN; None stands for no such bound.
+    """
 
     call_id: int
     attempt: AttemptId
@@ -22,6 +26,7 @@
     path: bytes
     headers: tuple
     body: bytes
+    longest_wait_ms: float | None = None
 
 
 class AnswerMessage(NamedTuple):
@@ -51,6 +56,19 @@
     call_id: int
 
 
+class ProbeMessage(NamedTuple):
+    """Asks a target's node for its load, in a datagram."""
+
+    number: int
+
+
+class ProbeAnswerMessage(NamedTuple):
+    """Answers a probe, in a datagram."""
+
+    number: int
+    load: LoadReport
+
+
 class VersionRequestMessage(NamedTuple):
     """Tells the own version of the configuration and asks for the peer's."""
 
@@ -171,6 +189,8 @@
     2: AnswerMessage,
     3: RefusedMessage,
     4: CancelMessage,
+    30: ProbeMessage,
+    31: ProbeAnswerMessage,
     5: GoodbyeMessage,
     10: ClaimAskMessage,
     11: ClaimWordMessage,
@@ -247,6 +267,8 @@
     if isinstance(message, AnswerMessage):
         load = LoadReport(*message.load)
         return message._replace(load=load, headers=_pairs(message.headers))
+    if isinstance(message, ProbeAnswerMessage):
+        return message._replace(load=LoadReport(*message.load))
     if isinstance(message, RefusedMessage):
         Code(message.code)
         Ran(message.ran)
--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -2,7 +2,7 @@
 
 import json
 from ipaddress import ip_address
-from typing import Annotated, NamedTuple
+from typing import Annotated, Literal, NamedTuple
 
 import json5
 from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
@@ -59,6 +59,39 @@
     caller_connections: Annotated[int, Field(ge=1, le=100_000)] = 1_000
 
 
+Share = Annotated[float, Field(ge=0, le=1)]
+Count = Annotated[int, Field(ge=0, le=1_000)]
+
+
+class EntrySettings(NamedTuple):
+    """How an entry node routes, retries and hedges; docs/design/routing.md has the measurements.
+
+    ``report_half_life`` is told in usual latencies of the service: its calls in flight are all
+    others after a few of them. Budgets are shares of the fresh calls: ``retry_share`` 0.1 lets
+    one call in ten be a retry.
+    """
+
+    policy: Literal["ours", "random", "round_robin", "least_reported"] = "ours"
+    choices: Annotated[int, Field(ge=1, le=32)] = 6
+    report_half_life: Annotated[float, Field(ge=0.01, le=1_000)] = 0.5
+    domain_cost_ms: Annotated[float, Field(ge=0, le=1_000)] = 2.0
+    subset: Annotated[int, Field(ge=2, le=250)] = 20
+    link_limit: Annotated[int, Field(ge=1, le=100_000)] = 250
+    spill_attempts: Annotated[int, Field(ge=0, le=8)] = 2
+    spill_share: Share = 0.3
+    retry_share: Share = 0.1
+    hedge_share: Share = 0.05
+    hedge_quantile: Annotated[float, Field(ge=50, le=99.9)] = 95.0
+
+
+class SensingSettings(NamedTuple):
+    """What probing the load of targets may cost, asked and answered together."""
+
+    bytes_per_second: Annotated[int, Field(ge=0, le=1_000_000)] = 2_400
+    burst_bytes: Annotated[int, Field(ge=0, le=1_000_000)] = 960
+    cpu_microseconds_per_second: Annotated[int, Field(ge=0, le=1_000_000)] = 5_000
+
+
 class RosterSettings(NamedTuple):
     """How members find and watch each other, and what that may cost.
 
@@ -131,6 +164,8 @@
     platform: PlatformSettings
     limits: LimitSettings = LimitSettings()
     roster: RosterSettings = RosterSettings()
+    entry: EntrySettings = EntrySettings()
+    sensing: SensingSettings = SensingSettings()
     claims: ClaimSettings = ClaimSettings()
     administration: AdministrationSettings = AdministrationSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
--- a/packages/node/src/camphorshelf_node/admin.py
+++ b/packages/node/src/camphorshelf_node/admin.py
@@ -46,6 +46,7 @@
             ("POST", "/announce"): self._announce,
             ("GET", "/healthz"): self._health,
             ("GET", "/readyz"): self._ready,
+            ("GET", "/entry"): self._entry,
             ("GET", "/metrics"): self._tell_metrics,
         }
 
@@ -101,6 +102,9 @@
     def _health(self, request, reply):
         reply(200, {"status": "up"})
 
+    def _entry(self, _request, reply):
+        reply(200, self._node.entry_counts)
+
     def _tell_metrics(self, _request, reply):
         reply(200, self._node.metrics.render())
 
--- a/packages/node/src/camphorshelf_node/claims.py
+++ b/packages/node/src/camphorshelf_node/claims.py
@@ -113,13 +113,20 @@
                 reply(_word(word))
 
         self._waiting[token] = give
-        wait = message.wait_ms / 1000
-        timer = self._loop.call_later(wait, lambda: give(OwnerReply(OwnerState.RUNNING)))
+
+        def give_up():
+            give(OwnerReply(OwnerState.RUNNING))
+            self._carry_out(key, self._book.leave_ask(key, message.attempt, token))
+
+        timer = self._loop.call_later(message.wait_ms / 1000, give_up)
 
     def _submit(self, exchange, proceed, key):
         token = next(self._tokens)
         self._waiting[token] = exchange
-        self._calls.setdefault(key, (exchange, proceed))
+        earlier = self._calls.get(key)
+        # The call runs for whoever waits longest; the first caller may have given up by then.
+        if earlier is None or earlier[0].deadline < exchange.deadline:
+            self._calls[key] = exchange, proceed
         exchange.when_hung_up(lambda: self._leave(key, token))
         wait = max(0.0, exchange.deadline - self._loop.now()) + _LATE_SECONDS
         exchange.timer = self._loop.call_later(wait, lambda: self._on_deadline(key, token))
@@ -217,10 +224,12 @@
         exchange = self._waiting.get(token)
         if exchange is None:
             return
-        is_running = self._book.is_running(key)
         self._leave(key, token)
-        is_first = is_first_send(exchange.request.headers) and not is_running
-        ran = Ran.NOT_RUN if is_first else Ran.OUTCOME_UNKNOWN
+        # The claim may go on for others that wait for it, here or at a peer. Only when it ended
+        # with this caller is its attempt void, and NOT_RUN true.
+        is_void = not self._book.is_open(key)
+        is_proven = is_void and is_first_send(exchange.request.headers)
+        ran = Ran.NOT_RUN if is_proven else Ran.OUTCOME_UNKNOWN
         reason = "the deadline passed before the call's outcome was known"
         exchange.is_keyed = False
         exchange.refuse(Refusal(Code.DEADLINE_EXCEEDED, reason, ran))
--- a/packages/node/src/camphorshelf_node/exchange.py
+++ b/packages/node/src/camphorshelf_node/exchange.py
@@ -1,6 +1,7 @@
 """One request on its way through the filters and back."""
 
 from camphorshelf_core.errors import Code, Ran, Refusal, http_status
+from camphorshelf_core.retry import RETRIES_LEFT_HEADER
 
 from .headers import strip_own
 
@@ -22,6 +23,7 @@
         self.service = None
         self.code = Code.OK
         self.caller = None
+        self.retries_left = None
         self.is_keyed = False
         self.timer = None
         self.call_id = None
@@ -70,6 +72,8 @@
             # reads NOT_RUN would order again under a new key. Only the claim can tell.
             refusal = refusal._replace(ran=Ran.OUTCOME_UNKNOWN)
         status, headers, body = render_refusal(refusal)
+        if self.retries_left is not None:
+            headers.append((RETRIES_LEFT_HEADER, b"%d" % self.retries_left))
         self._send(status, headers, body)
 
     def guard(self, callback):
--- a/packages/node/src/camphorshelf_node/gossip.py
+++ b/packages/node/src/camphorshelf_node/gossip.py
@@ -24,6 +24,7 @@
         self._loop = loop
         self._address = settings.listen.peers
         self._subscribers = {}
+        self._handlers = {}
         self._member_listeners = []
         self._socket = None
         self.received_bytes = 0
@@ -88,6 +89,30 @@
         for entry in self._membership.replica.entries(topic):
             callback(entry.key, entry.version, entry.value)
 
+    def on_message(self, kind, callback):
+        """Hand messages of a kind that is not the membership's to someone else.
+
+        :param kind: the message's class.
+        :param callback: takes the message and the address it came from.
+        :return: None.
+        """
+        self._handlers[kind] = callback
+
+    def send(self, data, address):
+        """Send a datagram that is not the membership's.
+
+        :param data: its bytes.
+        :param address: ``IP:PORT``.
+        :return: None.
+        """
+        if self._socket is None:
+            return
+        try:
+            self._socket.sendto(data, split_address(address))
+        except OSError:
+            # As with the membership's own: whoever sends it lives with a lost datagram.
+            return
+
     def on_member(self, callback):
         """Hear of each change of a member.
 
@@ -142,6 +167,10 @@
     def _on_datagram(self, data, address):
         try:
             message = decode(data)
+            handler = self._handlers.get(type(message))
+            if handler is not None:
+                handler(message, address)
+                return
             sends = self._membership.receive(message, address, self._loop.now())
         except ProtocolError:
             self.bad_datagrams += 1
