--- a/packages/core/src/camphorshelf_core/routing.py
+++ b/packages/core/src/camphorshelf_core/routing.py
@@ -84,7 +84,9 @@
                 cost += settings.domain_cost_ms
             return cost
 
-        drawn = _draw(usable, failure_domain, settings.choices, random)
+        drawn = draw(usable, failure_domain, settings.choices, random)
+        # In random order: equal scores are common when idle, and the first one drawn wins.
+        random.shuffle(drawn)
         best = min(drawn, key=score)
         load = estimate_in_flight(best, crowd, half_life)
         return Choice(
@@ -98,6 +100,27 @@
     return choose
 
 
+def draw(known, failure_domain, count, random):
+    """Draw some targets at random, half of them near where there are as many.
+
+    The near ones are looked at each time, and the far ones often enough to take the spill before
+    the near ones are full.
+
+    :param known: candidates or members.
+    :param failure_domain: the entry node's own.
+    :param count: how many to draw.
+    :param random: a ``random.Random``.
+    :return: a new list.
+    """
+    if len(known) <= count:
+        return list(known)
+    near = [one for one in known if one.failure_domain == failure_domain]
+    drawn = random.sample(near, min(len(near), count // 2))
+    taken = set(map(id, drawn))
+    rest = [one for one in known if id(one) not in taken]
+    return drawn + random.sample(rest, count - len(drawn))
+
+
 def usable_candidates(candidates, exclude=()):
     """Leave out the targets that take no work now.
 
@@ -201,16 +224,3 @@
 
 def _trust(age, half_life):
     return 0.0 if age is None else 0.5 ** (age / half_life)
-
-
-def _draw(usable, failure_domain, choices, random):
-    # Half of the draw is near where it can be: the near ones are looked at each time, and the
-    # far ones often enough to take the spill before the near ones are full.
-    # In random order: equal scores are common when idle, and the first one drawn wins.
-    if len(usable) <= choices:
-        return random.sample(usable, len(usable))
-    near = [one for one in usable if one.failure_domain == failure_domain]
-    drawn = random.sample(near, min(len(near), choices // 2))
-    taken = {one.target for one in drawn}
-    rest = [one for one in usable if one.target not in taken]
-    return drawn + random.sample(rest, choices - len(drawn))
--- a/packages/node/src/camphorshelf_node/dispatch.py
+++ b/packages/node/src/camphorshelf_node/dispatch.py
@@ -69,6 +69,9 @@
         """
         candidates = self.keeper.candidates(service)
         choice = self._choose(candidates, exclude)
+        if choice is None:
+            # None of those drawn takes work; before the call is refused, all are asked.
+            choice = self._choose(self.keeper.survey(service), exclude)
         if not self.is_baseline:
             self.sensing.probe_one(candidates)
         return choice
--- a/packages/node/src/camphorshelf_node/load.py
+++ b/packages/node/src/camphorshelf_node/load.py
@@ -4,13 +4,15 @@
 from camphorshelf_core.hedge import is_suspect
 from camphorshelf_core.load import LoadView
 from camphorshelf_core.ramp import ShiftingWeight, ramp_share
-from camphorshelf_core.routing import Candidate
+from camphorshelf_core.routing import Candidate, draw
 from camphorshelf_core.spill import RoundTrip
 from camphorshelf_core.subset import choose_subset, subset_size
 
 # Members heard of this soon after the node's own start were there before it: they are not cold.
 _ACQUAINTANCE_SECONDS = 5.0
 _FULL_WEIGHT = 100
+# Beside those looked at for a call, to make up for some that take no work.
+_SPARE_CANDIDATES = 4
 
 
 class LoadKeeper:
@@ -38,14 +40,19 @@
         return sum(health.ejections for health in self._health.values())
 
     def candidates(self, service):
-        """List the targets of a service that this node uses, with what is known of them.
+        """List targets of a service with what is known of them: those used, or some at random.
 
         :param service: its name.
         :return: a list of :class:`Candidate`.
         """
         now = self._loop.now()
         health = self._health_of(service)
-        return [self._candidate(member, health, now) for member in self._subset(service)]
+        settings = self._settings
+        # Putting a candidate together takes 5 us and more; for a whole subset that would be a
+        # good part of what a call may be held up in all.
+        count = settings.entry.choices + _SPARE_CANDIDATES
+        drawn = draw(self._subset(service), settings.failure_domain, count, self._random)
+        return [self._candidate(member, health, now) for member in drawn]
 
     def survey(self, service):
         """List all targets of a service, also those that this node does not use.
