--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -241,6 +241,13 @@
                 for domain in (DOMAINS[:1] if policy == BACKGROUND else DOMAINS)
             ]
         self._deployment = Deployment(plans)
+        try:
+            self._warm_up(plans, policies)
+        except BaseException:
+            self._deployment.close()
+            raise
+
+    def _warm_up(self, plans, policies):
         for plan in plans:
             self._deployment.wait_served(plan.name, "counter")
         warm_up = Scenario(lambda rng: _arrive(rng, 0.5 * CAPACITY, end=1.0), _no_faults)
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -55,6 +55,14 @@
         self._host = _loopback()
         self._given = set()
         self.platform = self._find_address()
+        try:
+            self._start_all(plans)
+        except BaseException:
+            # Whoever started it has nothing to close yet; the processes would stay for ever.
+            self.close()
+            raise
+
+    def _start_all(self, plans):
         self._start("platform", [sys.executable, "-m", "standins.platform", self.platform])
         self._wait(self.platform)
         for plan in plans:
