--- a/packages/core/src/camphorshelf_core/errors.py
+++ b/packages/core/src/camphorshelf_core/errors.py
@@ -36,6 +36,7 @@
     NODE_STOPPING = 206
     NODE_STARTING = 207
 
+    TARGET_BUSY = 221
     CLAIM_UNAVAILABLE = 241
     KEY_REUSED = 242
     BAD_KEY = 243
--- a/packages/node/src/camphorshelf_node/gatekeeper.py
+++ b/packages/node/src/camphorshelf_node/gatekeeper.py
@@ -5,6 +5,7 @@
 from camphorshelf_core.errors import Code, Ran, Refusal
 from camphorshelf_core.load import LoadReport
 from camphorshelf_core.settings import split_address
+from camphorshelf_core.spill import takes_now
 
 from .httpclient import Failed, HttpClient
 
@@ -31,7 +32,14 @@
     def load(self):
         """The load report of this moment."""
         gate = self._gate
-        return LoadReport(gate.in_flight, gate.queued, gate.slots, self._latency_ms, self._leaving)
+        return LoadReport(
+            gate.in_flight,
+            gate.queued,
+            gate.slots,
+            round(self._latency_ms, 2),
+            self._leaving,
+            at_ms=int(self._loop.now() * 1000),
+        )
 
     def announce(self, target):
         """Take note of the target that announced itself.
@@ -73,6 +81,9 @@
         if self._leaving:
             on_done(Refusal(Code.TARGET_LEAVING, "the target is leaving"), self.load)
             return lambda: None
+        if not takes_now(self.load, call.longest_wait_ms):
+            on_done(Refusal(Code.TARGET_BUSY, "no slot is free soon enough"), self.load)
+            return lambda: None
         work = _Work(self, self._gate, self._client, call, on_done)
         now = self._loop.now()
         work.deadline = now + call.deadline_ms / 1000
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -3,6 +3,7 @@
 import os
 import random
 import signal
+from functools import partial
 
 from circuits import Component, handler
 
@@ -29,6 +30,7 @@
 from .join import Join
 from .links import make_call_handler
 from .listeners import CallerListener, PeerListener, drain
+from .load import LoadKeeper
 from .log import Log
 from .loop import Loop
 from .metrics import Metrics
@@ -36,11 +38,24 @@
 from .operators import NoQuarantine, Operators
 from .platform import Platform
 from .roster import Roster
+from .sensing import ProbeController
 from .tickets import TicketDesk, TicketEntry
 from .versionguard import guard_calls, make_call_id_filter, make_configuration_filter
 
 _INCARNATION_BYTES = 8
 _SECRET_BYTES = 16
+_ENTRY_COUNTS = {
+    "spills": "Calls that went on from a full target to another.",
+    "retries": "Calls that were tried again after a failure.",
+    "hedges": "Lookups that were asked of a second target as well.",
+    "ejections": "Targets taken out for failing.",
+    "probes": "Probes sent.",
+    "probe_answers": "Peers' probes answered.",
+    "probe_bytes": "Bytes charged for probes and answers, with IP and UDP headers.",
+    "probe_microseconds": "Processor time charged for probes and answers.",
+    "probes_denied": "Probes and answers left out as the budget was spent.",
+    "probes_lost": "Probes without an answer.",
+}
 
 
 class Node(Component):
@@ -68,7 +83,7 @@
             lambda address: self._router.link(address),
             self._log,
         )
-        self._roster = Roster(self._gossip, self._configuration)
+        self._roster = Roster(self._gossip)
         self._join = Join(self._loop, settings, self._gossip, self._platform, self._log)
         self._gatekeeper = Gatekeeper(self._loop, settings.limits)
         self._invariants = Invariants()
@@ -92,14 +107,23 @@
             SnapshotRequestMessage: self._join.answer_snapshot,
         }
         self._stopping = False
+        chance = random.Random(self.incarnation)
+        keeper = LoadKeeper(
+            self._loop, settings, self._roster, self._configuration, self._gossip, chance
+        )
+        self._probes = ProbeController(
+            self._loop, settings, self._gossip, keeper, self._gatekeeper, chance
+        )
+        self._keeper = keeper
         self._router = Dispatcher(
             self._loop,
             settings,
             self.incarnation,
-            self._roster,
+            keeper,
             self._once,
+            self._probes,
             self._log,
-            random.Random(self.incarnation),
+            chance,
             self._configuration,
         )
         self._claims = Claims(
@@ -141,6 +165,7 @@
             self._configuration,
             self._platform,
             self._roster,
+            self._keeper,
             self._decisions,
             NoQuarantine(),
         )
@@ -153,6 +178,7 @@
             self._log.fault,
         ).register(self)
         self._configuration.on_change(self._apply_configuration)
+        self._configuration.on_change(self._keeper.take_configuration)
 
     @property
     def metrics(self):
@@ -178,6 +204,24 @@
         refusal = self._configuration.find_refusal()
         return None if refusal is None else refusal.reason
 
+    @property
+    def entry_counts(self):
+        """What the entry side of this node has counted, by name."""
+        sensing = self._probes.sensing
+        return {
+            **self._router.counts,
+            "ejections": self._keeper.ejections,
+            "probes": sensing.sent,
+            "probe_answers": sensing.answered,
+            "probe_bytes": sensing.spent_bytes,
+            "probe_microseconds": sensing.spent_microseconds,
+            "probes_denied": sensing.denied,
+            "probes_lost": sensing.lost,
+        }
+
+    def _count(self, name):
+        return self.entry_counts.get(name, 0)
+
     def announce(self, target):
         """Take an announcement of the target beside this node.
 
@@ -226,6 +270,8 @@
 
     def _watch_gauges(self):
         watch = self._metrics.watch
+        for name, description in _ENTRY_COUNTS.items():
+            watch(f"entry.{name}", description, partial(self._count, name))
         gatekeeper = self._gatekeeper
         watch("callers", "Callers' connections.", lambda: self._callers.connections)
         watch("peer.links", "Links that peers opened.", lambda: self._peers.links)
--- a/packages/node/src/camphorshelf_node/operators.py
+++ b/packages/node/src/camphorshelf_node/operators.py
@@ -27,11 +27,12 @@
 class Operators:
     """Answers requests that carry an operator's token; without one nothing is told."""
 
-    def __init__(self, settings, configuration, platform, roster, decisions, quarantine):
+    def __init__(self, settings, configuration, platform, roster, keeper, decisions, quarantine):
         self._settings = settings
         self._configuration = configuration
         self._platform = platform
         self._roster = roster
+        self._keeper = keeper
         self._decisions = decisions
         self._quarantine = quarantine
         self._routes = {
@@ -99,7 +100,7 @@
     def _describe_service(self, name):
         config = self._configuration.services.get(name)
         intents = config.targets if config is not None else {}
-        candidates = {one.target: one for one in self._roster.candidates(name)}
+        candidates = {one.target: one for one in self._keeper.survey(name)}
         return {
             "owner": config.owner if config is not None else "",
             "targets": [
@@ -127,7 +128,7 @@
 
     def _run_plan(self, operator, wishes, on_done):
         targets = {
-            service: {one.target: one.slots for one in self._roster.candidates(service)}
+            service: {one.target: one.slots for one in self._keeper.survey(service)}
             for service in {wish.service for wish in wishes}
         }
         steps = plan_steps(wishes, operator, targets, int(time.time()))
@@ -258,7 +259,7 @@
         "known": True,
         "failure_domain": candidate.failure_domain,
         "slots": candidate.slots,
-        "in_flight": candidate.reported_in_flight,
+        "in_flight": candidate.reported,
         "leaving": candidate.leaving,
     }
 
