--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -1,7 +1,7 @@
 """The settings of a node, read from JSON with comments and checked field by field."""
 
 from ipaddress import ip_address
-from typing import Annotated, NamedTuple
+from typing import Annotated, Literal, NamedTuple
 
 import json5
 from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
@@ -21,6 +21,7 @@
 Address = Annotated[str, AfterValidator(_check_address)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Milliseconds = Annotated[int, Field(ge=1, le=3_600_000)]
+HeaderName = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Bytes = Annotated[int, Field(ge=1, le=1 << 30)]
 
 
@@ -69,6 +70,38 @@
     remember_dead_s: Annotated[int, Field(ge=60, le=86_400)] = 7_200
 
 
+class GateSettings(NamedTuple):
+    """How the target's node shares out its slots.
+
+    ``caller_header`` names the header that tells callers apart; without it, or where a request
+    lacks it, the caller is its IP number. ``not_run_header`` is the header by which a target
+    says of a 503 that the work did not run; its value must then be ``NOT_RUN``.
+    """
+
+    policy: Literal["ours", "fifo"] = "ours"
+    caller_header: HeaderName | None = None
+    teams: dict[str, str] = {}
+    team_weights: dict[str, Annotated[int, Field(ge=1, le=1_000)]] = {}
+    not_run_header: HeaderName = "camphorshelf-ran"
+
+
+class QuarantineSettings(NamedTuple):
+    """When a request that crashes targets is refused, and for how long."""
+
+    crashes: Annotated[int, Field(ge=2, le=10)] = 2
+    suspicion_ms: Milliseconds = 600_000
+    hold_ms: Milliseconds = 1_800_000
+    remembered: Annotated[int, Field(ge=16, le=100_000)] = 1_024
+
+
+class DrainSettings(NamedTuple):
+    """How a leaving target is told that it is empty, and when silence means that it ended."""
+
+    path: Annotated[str, Field(pattern=r"^/[!-~]*$")] = "/drain"
+    retry_ms: Milliseconds = 1_000
+    silent_ms: Milliseconds = 3_500
+
+
 class Settings(NamedTuple):
     """All settings of one node."""
 
@@ -78,6 +111,9 @@
     platform: PlatformSettings
     limits: LimitSettings = LimitSettings()
     roster: RosterSettings = RosterSettings()
+    gate: GateSettings = GateSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
+    drain: DrainSettings = DrainSettings()
 
 
 _ADAPTER = TypeAdapter(Settings)
--- a/packages/node/src/camphorshelf_node/admin.py
+++ b/packages/node/src/camphorshelf_node/admin.py
@@ -1,15 +1,31 @@
 """The administration listener, served by circuits.web."""
 
 import json
+from typing import Annotated, NamedTuple
 
 from circuits import handler
 from circuits.web import BaseServer
 from circuits.web.errors import httperror
-from pydantic import TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter, ValidationError
 
+from camphorshelf_core.drain import Source
 from camphorshelf_core.roster import Announcement
 
-_ANNOUNCEMENT = TypeAdapter(Announcement)
+
+class AnnounceRequest(NamedTuple):
+    """An announcement as a target posts it.
+
+    ``instance`` names the target's process; a changed one tells that it was restarted.
+    """
+
+    service: str
+    address: str
+    slots: Annotated[int, Field(ge=1, le=100_000)]
+    instance: str | None = None
+    leaving: bool | None = None
+
+
+_ANNOUNCEMENT = TypeAdapter(AnnounceRequest)
 
 
 class AdminServer(BaseServer):
@@ -22,6 +38,8 @@
         self._node = node
         self._routes = {
             ("POST", "/announce"): self._announce,
+            ("POST", "/leave"): self._leave,
+            ("POST", "/stay"): self._stay,
             ("GET", "/healthz"): self._health,
             ("GET", "/readyz"): self._ready,
         }
@@ -47,11 +65,24 @@
 
     def _announce(self, request):
         try:
-            target = _ANNOUNCEMENT.validate_python(json.loads(request.body.read()))
+            *fields, instance, leaving = _ANNOUNCEMENT.validate_python(
+                json.loads(request.body.read())
+            )
         except (ValueError, ValidationError) as error:
             return 400, {"error": str(error)}
-        self._node.announce(target)
-        return 200, {"node": self._node.settings.name}
+        self._node.announce(Announcement(*fields), instance, leaving)
+        return 200, self._state()
+
+    def _leave(self, request):
+        self._node.gatekeeper.set_leaving(True, Source.TARGET)
+        return 200, self._state()
+
+    def _stay(self, request):
+        self._node.gatekeeper.set_leaving(False, Source.TARGET)
+        return 200, self._state()
+
+    def _state(self):
+        return {"node": self._node.settings.name, "state": self._node.gatekeeper.phase.value}
 
     def _health(self, request):
         return 200, {"status": "up"}
--- a/packages/node/src/camphorshelf_node/dispatch.py
+++ b/packages/node/src/camphorshelf_node/dispatch.py
@@ -14,12 +14,13 @@
 class Dispatcher:
     """Routes exchanges that passed the filters."""
 
-    def __init__(self, loop, settings, incarnation, roster, gatekeeper, log, random):
+    def __init__(self, loop, settings, incarnation, roster, gatekeeper, quarantine, log, random):
         self._loop = loop
         self._settings = settings
         self._incarnation = incarnation
         self._roster = roster
         self._gatekeeper = gatekeeper
+        self._quarantine = quarantine
         self._log = log
         self._random = random
         self._numbers = 0
@@ -96,7 +97,7 @@
             service=self._exchange.service,
             target=self._chosen.target,
             deadline_ms=deadline_ms,
-            caller="",
+            caller=self._exchange.caller or "",
             method=request.method,
             path=request.path,
             headers=headers,
@@ -122,6 +123,8 @@
         self._timer.cancel()
         self._dispatcher._roster.note_done(self._chosen.target, load)
         if isinstance(result, Refusal):
+            if result.code is Code.TARGET_CRASHED:
+                self._dispatcher._quarantine.note_blamed(self._exchange, self._chosen.target)
             self._exchange.refuse(result)
         else:
             self._exchange.answer(result)
--- /dev/null
+++ b/packages/node/src/camphorshelf_node/drain.py
@@ -0,0 +1,122 @@
+"""Sees a leaving target off: closes its gate, waits until it is empty and tells it."""
+
+from camphorshelf_core.calls import Request
+from camphorshelf_core.drain import Drain, Phase
+
+from .httpclient import Failed
+from .streams import dial
+
+_STEP_SECONDS = 0.05
+_PROBE_SECONDS = 0.25
+_HEADERS = ((b"host", b"target"),)
+_SERVER_ERRORS = 500
+
+
+class Drainer:
+    """Carries out what the :class:`Drain` says; asks for nothing while the target serves."""
+
+    def __init__(self, loop, settings, gatekeeper):
+        self._loop = loop
+        self._settings = settings
+        self._gatekeeper = gatekeeper
+        self._drain = Drain()
+        self._instance = None
+        self._announced_at = 0.0
+        self._stepping = False
+        self._next_try = 0.0
+        self.client = None
+
+    @property
+    def closed(self):
+        """Whether no new call may reach the target."""
+        return self._drain.closed
+
+    @property
+    def phase(self):
+        """Where the target stands."""
+        return self._drain.phase(self._in_flight())
+
+    def wish(self, source, leaving):
+        """Note that somebody wants the target to leave, or no longer wants it.
+
+        :param source: a :class:`~camphorshelf_core.drain.Source`.
+        :param leaving: True to leave, False to stay.
+        :return: None.
+        """
+        self._drain.wish(source, leaving)
+        self._gatekeeper.apply()
+        self._start_steps()
+
+    def note_announced(self, instance):
+        """Note that the target announced itself.
+
+        :param instance: names the target's process, or None.
+        :return: None.
+        """
+        self._announced_at = self._loop.now()
+        if instance != self._instance:
+            if self._instance is not None:
+                self._drain.note_gone()
+            self._instance = instance
+        self._drain.note_announced()
+        self._gatekeeper.apply()
+        self._start_steps()
+
+    def _in_flight(self):
+        return self._gatekeeper.gate.in_flight
+
+    def _start_steps(self):
+        if self._drain.closed and not self._stepping:
+            self._stepping = True
+            self._loop.call_later(0, self._step)
+
+    def _step(self):
+        self._stepping = False
+        now = self._loop.now()
+        phase = self.phase
+        if phase is Phase.GONE or not self._drain.closed:
+            return
+        if phase is Phase.EMPTY and now - self._announced_at > self._settings.silent_ms / 1000:
+            self._on_gone()
+            return
+        if now >= self._next_try:
+            self._try(now)
+        self._stepping = True
+        self._loop.call_later(_STEP_SECONDS, self._step)
+
+    def _try(self, now):
+        if self.client is None:
+            return
+        if self._drain.must_tell(self._in_flight()):
+            self._next_try = now + self._settings.retry_ms / 1000
+            request = Request("POST", self._settings.path.encode(), _HEADERS, b"")
+            self.client.send(request, self._on_told)
+        elif self._drain.told:
+            self._next_try = now + _PROBE_SECONDS
+            self._probe()
+
+    def _on_told(self, result):
+        if isinstance(result, Failed):
+            if not result.sent:
+                self._on_gone()
+        elif result.status < _SERVER_ERRORS and self._drain.must_tell(self._in_flight()):
+            # A target without this path answers 404; it reads on its next announcement that
+            # it is empty.
+            self._drain.note_told()
+            self._gatekeeper.log.info("the target is empty and was told so")
+
+    def _probe(self):
+        stream = dial(self._loop, self._gatekeeper.crashes.address)
+
+        def on_connect():
+            stream.on_close = None
+            stream.close()
+
+        stream.on_connect = on_connect
+        stream.on_close = self._on_gone
+
+    def _on_gone(self):
+        if self._drain.closed:
+            self._drain.note_gone()
+            self._gatekeeper.apply()
+            self._gatekeeper.log.info("the leaving target has ended")
--- a/packages/node/src/camphorshelf_node/filters.py
+++ b/packages/node/src/camphorshelf_node/filters.py
@@ -4,6 +4,7 @@
 from camphorshelf_core.errors import Code, Refusal
 
 DEADLINE_HEADER = b"deadline-ms"
+_MAX_CALLER = 64
 
 
 def make_chain(filters, last):
@@ -45,6 +46,25 @@
     return identify
 
 
+def make_caller_filter(settings):
+    """Make the filter that tells callers apart, for their shares of a target.
+
+    :param settings: the :class:`~camphorshelf_core.settings.GateSettings`.
+    :return: the filter.
+    """
+    name = settings.caller_header.encode() if settings.caller_header else None
+
+    def identify_caller(exchange, proceed):
+        value = header(exchange.request.headers, name) if name else None
+        if value:
+            exchange.caller = value[:_MAX_CALLER].decode("latin-1")
+        else:
+            exchange.caller = exchange.peer
+        proceed(exchange)
+
+    return identify_caller
+
+
 def make_deadline_filter(limits, loop):
     """Make the filter that reads the deadline header.
 
--- a/packages/node/src/camphorshelf_node/gatekeeper.py
+++ b/packages/node/src/camphorshelf_node/gatekeeper.py
@@ -1,52 +1,113 @@
 """Guards the target beside the node: exact slots, queue, deadline and cancellation."""
 
-from camphorshelf_core.admission import Gate, Ticket
-from camphorshelf_core.calls import Request
-from camphorshelf_core.errors import Code, Ran, Refusal
+from camphorshelf_core.admission import POLICIES, Gate
+from camphorshelf_core.drain import Source
+from camphorshelf_core.errors import Code, Refusal
+from camphorshelf_core.isolation import Lane
 from camphorshelf_core.load import LoadReport
+from camphorshelf_core.quarantine import Standing
 from camphorshelf_core.settings import split_address
 
-from .httpclient import Failed, HttpClient
+from .crashes import CrashWatch
+from .drain import Drainer
+from .httpclient import HttpClient
+from .work import Work
 
 _SMOOTHING = 0.1
-_QUEUE_PER_SLOT = 2
 _SPARE_CONNECTIONS = 2
+_LEAST_TIMER_SECONDS = 0.001
 
 
 class Gatekeeper:
     """Runs calls at the target that announced itself to this node."""
 
-    def __init__(self, loop, limits):
+    def __init__(self, loop, settings, log, random, quarantine):
         self._loop = loop
-        self._limits = limits
-        self._gate = Gate(slots=0, queue_limit=0)
+        self._settings = settings
+        self._log = log
+        self._quarantine = quarantine
+        parts = POLICIES[settings.gate.policy]
+        self._gate = Gate(0, random, parts, settings.gate.team_weights)
+        self._lane = Lane()
+        self._crashes = CrashWatch(loop, quarantine)
+        self._drainer = Drainer(loop, settings.drain, self)
         self._client = None
+        self._expiry = None
         self._latency_ms = 0.0
+        self._stopping = False
         self.target = None
 
     @property
     def load(self):
         """The load report of this moment."""
         gate = self._gate
-        return LoadReport(gate.in_flight, gate.queued, gate.slots, self._latency_ms)
+        leaving = gate.closed is not None
+        return LoadReport(gate.in_flight, gate.queued, gate.limit, self._latency_ms, leaving)
 
-    def announce(self, target):
+    @property
+    def busy(self):
+        """Whether the target still works on calls."""
+        return self._gate.in_flight > 0
+
+    @property
+    def gate(self):
+        """The exact counts, for metrics."""
+        return self._gate
+
+    @property
+    def log(self):
+        """The node's log."""
+        return self._log
+
+    @property
+    def phase(self):
+        """Where the target stands, a :class:`~camphorshelf_core.drain.Phase`."""
+        return self._drainer.phase
+
+    def announce(self, target, instance=None, leaving=None):
         """Take note of the target that announced itself.
 
         :param target: a :class:`~camphorshelf_core.roster.Announcement`.
+        :param instance: names the target's process, where it says so.
+        :param leaving: whether the target wants to leave, where it says so.
         :return: True when it is new or changed.
         """
-        if target == self.target:
-            return False
-        self.target = target
-        self._gate = Gate(target.slots, target.slots * _QUEUE_PER_SLOT)
-        self._client = HttpClient(
-            self._loop,
-            split_address(target.address),
-            target.slots + _SPARE_CONNECTIONS,
-            self._limits.answer_bytes,
-        )
-        return True
+        changed = target != self.target
+        if changed:
+            self._replace_target(target)
+        self._drainer.note_announced(instance)
+        if leaving is not None:
+            self._drainer.wish(Source.TARGET, leaving)
+        return changed
+
+    def set_leaving(self, leaving, source=Source.OPERATOR):
+        """Take or give back the wish that the target leaves; in force when this returns.
+
+        :param leaving: True to leave, False to stay.
+        :param source: who wants it.
+        :return: None.
+        """
+        self._drainer.wish(source, leaving)
+
+    def stop(self):
+        """Refuse all calls from now on; those in flight run on.
+
+        :return: None.
+        """
+        self._stopping = True
+        self.apply()
+
+    def apply(self):
+        """Close or open the gate by what is wanted now.
+
+        :return: None.
+        """
+        if self._stopping:
+            self._gate.close(Refusal(Code.NODE_STOPPING, "the target's node stops"))
+        elif self._drainer.closed:
+            self._gate.close(Refusal(Code.TARGET_LEAVING, "the target is leaving"))
+        else:
+            self._gate.open()
 
     def run(self, call, on_done):
         """Run a call at the target, or refuse it.
@@ -55,63 +116,150 @@
         :param on_done: takes the response or refusal, and the load report.
         :return: a function that cancels the call.
         """
+        work = Work(self, self._loop, self._settings.gate, call, on_done)
         if self.target is None or self.target.service != call.service:
-            refusal = Refusal(Code.NO_TARGET, "no such target beside this node")
-            on_done(refusal, self.load)
-            return lambda: None
-        work = _Work(self, self._gate, self._client, call, on_done)
-        now = self._loop.now()
-        ticket = Ticket(now + call.deadline_ms / 1000, work.start, work.refuse)
-        self._gate.offer(ticket, now)
+            work.refuse(Refusal(Code.NO_TARGET, "no such target beside this node"))
+            return work.cancel
+        standing, name = self._quarantine.judge(call)
+        if standing is Standing.REFUSED:
+            work.refuse(self._quarantine.refusal(name))
+        elif standing is Standing.SUSPECT:
+            self._isolate(work, name)
+        else:
+            self.offer(work)
         return work.cancel
 
-    def note_latency(self, milliseconds):
-        """Take a finished call's time into the smoothed latency.
+    def offer(self, work):
+        """Put a call before the gate.
 
-        :param milliseconds: the time at the target.
+        :param work: the :class:`Work`.
         :return: None.
         """
-        self._latency_ms += _SMOOTHING * (milliseconds - self._latency_ms)
-
-
-class _Work:
-    def __init__(self, gatekeeper, gate, client, call, on_done):
-        self._gatekeeper = gatekeeper
-        self._gate = gate
-        self._client = client
-        self._call = call
-        self._on_done = on_done
-        self._abandon = None
-        self._cancelled = False
-
-    def start(self):
-        if self._cancelled:
-            self._gate.release(self._gatekeeper._loop.now())
-            return
-        call = self._call
-        self._started = self._gatekeeper._loop.now()
-        request = Request(call.method, call.path, call.headers, call.body)
-        self._abandon = self._client.send(request, self._on_result)
-
-    def refuse(self, refusal):
-        if not self._cancelled:
-            self._on_done(refusal, self._gatekeeper.load)
-
-    def cancel(self):
-        self._cancelled = True
-        if self._abandon is not None:
-            abandon, self._abandon = self._abandon, None
-            abandon()
-            self._gate.release(self._gatekeeper._loop.now())
-
-    def _on_result(self, result):
-        self._abandon = None
-        now = self._gatekeeper._loop.now()
-        self._gate.release(now)
-        if isinstance(result, Failed):
-            ran = Ran.OUTCOME_UNKNOWN if result.sent else Ran.NOT_RUN
-            code = Code.TARGET_LOST if result.sent else Code.TARGET_UNREACHABLE
-            result = Refusal(code, f"the target failed: {result.reason}", ran)
+        self._gate.offer(work.ticket, self._loop.now())
+        if work.waits:
+            gate = self._gate
+            self._log.decision(
+                "queue", call=work.name, in_flight=gate.in_flight, queued=gate.queued
+            )
+            self._arm()
+
+    def send(self, request, on_done):
+        """Send a request to the target.
+
+        :param request: the request.
+        :param on_done: takes the response or what failed.
+        :return: a function that abandons the request.
+        """
+        return self._client.send(request, on_done)
+
+    def finish(self, work, served):
+        """Take back the slot of a call that ended.
+
+        :param work: the :class:`Work`.
+        :param served: whether its time says how fast the target is.
+        :return: None.
+        """
+        now = self._loop.now()
+        if served:
+            milliseconds = (now - work.ticket.started) * 1000
+            self._latency_ms += _SMOOTHING * (milliseconds - self._latency_ms)
+        self._gate.finish(work.ticket, now, served)
+        self._leave_lane(work)
+
+    def cancel(self, work):
+        """Take out a call that nobody waits for any more.
+
+        :param work: the :class:`Work`.
+        :return: None.
+        """
+        if work.ticket.offered is not None:
+            self._gate.cancel(work.ticket, self._loop.now())
+        self._leave_lane(work)
+
+    def note_refused(self, work, refusal):
+        """Log a call that did not get in.
+
+        :param work: the :class:`Work`.
+        :param refusal: the :class:`Refusal`.
+        :return: None.
+        """
+        self._leave_lane(work)
+        self._log.decision(
+            "refuse", call=work.name, caller=work.ticket.caller, code=refusal.code.name
+        )
+
+    def note_shed(self):
+        """Take note that the target itself turned a call away.
+
+        :return: None.
+        """
+        self._gate.shed(self._loop.now())
+
+    def note_clean(self, work):
+        """Take note that a call ran to its answer.
+
+        :param work: the :class:`Work`.
+        :return: None.
+        """
+        if work.suspect is not None:
+            self._quarantine.note_clean(work.suspect, work.started_at)
+
+    @property
+    def crashes(self):
+        """Tells lost answers of a crashed target from those cut short."""
+        return self._crashes
+
+    def _replace_target(self, target):
+        # Calls that still run were counted by this gate and go on to be: a new gate beside
+        # them would let in as many again, and the target would hold twice its slots.
+        if self._client is not None:
+            self._client.close()
+        self.target = target
+        address = split_address(target.address)
+        connections = target.slots + _SPARE_CONNECTIONS
+        answer_bytes = self._settings.limits.answer_bytes
+        self._client = HttpClient(self._loop, address, connections, answer_bytes)
+        self._crashes.address = address
+        self._drainer.client = HttpClient(self._loop, address, 1, answer_bytes)
+        self._gate.resize(target.slots, self._loop.now())
+
+    def _isolate(self, work, name):
+        work.suspect = name
+        let_in = self._lane.enter(work)
+        self._log.decision("suspect", call=work.name, fingerprint=name, let_in=let_in)
+        if let_in:
+            self.offer(work)
+        elif let_in is None:
+            work.refuse_suspect()
         else:
-            self._gatekeeper.note_latency((now - self._started) * 1000)
-        self._on_done(result, self._gatekeeper.load)
+            work.wait_in_lane()
+
+    def _leave_lane(self, work):
+        if work.suspect is None or work.left_lane:
+            return
+        work.left_lane = True
+        following = self._lane.leave(work)
+        if following is not None:
+            following.end_lane_wait()
+            self._loop.call_later(0, lambda: self._offer_suspect(following))
+
+    def _offer_suspect(self, work):
+        if not work.done:
+            standing, name = self._quarantine.judge(work.call)
+            if standing is Standing.REFUSED:
+                work.refuse(self._quarantine.refusal(name))
+            else:
+                self.offer(work)
+
+    def _arm(self):
+        if self._expiry is not None:
+            return
+        due = self._gate.next_expiry()
+        if due is not None:
+            wait = max(_LEAST_TIMER_SECONDS, due - self._loop.now())
+            self._expiry = self._loop.call_later(wait, self._on_expiry)
+
+    def _on_expiry(self):
+        self._expiry = None
+        self._gate.expire(self._loop.now())
+        self._arm()
--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -42,6 +42,7 @@
         self._head_bytes = 0
         self._timer = None
         self._refused = None
+        self.peer = ""
         stream.on_data = self._on_data
         stream.on_close = self._on_close
         self.on_message_begin()
@@ -207,6 +208,11 @@
         """Whether the caller has the answer or is gone."""
         return self._finished
 
+    @property
+    def peer(self):
+        """The IP number that the request came from."""
+        return self._connection.peer
+
     def when_hung_up(self, callback):
         """Say what to do when the caller goes away first.
 
--- a/packages/node/src/camphorshelf_node/httpclient.py
+++ b/packages/node/src/camphorshelf_node/httpclient.py
@@ -24,6 +24,7 @@
         self._idle = deque()
         self._open = 0
         self._waiting = deque()
+        self._closed = False
 
     def send(self, request, on_done):
         """Send a request.
@@ -37,10 +38,11 @@
         return exchange.abandon
 
     def close(self):
-        """Close every idle connection.
+        """Close every idle connection, and the others after their answers.
 
         :return: None.
         """
+        self._closed = True
         while self._idle:
             self._idle.pop().close()
 
@@ -59,7 +61,10 @@
             if not exchange.abandoned:
                 connection.run(exchange)
                 return
-        self._idle.append(connection)
+        if self._closed:
+            connection.close()
+        else:
+            self._idle.append(connection)
 
     def _forget(self, connection):
         self._open -= 1
