--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -34,11 +34,15 @@
 
 
 class PlatformSettings(NamedTuple):
-    """Where the platform's table service and object store are."""
+    """Where the platform's table service and object store are, and what a node may ask of them.
+
+    ``requests_per_second`` bounds this node alone, with a burst of one second's worth.
+    """
 
     table: Address
     objects: Address
     timeout_ms: Milliseconds = 500
+    requests_per_second: Annotated[int, Field(ge=1, le=10_000)] = 200
 
 
 class LimitSettings(NamedTuple):
@@ -75,14 +79,15 @@
 
     ``caller_header`` names the header that tells callers apart; without it, or where a request
     lacks it, the caller is its IP number. ``not_run_header`` is the header by which a target
-    says of a 503 that the work did not run; its value must then be ``NOT_RUN``.
+    says of a 503 that the work did not run; its value must be ``NOT_RUN``. Without it a 503 is
+    passed on as the target's own answer.
     """
 
     policy: Literal["ours", "fifo"] = "ours"
     caller_header: HeaderName | None = None
     teams: dict[str, str] = {}
     team_weights: dict[str, Annotated[int, Field(ge=1, le=1_000)]] = {}
-    not_run_header: HeaderName = "camphorshelf-ran"
+    not_run_header: HeaderName | None = None
 
 
 class QuarantineSettings(NamedTuple):
--- a/packages/node/src/camphorshelf_node/admin.py
+++ b/packages/node/src/camphorshelf_node/admin.py
@@ -11,6 +11,8 @@
 from camphorshelf_core.drain import Source
 from camphorshelf_core.roster import Announcement
 
+from .metrics import CONTENT_TYPE
+
 
 class AnnounceRequest(NamedTuple):
     """An announcement as a target posts it.
@@ -42,6 +44,7 @@
             ("POST", "/stay"): self._stay,
             ("GET", "/healthz"): self._health,
             ("GET", "/readyz"): self._ready,
+            ("GET", "/metrics"): self._tell_metrics,
         }
 
     @handler("ready", override=True)
@@ -61,6 +64,9 @@
         response.headers["Content-Type"] = "application/json"
         status, document = route(request)
         response.status = status
+        if isinstance(document, str):
+            response.headers["Content-Type"] = CONTENT_TYPE
+            return document
         return json.dumps(document)
 
     def _announce(self, request):
@@ -87,6 +93,9 @@
     def _health(self, request):
         return 200, {"status": "up"}
 
+    def _tell_metrics(self, request):
+        return 200, self._node.metrics.render()
+
     def _ready(self, request):
         ready = self._node.ready
         return (200 if ready else 503), {"ready": ready}
--- a/packages/node/src/camphorshelf_node/gatekeeper.py
+++ b/packages/node/src/camphorshelf_node/gatekeeper.py
@@ -34,7 +34,6 @@
         self._client = None
         self._expiry = None
         self._latency_ms = 0.0
-        self._stopping = False
         self.target = None
 
     @property
@@ -44,11 +43,6 @@
         leaving = gate.closed is not None
         return LoadReport(gate.in_flight, gate.queued, gate.limit, self._latency_ms, leaving)
 
-    @property
-    def busy(self):
-        """Whether the target still works on calls."""
-        return self._gate.in_flight > 0
-
     @property
     def gate(self):
         """The exact counts, for metrics."""
@@ -89,22 +83,12 @@
         """
         self._drainer.wish(source, leaving)
 
-    def stop(self):
-        """Refuse all calls from now on; those in flight run on.
-
-        :return: None.
-        """
-        self._stopping = True
-        self.apply()
-
     def apply(self):
         """Close or open the gate by what is wanted now.
 
         :return: None.
         """
-        if self._stopping:
-            self._gate.close(Refusal(Code.NODE_STOPPING, "the target's node stops"))
-        elif self._drainer.closed:
+        if self._drainer.closed:
             self._gate.close(Refusal(Code.TARGET_LEAVING, "the target is leaving"))
         else:
             self._gate.open()
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -19,18 +19,17 @@
 )
 from .gatekeeper import Gatekeeper
 from .gossip import Gossip
-from .http import HttpConnection
 from .join import Join
-from .links import PeerServer, make_call_handler
+from .links import make_call_handler
+from .listeners import CallerListener, PeerListener, drain
 from .log import Log
 from .loop import Loop
+from .metrics import Metrics
 from .platform import Platform
 from .quarantine import QuarantineController
 from .roster import Roster
-from .streams import listen
 
 _INCARNATION_BYTES = 8
-_DRAIN_POLL_SECONDS = 0.02
 
 
 class Node(Component):
@@ -38,12 +37,14 @@
 
     channel = "node"
 
-    def __init__(self, settings):
+    def __init__(self, settings, log_level="INFO"):
         super().__init__()
         self.settings = settings
         self.incarnation = os.urandom(_INCARNATION_BYTES).hex()
         self._loop = Loop().register(self)
-        self._log = Log(settings.name)
+        self._log = Log(settings.name, self._loop, log_level)
+        self._loop.on_error = self._log.fault
+        self._metrics = Metrics(self._loop)
         self._platform = Platform(self._loop, settings.platform)
         self._gossip = Gossip(self._loop, settings, self.incarnation)
         self._roster = Roster(self._gossip)
@@ -53,10 +54,9 @@
             self._loop, settings, self._log, random.Random(self.incarnation), self._quarantine
         )
         self._peer_handlers = {
-            CallMessage: make_call_handler(self._gatekeeper),
+            CallMessage: make_call_handler(self._gatekeeper, self._log.fault),
             SnapshotRequestMessage: self._join.answer_snapshot,
         }
-        self._connections = set()
         self._stopping = False
         dispatcher = Dispatcher(
             self._loop,
@@ -74,9 +74,19 @@
             make_deadline_filter(settings.limits, self._loop),
             self._quarantine.filter,
         )
-        self._handle = make_chain(filters, dispatcher.dispatch)
+        handle = make_chain(filters, dispatcher.dispatch)
+        self._callers = CallerListener(
+            self._loop, settings, handle, self._log.fault, self._metrics.note_answer
+        )
+        self._peers = PeerListener(self._loop, settings, self._peer_handlers)
+        self._watch_gauges()
         self._admin = AdminServer(split_address(settings.listen.admin), self).register(self)
 
+    @property
+    def metrics(self):
+        """The node's :class:`Metrics`."""
+        return self._metrics
+
     @property
     def ready(self):
         """Whether callers should send requests here."""
@@ -109,21 +119,11 @@
     def _on_started(self, _manager):
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
-        listening = self.settings.listen
-        self._close_callers = listen(self._loop, split_address(listening.callers), self._on_caller)
-        self._close_peers = listen(
-            self._loop,
-            split_address(listening.peers),
-            lambda stream, _peer: PeerServer(stream, self._peer_handlers),
-        )
+        self._callers.start()
+        self._peers.start()
         self._gossip.start()
         self._join.start()
-        self._log.info(f"listening for callers on {listening.callers}")
-
-    def _on_caller(self, stream, peer):
-        connection = HttpConnection(stream, self.settings.limits, self._loop, self._handle)
-        connection.peer = peer[0]
-        self._connections.add(connection)
+        self._log.info(f"listening for callers on {self.settings.listen.callers}")
 
     def _on_signal(self, _number, _frame):
         # circuits would raise SystemExit in a handler here, which leaves its loop spinning
@@ -131,16 +131,22 @@
         if self._stopping:
             os._exit(1)
         self._stopping = True
-        self._loop.call_later(0, self._gatekeeper.stop)
-        self._loop.call_later(0, self._drain)
-        self._loop.resume()
-
-    def _drain(self):
-        self._close_callers()
-        # Calls from other nodes are in flight here too; ending now would cut them off.
-        busy = self._gatekeeper.busy
-        if busy or any(connection.busy for connection in self._connections):
-            self._loop.call_later(_DRAIN_POLL_SECONDS, self._drain)
-        else:
-            self._gossip.leave()
-            self.stop()
+        self._loop.interrupt(self._leave)
+
+    def _leave(self):
+        self._log.info("stopping: no new callers, waiting for what is in flight")
+        self._gossip.leave()
+        drain(self._loop, self._callers, self._peers, self._end)
+
+    def _end(self):
+        self._log.info("stopped: nothing is in flight")
+        self.stop()
+
+    def _watch_gauges(self):
+        watch = self._metrics.watch
+        gatekeeper = self._gatekeeper
+        watch("callers", "Callers' connections.", lambda: self._callers.connections)
+        watch("peer.links", "Links that peers opened.", lambda: self._peers.links)
+        watch("target.in_flight", "Calls at the target.", lambda: gatekeeper.load.in_flight)
+        watch("target.queued", "Calls that wait for a slot.", lambda: gatekeeper.load.queued)
+        watch("target.slots", "Calls the target takes at once.", lambda: gatekeeper.load.slots)
--- a/packages/node/src/camphorshelf_node/work.py
+++ b/packages/node/src/camphorshelf_node/work.py
@@ -7,11 +7,10 @@
 from camphorshelf_core.errors import Code, Ran, Refusal
 from camphorshelf_core.service_times import kind_of
 
-from .filters import DEADLINE_HEADER
+from .headers import with_deadline
 from .httpclient import Failed
 from .quarantine import SUSPECT_HEADER
 
-_OWN_HEADERS = frozenset({DEADLINE_HEADER, SUSPECT_HEADER})
 _NOT_RUN = b"NOT_RUN"
 _SERVER_ERRORS = 500
 _UNAVAILABLE = 503
@@ -121,9 +120,9 @@
     def _start(self):
         self.started_at = time.time()
         call = self.call
-        left = max(1, int((self.ticket.deadline - self._loop.now()) * 1000))
-        headers = tuple(pair for pair in call.headers if pair[0] not in _OWN_HEADERS)
-        headers += ((DEADLINE_HEADER, b"%d" % left),)
+        left_ms = (self.ticket.deadline - self._loop.now()) * 1000
+        headers = [pair for pair in call.headers if pair[0] != SUSPECT_HEADER]
+        headers = with_deadline(headers, left_ms)
         request = Request(call.method, call.path, headers, call.body)
         self._abandon = self._gatekeeper.send(request, self._on_result)
 
@@ -152,8 +151,8 @@
     def _says_not_run(self, response):
         # A bare 503 proves nothing: the target may have failed after half the work. Only one
         # that says "not run" by the agreed header may be sent elsewhere.
-        name = self._settings.not_run_header.encode()
-        return header(response.headers, name) == _NOT_RUN
+        name = self._settings.not_run_header
+        return name is not None and header(response.headers, name.encode()) == _NOT_RUN
 
     def _answer(self, result):
         self.done = True
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -2,7 +2,10 @@
 
 from behave import fixture, use_fixture
 
+from camphorshelf_core.settings import PlatformSettings
+from camphorshelf_node.platform import Platform
 from standins.deployment import Deployment, NodePlan
+from standins.inner import InnerLoop
 
 _SMALL = (
     NodePlan("a1", "counter", "fd-a"),
@@ -11,6 +14,25 @@
 )
 
 
+_EDGE = (
+    NodePlan("a1", "counter", "fd-a"),
+    NodePlan("b1", "counter", "fd-b", settings={"limits": {"caller_connections": 5}}),
+    NodePlan("c1", "orders", "fd-c", slots=1),
+)
+
+
+@fixture
+def edge_deployment(context):
+    """The same with one slot for ``orders`` and a node that takes few callers."""
+    deployment = Deployment(_EDGE)
+    context.add_cleanup(deployment.close)
+    for name in ("a1", "b1", "c1"):
+        for service in ("counter", "orders"):
+            deployment.wait_served(name, service)
+    context.deployment = deployment
+    return deployment
+
+
 @fixture
 def small_deployment(context):
     """Three nodes: two targets of ``counter`` and one of ``orders``."""
@@ -23,7 +45,26 @@
     return deployment
 
 
+@fixture
+def platform(context):
+    """A platform alone, and its client in the test's own process."""
+    context.platform = Deployment(())
+    context.add_cleanup(context.platform.close)
+    context.inner = InnerLoop()
+    address = context.platform.platform
+    settings = PlatformSettings(address, address, timeout_ms=300)
+    context.client = Platform(context.inner.loop, settings)
+
+
 def before_tag(context, tag):
     """Set up the fixture that a tag names."""
+    if tag == "fixture.edge_deployment":
+        use_fixture(edge_deployment, context)
     if tag == "fixture.small_deployment":
         use_fixture(small_deployment, context)
+
+
+def before_scenario(context, scenario):
+    """Give each scenario about the platform's client a fresh platform."""
+    if "fixture.platform" in scenario.effective_tags:
+        use_fixture(platform, context)
