--- a/packages/core/src/camphorshelf_core/quarantine.py
+++ b/packages/core/src/camphorshelf_core/quarantine.py
@@ -20,6 +20,8 @@
 
 _DIGEST_BYTES = 16
 _NODES_PER_RECORD = 8
+# An eighth goes at once when there are too many: one sort for many additions.
+_EVICTED_SHARE = 8
 
 
 class Standing(IntEnum):
@@ -189,7 +191,8 @@
         """
         record = self._record(name, now)
         known = record.by_node.get(node)
-        if known is not None and known.at >= crashes.at:
+        # The count decides between two of the same moment, so that their order does not.
+        if known is not None and (known.at, known.count) >= (crashes.at, crashes.count):
             return
         if known is None and len(record.by_node) >= _NODES_PER_RECORD:
             return
@@ -235,4 +238,6 @@
         def worth(name):
             return self.standing(name, now), self._records[name].last()
 
-        del self._records[min(self._records, key=worth)]
+        by_worth = sorted(self._records, key=worth)
+        for name in by_worth[: max(1, len(by_worth) // _EVICTED_SHARE)]:
+            del self._records[name]
--- a/packages/node/src/camphorshelf_node/admin.py
+++ b/packages/node/src/camphorshelf_node/admin.py
@@ -1,6 +1,7 @@
 """The administration listener, served by circuits.web."""
 
 import json
+from ipaddress import ip_address
 from typing import Annotated, NamedTuple
 
 from circuits import handler
@@ -80,10 +81,14 @@
         return 200, self._state()
 
     def _leave(self, request):
+        if not _is_loopback(request):
+            return 403, {"error": "only the target beside this node may ask to leave"}
         self._node.gatekeeper.set_leaving(True, Source.TARGET)
         return 200, self._state()
 
     def _stay(self, request):
+        if not _is_loopback(request):
+            return 403, {"error": "only the target beside this node may ask to stay"}
         self._node.gatekeeper.set_leaving(False, Source.TARGET)
         return 200, self._state()
 
@@ -99,3 +104,7 @@
     def _ready(self, request):
         ready = self._node.ready
         return (200 if ready else 503), {"ready": ready}
+
+
+def _is_loopback(request):
+    return ip_address(request.remote.ip).is_loopback
--- a/packages/node/src/camphorshelf_node/gatekeeper.py
+++ b/packages/node/src/camphorshelf_node/gatekeeper.py
@@ -35,6 +35,10 @@
         self._expiry = None
         self._latency_ms = 0.0
         self.target = None
+        # Asked just before a call's first byte goes to the target.
+        self.may_start = lambda call, deadline: True
+        # Told whether the target leaves, at each change of who wants that.
+        self.on_leaving = lambda leaving: None
 
     @property
     def load(self):
@@ -92,6 +96,7 @@
             self._gate.close(Refusal(Code.TARGET_LEAVING, "the target is leaving"))
         else:
             self._gate.open()
+        self.on_leaving(self._drainer.closed)
 
     def run(self, call, on_done):
         """Run a call at the target, or refuse it.
@@ -127,14 +132,15 @@
             )
             self._arm()
 
-    def send(self, request, on_done):
+    def send(self, request, on_done, may_send):
         """Send a request to the target.
 
         :param request: the request.
         :param on_done: takes the response or what failed.
+        :param may_send: asked just before the first byte is written.
         :return: a function that abandons the request.
         """
-        return self._client.send(request, on_done)
+        return self._client.send(request, on_done, may_send)
 
     def finish(self, work, served):
         """Take back the slot of a call that ended.
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -20,6 +20,7 @@
 from .gatekeeper import Gatekeeper
 from .gossip import Gossip
 from .join import Join
+from .leavers import Leavers
 from .links import make_call_handler
 from .listeners import CallerListener, PeerListener, drain
 from .log import Log
@@ -47,12 +48,14 @@
         self._metrics = Metrics(self._loop)
         self._platform = Platform(self._loop, settings.platform)
         self._gossip = Gossip(self._loop, settings, self.incarnation)
-        self._roster = Roster(self._gossip)
+        self._leavers = Leavers(self._loop, self._gossip, settings.name)
+        self._roster = Roster(self._gossip, self._leavers)
         self._join = Join(self._loop, settings, self._gossip, self._platform, self._log)
         self._quarantine = QuarantineController(self._loop, settings, self._gossip, self._log)
         self._gatekeeper = Gatekeeper(
             self._loop, settings, self._log, random.Random(self.incarnation), self._quarantine
         )
+        self._gatekeeper.on_leaving = self._leavers.publish_own
         self._peer_handlers = {
             CallMessage: make_call_handler(self._gatekeeper, self._log.fault),
             SnapshotRequestMessage: self._join.answer_snapshot,
--- a/packages/node/src/camphorshelf_node/roster.py
+++ b/packages/node/src/camphorshelf_node/roster.py
@@ -6,10 +6,11 @@
 class Roster:
     """Keeps the members in use by service, and what is known of their load."""
 
-    def __init__(self, gossip):
+    def __init__(self, gossip, leavers):
         self._services = {}
         self._own_in_flight = {}
         self._load = {}
+        self._leavers = leavers
         gossip.on_member(self._on_member)
 
     def knows(self, service):
@@ -54,6 +55,7 @@
         self._own_in_flight[target] -= 1
         if load is not None:
             self._load[target] = load
+            self._leavers.note_report(target, load)
 
     def _candidate(self, member):
         load = self._load.get(member.node)
@@ -64,7 +66,7 @@
             own_in_flight=self._own_in_flight.get(member.node, 0),
             reported_in_flight=load.in_flight + load.queued if load else 0,
             slots=member.target.slots,
-            leaving=load.leaving if load else False,
+            leaving=self._leavers.is_leaving(member.node),
         )
 
     def _on_member(self, old, new):
--- a/packages/node/src/camphorshelf_node/work.py
+++ b/packages/node/src/camphorshelf_node/work.py
@@ -102,8 +102,8 @@
         self.end_lane_wait()
         abandon, self._abandon = self._abandon, None
         if abandon is not None:
-            abandon()
-            self._gatekeeper.crashes.note_abandoned(self.call)
+            if abandon():
+                self._gatekeeper.crashes.note_abandoned(self.call)
         self._gatekeeper.cancel(self)
 
     def fail(self, blamed, reason):
@@ -124,7 +124,12 @@
         headers = [pair for pair in call.headers if pair[0] != SUSPECT_HEADER]
         headers = with_deadline(headers, left_ms)
         request = Request(call.method, call.path, headers, call.body)
-        self._abandon = self._gatekeeper.send(request, self._on_result)
+        self._abandon = self._gatekeeper.send(request, self._on_result, self._in_time)
+
+    def _in_time(self):
+        # A connection may have taken its time to open; this is the last moment to hold back.
+        deadline = self.ticket.deadline
+        return deadline > self._loop.now() and self._gatekeeper.may_start(self.call, deadline)
 
     def _on_result(self, result):
         self._abandon = None
@@ -145,8 +150,10 @@
         reason = f"the target failed: {failed.reason}"
         if failed.sent:
             self._gatekeeper.crashes.note_lost(self, reason)
-        else:
+        elif self.ticket.deadline > self._loop.now():
             self._answer(Refusal(Code.TARGET_UNREACHABLE, reason))
+        else:
+            self._answer(Refusal(Code.DEADLINE_UNREACHABLE, reason))
 
     def _says_not_run(self, response):
         # A bare 503 proves nothing: the target may have failed after half the work. Only one
--- /dev/null
+++ b/tests/features/steps/quarantine_steps.py
@@ -0,0 +1,269 @@
+"""Steps about requests that crash targets: by themselves, and with real processes."""
+
+import threading
+
+from behave import fixture, given, then, use_fixture, when
+
+from camphorshelf_core.isolation import Lane
+from camphorshelf_core.quarantine import Standing
+from standins.caller import call
+from standins.deployment import Deployment, NodePlan
+from standins.poison_play import INNOCENT_PER_PLAY, POISON, Nodes, play_news, play_poison
+
+_NAMES = ("r1", "r2", "r3")
+_POISON_PATH = "/rolls/13?fail=crash&work_ms=50"
+_TRIES = 60
+
+
+def innocent(count):
+    return [f"innocent-{number}" for number in range(count)]
+
+
+@given("a quarantine at nodes n1, n2 and n3 that refuses after 2 crashes")
+def three_nodes(context):
+    context.nodes = Nodes(("n1", "n2", "n3"))
+
+
+@given("poison is refused at all nodes")
+def convict(context):
+    context.nodes.crash("n1", [POISON])
+    context.nodes.crash("n2", [POISON])
+    assert context.nodes.standings(POISON) == {Standing.REFUSED}
+
+
+@given("a lane for suspects")
+def lane(context):
+    context.lane = Lane()
+
+
+@when("the target of {node} dies under poison and {count:d} innocent requests")
+def crash(context, node, count):
+    context.nodes.crash(node, [POISON, *innocent(count)])
+
+
+@when("the {count:d} innocent requests run to their answers at {node}")
+def run_clean(context, count, node):
+    for request in innocent(count):
+        context.nodes.clean(node, request)
+
+
+@when("the target of {node} dies under {count:d} other requests one after the other")
+def flood(context, node, count):
+    for number in range(count):
+        context.nodes.crash(node, [f"other-{number}"])
+
+
+@when("an operator lifts it at {node}")
+def lift(context, node):
+    context.nodes.lift(node, POISON)
+
+
+@when("{minutes:d} minutes pass")
+def wait_minutes(context, minutes):
+    assert context.nodes.standings(POISON) == {Standing.REFUSED}
+    context.nodes.now += minutes * 60
+
+
+@when(
+    "{count:d} random histories of crashes, clearings and lifts reach three nodes in random orders"
+)
+def news(context, count):
+    context.standings = [play_news(seed) for seed in range(count)]
+
+
+@when("the poison is sent among innocent requests over {count:d} fixed seeds")
+def play(context, count):
+    context.plays = [play_poison(seed) for seed in range(count)]
+
+
+@when("besides, one run in 100 ends with the chance death of its target")
+def play_chance(context):
+    context.plays = [play_poison(seed, 0.01) for seed in range(len(context.plays))]
+
+
+@when("suspects s1, s2 and s3 come")
+def suspects_come(context):
+    context.running = [name for name in ("s1", "s2", "s3") if context.lane.enter(name)]
+
+
+@when("s2 is given up and s1 ends")
+def suspects_end(context):
+    context.lane.leave("s2")
+    context.running = [context.lane.leave("s1")]
+
+
+@then("{name} runs alone")
+def check_lane(context, name):
+    assert context.running == [name], context.running
+    assert context.lane.running == name
+
+
+@then("poison and the {count:d} innocent requests are suspects at all nodes")
+def check_suspects(context, count):
+    for request in (POISON, *innocent(count)):
+        assert context.nodes.standings(request) == {Standing.SUSPECT}
+
+
+@then("no innocent request is a suspect at any node")
+def check_no_suspects(context):
+    for request in innocent(9):
+        assert context.nodes.standings(request) == {Standing.CLEAR}
+
+
+@then("poison is refused at all nodes and no innocent request is a suspect")
+def check_convicted(context):
+    assert context.nodes.standings(POISON) == {Standing.REFUSED}
+    check_no_suspects(context)
+
+
+@then("poison is clear at all nodes")
+def check_clear(context):
+    assert context.nodes.standings(POISON) == {Standing.CLEAR}
+
+
+@then("poison is still refused at {node}, which remembers {count:d} requests at most")
+def check_bounded(context, node, count):
+    quarantine = context.nodes.all[node]
+    assert quarantine.standing(POISON, context.nodes.now) is Standing.REFUSED
+    assert len(quarantine) <= count
+
+
+@then("in each the nodes hold the same standings")
+def check_same(context):
+    assert all(len(set(standings)) == 1 for standings in context.standings)
+    assert len({standings[0] for standings in context.standings}) == 3
+
+
+@then("in each the poison is refused after {count:d} crashes of its own")
+def check_plays(context, count):
+    assert all(crashes == count for crashes, _, _ in context.plays), context.plays
+    assert all(standings == {Standing.REFUSED} for _, _, standings in context.plays)
+
+
+@then("no innocent request is refused in any")
+def check_innocent(context):
+    assert all(refused <= {POISON} for _, refused, _ in context.plays), context.plays
+
+
+@then("at most {count:d} in 10000 innocent requests is refused in all")
+def check_few_innocent(context, count):
+    refused = sum(len(refused - {POISON}) for _, refused, _ in context.plays)
+    assert refused * 10_000 <= count * len(context.plays) * INNOCENT_PER_PLAY, refused
+
+
+@fixture
+def rollyard(context):
+    plans = [NodePlan(name, "rollyard", f"fd-{name}") for name in _NAMES]
+    context.deployment = Deployment(plans)
+    context.add_cleanup(context.deployment.close)
+    for name in _NAMES:
+        context.deployment.wait_served(name, "rollyard")
+
+
+@given("a deployment with three targets of rollyard")
+def start_rollyard(context):
+    use_fixture(rollyard, context)
+
+
+def lookup(context, name, path):
+    headers = [("Deadline-Ms", "20000")]
+    return call(context.deployment.nodes[name].callers, "GET", "rollyard", path, headers)
+
+
+def seen_at(context, name):
+    return int(call(context.deployment.nodes[name].target, "GET", "target", "/_seen").body)
+
+
+@given("{count:d} innocent slow lookups are in flight at each target")
+def start_innocent(context, count):
+    before = {name: seen_at(context, name) for name in _NAMES}
+    context.innocent = [f"/rolls/{number}?work_ms=1500" for number in range(count * len(_NAMES))]
+    context.first_answers = {}
+
+    def run(number, path):
+        answer = lookup(context, _NAMES[number % len(_NAMES)], path)
+        context.first_answers[path] = answer
+
+    context.threads = [
+        threading.Thread(target=run, args=item, daemon=True) for item in enumerate(context.innocent)
+    ]
+    for thread in context.threads:
+        thread.start()
+    context.deployment.wait_until(
+        lambda: sum(seen_at(context, name) - before[name] for name in _NAMES)
+        >= len(context.innocent)
+    )
+
+
+@when("a lookup that crashes its target is sent again and again through all nodes")
+def send_poison(context):
+    for number in range(_TRIES):
+        answer = lookup(context, _NAMES[number % len(_NAMES)], _POISON_PATH)
+        assert answer.status != 200, answer
+        if answer.headers.get("camphorshelf-code") == "210":
+            return
+    raise AssertionError(f"never refused in {_TRIES} tries: {answer}")
+
+
+@then("it is refused with code 210 at every node")
+def check_refused_everywhere(context):
+    def is_refused():
+        answers = [lookup(context, name, _POISON_PATH) for name in _NAMES]
+        return all(answer.headers.get("camphorshelf-code") == "210" for answer in answers)
+
+    context.deployment.wait_until(is_refused)
+
+
+def ended(context):
+    return [name for name in _NAMES if context.deployment.has_ended(f"target-{name}")]
+
+
+@then("{count:d} targets have crashed")
+def check_crashes(context, count):
+    assert len(ended(context)) == count, ended(context)
+
+
+@when("the crashed targets are started again and the innocent callers send again")
+def start_crashed(context):
+    for thread in context.threads:
+        thread.join()
+    for name in ended(context):
+        context.deployment.start_target(name)
+    context.lost = [path for path in context.innocent if context.first_answers[path].status != 200]
+    assert context.lost, "no innocent lookup was beside the crash"
+
+
+def wait_answered(context, path):
+    context.deployment.wait_until(lambda: lookup(context, "r1", path).status == 200)
+    context.answered.append(path)
+
+
+@then("every innocent lookup is answered 200")
+def check_innocent_served(context):
+    threads = [
+        threading.Thread(target=wait_answered, args=(context, path), daemon=True)
+        for path in context.lost
+    ]
+    context.answered = []
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert sorted(context.answered) == sorted(context.lost), context.answered
+    assert ended(context) == []
+
+
+@when("a lookup whose answer is cut short is sent 5 times")
+def send_cut(context):
+    context.answers = [lookup(context, "r1", "/rolls/1?fail=hang-up") for _ in range(5)]
+
+
+@then("each is refused with code {code:d}")
+def check_cut(context, code):
+    codes = [answer.headers.get("camphorshelf-code") for answer in context.answers]
+    assert codes == [str(code)] * 5, context.answers
+
+
+@then("the target still serves others")
+def check_others(context):
+    assert lookup(context, "r1", "/rolls/2").status == 200
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -104,6 +104,10 @@
         """Wait for a process to end and give its exit status."""
         return self._processes[process].wait(_STOP_SECONDS)
 
+    def has_ended(self, process):
+        """Whether a started process is gone."""
+        return self._processes[process].poll() is not None
+
     def pid(self, process):
         """The process id of a started process."""
         return self._processes[process].pid
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -81,7 +81,7 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-async def _run(address, serve, beside):
+async def _run(address, serve, beside, before_stop):
     loop = asyncio.get_running_loop()
     host, port = address.split(":")
     server = await loop.create_server(lambda: _Protocol(serve), host, int(port), backlog=512)
@@ -89,17 +89,20 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     tasks = [asyncio.ensure_future(task) for task in beside]
     await stop.wait()
+    if before_stop is not None:
+        await before_stop()
     for task in tasks:
         task.cancel()
     server.close()
 
 
-def run_server(address, serve, beside=()):
+def run_server(address, serve, beside=(), before_stop=None):
     """Serve until SIGTERM.
 
     :param address: ``IP:PORT``.
     :param serve: a coroutine function from :class:`Received` to :class:`Reply`.
     :param beside: coroutines to run meanwhile.
+    :param before_stop: a coroutine function to run between SIGTERM and the end.
     :return: None.
     """
-    asyncio.run(_run(address, serve, beside))
+    asyncio.run(_run(address, serve, beside, before_stop))
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -2,7 +2,8 @@
 
 It works on at most ``slots`` calls at once; more are answered 503. A call's query says what
 to do: ``work_ms`` (how long), ``size`` (of the answer), ``fail`` (``503``, ``cut``, ``hang-up``,
-``crash`` or ``unframed``). Each POST's key is counted under ``GET /_runs``.
+``crash`` or ``unframed``). Each POST's key is counted under ``GET /_runs``, all work under
+``GET /_seen``. On SIGTERM it leaves: it tells its node and ends once it was told that it is empty.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from standins.server import Reply, run_server
 
 _ANNOUNCE_SECONDS = 1.0
+_LEAVE_SECONDS = 60.0
 
 
 class Target:
@@ -25,11 +27,20 @@
         self._slots = asyncio.Semaphore(options["slots"])
         self._runs = Counter()
         self._slow_ms = options.get("work_ms", 1)
+        self._seen = 0
+        self._working = 0
+        self._drained = asyncio.Event()
 
     async def serve(self, received):
         """Answer one request."""
         if received.path == "/_runs":
             return Reply(body=json.dumps(self._runs).encode())
+        if received.path == "/_seen":
+            return Reply(body=b"%d" % self._seen)
+        if received.path == "/drain":
+            print(f"drained with {self._working} calls in flight", flush=True)
+            self._drained.set()
+            return Reply()
         if received.path.startswith("/_slow/"):
             self._slow_ms = float(received.path.rpartition("/")[2])
             return Reply()
@@ -37,7 +48,12 @@
         if self._slots.locked():
             return Reply(status=503, body=b"busy")
         async with self._slots:
-            return await self._work(received, query)
+            self._seen += 1
+            self._working += 1
+            try:
+                return await self._work(received, query)
+            finally:
+                self._working -= 1
 
     async def _work(self, received, query):
         if received.method == "POST":
@@ -55,11 +71,17 @@
     async def announce(self):
         """Announce the target to the node beside it every second."""
         document = {key: self._options[key] for key in ("service", "address", "slots")}
+        document["instance"] = str(os.getpid())
         body = json.dumps(document).encode()
         while True:
             await _post(self._options["announce"], "/announce", body)
             await asyncio.sleep(_ANNOUNCE_SECONDS)
 
+    async def leave(self):
+        """Ask the node for no more work and wait until there is none."""
+        if await _post(self._options["announce"], "/leave", b""):
+            await asyncio.wait_for(self._drained.wait(), _LEAVE_SECONDS)
+
 
 _FAILURES = {
     "503": Reply(status=503, body=b"failing"),
@@ -75,17 +97,18 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         head = f"POST {path} HTTP/1.1\r\nHost: node\r\nContent-Length: {len(body)}\r\n"
         writer.write(head.encode() + b"Connection: close\r\n\r\n" + body)
-        await reader.read()
+        answer = await reader.read()
         writer.close()
+        return answer
     except OSError:
-        pass
+        return b""
 
 
 def main():
     """Run a target whose options are the JSON object on the command line."""
     options = json.loads(sys.argv[1])
     target = Target(options)
-    run_server(options["address"], target.serve, (target.announce(),))
+    run_server(options["address"], target.serve, (target.announce(),), target.leave)
 
 
 if __name__ == "__main__":
