--- a/packages/node/src/camphorshelf_node/exchange.py
+++ b/packages/node/src/camphorshelf_node/exchange.py
@@ -2,6 +2,8 @@
 
 from camphorshelf_core.errors import Code, Ran, Refusal, http_status
 
+from .headers import strip_own
+
 
 class Exchange:
     """A caller's request, and the one answer that it gets."""
@@ -18,6 +20,8 @@
         self.service = None
         self.code = Code.OK
         self.caller = None
+        self.is_keyed = False
+        self.timer = None
 
     @property
     def finished(self):
@@ -53,7 +57,7 @@
         :param response: the :class:`Response`.
         :return: None.
         """
-        self._send(response.status, response.headers, response.body)
+        self._send(response.status, strip_own(response.headers), response.body)
 
     def refuse(self, refusal):
         """Give the caller a final refusal; a second answer is dropped.
@@ -63,6 +67,10 @@
         """
         if not self._finished:
             self.code = refusal.code
+        if self.is_keyed and refusal.ran is Ran.NOT_RUN:
+            # This request did not run, but an earlier send of its key may have: a caller who
+            # reads NOT_RUN would order again under a new key. Only the claim can tell.
+            refusal = refusal._replace(ran=Ran.OUTCOME_UNKNOWN)
         status, headers, body = render_refusal(refusal)
         self._send(status, headers, body)
 
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +17,7 @@
 _TESTS = Path(__file__).resolve().parent.parent
 _START_SECONDS = 20.0
 _STOP_SECONDS = 10.0
+_PORTS = (10_000, 32_000)
 
 
 class NodePlan(NamedTuple):
@@ -53,8 +55,7 @@
         self._start("platform", [sys.executable, "-m", "standins.platform", self.platform])
         self._wait(self.platform)
         for plan in plans:
-            ports = [_address() for _ in range(4)]
-            self._nodes[plan.name] = RunningNode(plan.name, *ports)
+            self._plan(plan)
         for plan in plans:
             self.start_node(plan.name)
             self.start_target(plan.name)
@@ -69,6 +70,18 @@
         """Where settings and logs are, as a path."""
         return Path(self._directory.name)
 
+    def add(self, plan):
+        """Start one more node and its target."""
+        self._plan(plan)
+        self.start_node(plan.name)
+        self.start_target(plan.name)
+
+    def replace(self, name, service):
+        """Start a node and a target of another service at the addresses of a dead host."""
+        self._plans[name] = self._plans[name]._replace(service=service)
+        self.start_node(name)
+        self.start_target(name)
+
     def start_node(self, name):
         """Start a node, or start it again at the same addresses."""
         plan, node = self._plans[name], self._nodes[name]
@@ -157,6 +170,11 @@
             process.wait()
         self._directory.cleanup()
 
+    def _plan(self, plan):
+        self._plans[plan.name] = plan
+        addresses = [_address() for _ in range(4)]
+        self._nodes[plan.name] = RunningNode(plan.name, *addresses)
+
     def _settings(self, plan, node):
         settings = {
             "name": plan.name,
@@ -190,6 +208,18 @@
 
 
 def _address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    # Below the range from which the kernel takes the ports of outgoing connections: a port picked
+    # from that range is often another test's by the time the process listens on it.
+    while True:
+        port = random.SystemRandom().randrange(*_PORTS)
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
+            return f"127.0.0.1:{port}"
+
+
+def _is_free(port, kind):
+    with socket.socket(socket.AF_INET, kind) as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
