--- a/packages/core/src/camphorshelf_core/quarantine.py
+++ b/packages/core/src/camphorshelf_core/quarantine.py
@@ -63,13 +63,13 @@
     :param method: the HTTP method.
     :param path: the request's target, as bytes.
     :param body: the body, as bytes.
-    :return: a hexadecimal string.
+    :return: the service's name, a dot and a hexadecimal digest.
     """
     digest = blake2b(digest_size=_DIGEST_BYTES)
     for part in (service.encode(), method.encode(), path, body):
         digest.update(len(part).to_bytes(8))
         digest.update(part)
-    return digest.hexdigest()
+    return f"{service}.{digest.hexdigest()}"
 
 
 class Quarantine:
--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -115,6 +115,7 @@
         self._ids = itertools.count(1)
         self._pending = {}
         self.unknown_answers = 0
+        self.told_version = None
         uri = parse_uri(f"ws://{host}:{port}/")
         protocol = ClientProtocol(uri, max_size=_MAX_MESSAGE)
         stream = dial(loop, address)
--- a/packages/node/src/camphorshelf_node/node.py
+++ b/packages/node/src/camphorshelf_node/node.py
@@ -8,12 +8,21 @@
 
 from camphorshelf_core.attempts import AttemptLedger
 from camphorshelf_core.invariants import Invariants
-from camphorshelf_core.messages import CallMessage, ClaimAskMessage, SnapshotRequestMessage
+from camphorshelf_core.messages import (
+    CallMessage,
+    ClaimAskMessage,
+    MintMessage,
+    SnapshotRequestMessage,
+    VersionRequestMessage,
+)
 from camphorshelf_core.settings import split_address
+from camphorshelf_core.tickets import TicketBook
 
 from .admin import AdminServer
 from .claims import Claims, keyed_filter
+from .config import Configuration
 from .dispatch import Dispatcher
+from .explain import Decisions
 from .filters import (
     make_caller_filter,
     make_chain,
@@ -30,11 +39,15 @@
 from .loop import Loop
 from .metrics import Metrics
 from .once import OnceGuard
+from .operators import Operators
 from .platform import Platform
 from .quarantine import QuarantineController
 from .roster import Roster
+from .tickets import TicketDesk, TicketEntry
+from .versionguard import guard_calls, make_call_id_filter, make_configuration_filter
 
 _INCARNATION_BYTES = 8
+_SECRET_BYTES = 16
 
 
 class Node(Component):
@@ -47,13 +60,23 @@
         self.settings = settings
         self.incarnation = os.urandom(_INCARNATION_BYTES).hex()
         self._loop = Loop().register(self)
-        self._log = Log(settings.name, self._loop, log_level)
+        self._decisions = Decisions(settings.administration.decisions_kept)
+        self._log = Log(settings.name, self._loop, log_level, self._decisions.note)
         self._loop.on_error = self._log.fault
         self._metrics = Metrics(self._loop)
         self._platform = Platform(self._loop, settings.platform)
         self._gossip = Gossip(self._loop, settings, self.incarnation)
         self._leavers = Leavers(self._loop, self._gossip, settings.name)
-        self._roster = Roster(self._gossip, self._leavers)
+        self._configuration = Configuration(
+            self._loop,
+            settings,
+            self.incarnation,
+            self._platform,
+            self._gossip,
+            lambda address: self._router.link(address),
+            self._log,
+        )
+        self._roster = Roster(self._gossip, self._leavers, self._configuration)
         self._join = Join(self._loop, settings, self._gossip, self._platform, self._log)
         self._quarantine = QuarantineController(self._loop, settings, self._gossip, self._log)
         self._gatekeeper = Gatekeeper(
@@ -62,12 +85,26 @@
         self._gatekeeper.on_leaving = self._leavers.publish_own
         self._invariants = Invariants()
         self._once = OnceGuard(self._loop, self._gatekeeper, AttemptLedger(), self._invariants)
+        self._tickets = TicketBook(
+            settings.claims,
+            settings.name,
+            self.incarnation,
+            os.urandom(_SECRET_BYTES),
+            self._invariants,
+        )
+        self._desk = TicketDesk(self._loop, self._once, self._gatekeeper, self._tickets)
         self._peer_handlers = {
-            CallMessage: make_call_handler(self._once, self._log.fault),
+            CallMessage: guard_calls(
+                make_call_handler(self._desk, self._log.fault),
+                self._gatekeeper,
+                self._configuration,
+            ),
+            VersionRequestMessage: self._configuration.answer_peer,
+            MintMessage: self._desk.answer_mint,
             SnapshotRequestMessage: self._join.answer_snapshot,
         }
         self._stopping = False
-        dispatcher = Dispatcher(
+        self._router = Dispatcher(
             self._loop,
             settings,
             self.incarnation,
@@ -76,32 +113,61 @@
             self._quarantine,
             self._log,
             random.Random(self.incarnation),
+            self._configuration,
         )
         self._claims = Claims(
             self._loop,
             settings,
             self._platform,
-            dispatcher,
+            self._router,
             self._gossip.membership.replica,
             self._invariants,
             random.Random(self.incarnation),
         )
+        tickets = TicketEntry(
+            self._loop,
+            settings,
+            self._router,
+            self._roster,
+            self._gossip.membership.replica,
+            self._desk,
+            random.Random(self.incarnation),
+        )
         self._peer_handlers[ClaimAskMessage] = self._claims.answer_ask
         filters = (
+            make_call_id_filter(self.incarnation),
             keyed_filter,
+            make_configuration_filter(self._configuration),
             make_identity_filter(self._roster.knows),
             make_caller_filter(settings.gate),
             make_deadline_filter(settings.limits, self._loop),
+            tickets.filter,
             self._claims.filter,
             self._quarantine.filter,
         )
-        handle = make_chain(filters, dispatcher.dispatch)
+        handle = make_chain(filters, self._router.dispatch)
         self._callers = CallerListener(
             self._loop, settings, handle, self._log.fault, self._metrics.note_answer
         )
         self._peers = PeerListener(self._loop, settings, self._peer_handlers)
         self._watch_gauges()
-        self._admin = AdminServer(split_address(settings.listen.admin), self).register(self)
+        operators = Operators(
+            settings,
+            self._configuration,
+            self._platform,
+            self._roster,
+            self._decisions,
+            self._quarantine,
+        )
+        self._admin = AdminServer(
+            split_address(settings.listen.admin),
+            self._loop,
+            settings.administration,
+            self,
+            operators,
+            self._log.fault,
+        ).register(self)
+        self._configuration.on_change(self._apply_configuration)
 
     @property
     def metrics(self):
@@ -111,9 +177,21 @@
     @property
     def ready(self):
         """Whether callers should send requests here."""
-        if self._stopping or self._gossip.membership.superseded:
-            return False
-        return self._join.is_joined
+        return self.find_unready_reason() is None
+
+    def find_unready_reason(self):
+        """Tell why callers should not send requests here.
+
+        :return: a sentence, or None when they should.
+        """
+        if self._stopping:
+            return "the node is stopping"
+        if self._gossip.membership.superseded:
+            return "another process of this node has been started"
+        if not self._join.is_joined:
+            return "the node has not found its peers yet"
+        refusal = self._configuration.find_refusal()
+        return None if refusal is None else refusal.reason
 
     @property
     def gatekeeper(self):
@@ -134,10 +212,17 @@
         :return: None.
         """
         if self._gatekeeper.announce(target, instance, leaving):
+            self._apply_configuration()
             self._gossip.change_own(target=target)
             self._join.write_row()
             self._log.info(f"target announced: {target.service} at {target.address}")
 
+    def _apply_configuration(self):
+        target = self._gatekeeper.target
+        if target is not None:
+            leaving = self._configuration.is_leaving(target.service, self.settings.name)
+            self._gatekeeper.set_leaving(leaving)
+
     @handler("started", channel="*")
     def _on_started(self, _manager):
         signal.signal(signal.SIGTERM, self._on_signal)
@@ -146,6 +231,7 @@
         self._peers.start()
         self._gossip.start()
         self._join.start()
+        self._configuration.start()
         self._log.info(f"listening for callers on {self.settings.listen.callers}")
 
     def _on_signal(self, _number, _frame):
@@ -184,4 +270,5 @@
         watch("claims.open", "Calls under keys under way.", lambda: claims.book.open_claims)
         watch("claims.answers", "Answers kept for resends.", lambda: len(claims.book.answers))
         watch("claims.marks", "Settled claims still to be marked.", lambda: claims.writer.marks)
+        watch("tickets", "Tickets remembered.", lambda: len(self._tickets))
         watch("invariants.broken", "Broken invariants.", lambda: sum(broken.broken.values()))
--- a/packages/node/src/camphorshelf_node/quarantine.py
+++ b/packages/node/src/camphorshelf_node/quarantine.py
@@ -121,6 +121,23 @@
             self._publish(f"{name}:{_CLEARED}", now, now)
             self._log.info(f"request {name} ran to its answer and is cleared")
 
+    def list_entries(self):
+        """List the requests that are refused or under suspicion.
+
+        :return: a list of documents with ``id``, ``service``, ``standing`` and ``seconds_left``.
+        """
+        now = time.time()
+        return [
+            {
+                "id": name,
+                "service": name.rpartition(".")[0],
+                "standing": standing.name,
+                "seconds_left": round(self._state.seconds_left(name, now)),
+            }
+            for name in self._state
+            if (standing := self._state.standing(name, now)) is not Standing.CLEAR
+        ]
+
     def lift(self, name):
         """Forgive a request everywhere, on an operator's word.
 
