Test that the retry of a blamed lookup carries its evidence, and ends when it is convicted

Cause: with the evidence left out of the retry's headers, all nine scenarios of quarantine.feature passed, for gossip told the next node in time. Two scenarios on simulated time now fail when the evidence is left out and when a convicted request is retried all the same.

--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -1,4 +1,4 @@
-"""Measures what control costs real nodes with announcing targets, at several sizes, without calls."""
+"""Measures what control costs real nodes whose targets announce themselves, without any calls."""
 
 import os
 import re
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -77,3 +77,16 @@
     When a lookup whose answer is cut short is sent 5 times
     Then each is refused with code 303
     And the target still serves others
+
+  Scenario Outline: The retry of a lookup whose target died carries the evidence
+    # The retry leaves within a millisecond of the crash, before gossip has told its next target.
+    # Without the evidence that node lets the request in beside others, and the next target dies;
+    # and once it is convicted, a retry would only take the target after that.
+    Given a lookup under which each target dies, blamed with standing <standing>
+    When an entry node sends it
+    Then <attempts> targets were asked, and each after the first was told of the one before
+
+    Examples:
+      | standing  | attempts |
+      | suspect   | 2        |
+      | convicted | 1        |
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -4,11 +4,14 @@
 
 from behave import fixture, given, then, use_fixture, when
 
+from camphorshelf_core.errors import Code, Ran, Refusal
 from camphorshelf_core.isolation import Lane
 from camphorshelf_core.quarantine import Standing
+from camphorshelf_node.quarantine import SUSPECT_HEADER
 from standins.caller import call
 from standins.deployment import Deployment, NodePlan
 from standins.poison_play import INNOCENT_PER_PLAY, POISON, Nodes, play_news, play_poison
+from standins.simulated import Simulation
 
 _NAMES = ("r1", "r2", "r3")
 _POISON_PATH = "/rolls/13?fail=crash&work_ms=50"
@@ -267,3 +270,47 @@
 @then("the target still serves others")
 def check_others(context):
     assert lookup(context, "r1", "/rolls/2").status == 200
+
+
+class _Blame:
+    """Marks a blamed request as the quarantine controller does."""
+
+    def __init__(self, is_refused):
+        self._is_refused = is_refused
+
+    def note_blamed(self, exchange, target):
+        """Put the target's name into the request's evidence."""
+        request = exchange.request
+        headers = (*request.headers, (SUSPECT_HEADER, target.encode()))
+        exchange.request = request._replace(headers=headers)
+        return self._is_refused
+
+
+@given("a lookup under which each target dies, blamed with standing {standing}")
+def prepare_deadly_lookup(context, standing):
+    context.simulation = Simulation(targets=3, entries=1)
+    context.simulation.entries[0].quarantine = _Blame(standing == "convicted")
+    context.asked = []
+    died = Refusal(Code.TARGET_CRASHED, "the target died", Ran.OUTCOME_UNKNOWN)
+
+    def die(message, on_done):
+        context.asked.append(message)
+        context.simulation.loop.call_later(0.001, lambda: on_done(died))
+        return lambda: None
+
+    for target in context.simulation.targets:
+        target.call = die
+
+
+@when("an entry node sends it")
+def send_deadly_lookup(context):
+    context.simulation.call(0.0, 10, entry=0)
+    context.simulation.loop.run()
+
+
+@then("{count:d} targets were asked, and each after the first was told of the one before")
+def check_evidence(context, count):
+    assert len(context.asked) == count, context.asked
+    told = [dict(message.headers).get(SUSPECT_HEADER) for message in context.asked]
+    before = [None, *(message.target.encode() for message in context.asked)]
+    assert told == before[:count], told
