--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -22,28 +22,27 @@
 )
 
 
-@fixture
-def edge_deployment(context):
-    """The same with one slot for ``orders`` and a node that takes few callers."""
-    deployment = Deployment(_EDGE)
+def _start(context, plans):
+    """Start a deployment and wait until each node serves both services."""
+    deployment = Deployment(plans)
     context.add_cleanup(deployment.close)
-    for name in ("a1", "b1", "c1"):
+    for name in deployment.nodes:
         for service in ("counter", "orders"):
             deployment.wait_served(name, service)
     context.deployment = deployment
     return deployment
 
 
+@fixture
+def edge_deployment(context):
+    """The same with one slot for ``orders`` and a node that takes few callers."""
+    return _start(context, _EDGE)
+
+
 @fixture
 def small_deployment(context):
     """Three nodes: two targets of ``counter`` and one of ``orders``."""
-    deployment = Deployment(_SMALL)
-    context.add_cleanup(deployment.close)
-    for name in ("a1", "b1", "c1"):
-        for service in ("counter", "orders"):
-            deployment.wait_served(name, service)
-    context.deployment = deployment
-    return deployment
+    return _start(context, _SMALL)
 
 
 _ORDERS = (
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -67,9 +67,14 @@
         self._wait(self.platform)
         for plan in plans:
             self._plan(plan)
-        for plan in plans:
-            self.start_node(plan.name)
-            self.start_target(plan.name)
+        try:
+            for plan in plans:
+                self.start_node(plan.name)
+                self.start_target(plan.name)
+        except BaseException:
+            # Nobody else has a hold of what was started so far; it would run on for ever.
+            self.close()
+            raise
 
     @property
     def nodes(self):
