Let callers' calls and calls under a key share one guard against faults

Seen in reading and not changed here: a fault of a call under a key is refused but never logged, as KeyedCall has no way to the node's log.

--- a/packages/node/src/camphorshelf_node/exchange.py
+++ b/packages/node/src/camphorshelf_node/exchange.py
@@ -90,14 +90,7 @@
         :param callback: any function.
         :return: the function to register in its place.
         """
-
-        def run(*arguments):
-            try:
-                callback(*arguments)
-            except Exception as error:
-                self.fail(error)
-
-        return run
+        return wrap_callback(callback, self.fail)
 
     def fail(self, error):
         """Refuse the call after a fault of our own and cancel what was sent for it.
@@ -107,9 +100,7 @@
         """
         if self._finished:
             raise error
-        reason = f"a fault inside the node: {type(error).__name__}"
-        # It is not known how far the call had come when the fault struck.
-        self.refuse(Refusal(Code.INTERNAL, reason, Ran.OUTCOME_UNKNOWN))
+        self.refuse(refuse_fault(error))
         self._connection.note_fault(error)
         if self._on_hang_up is not None:
             self._on_hang_up()
@@ -140,3 +131,31 @@
         headers.append((b"retry-after-ms", b"%d" % refusal.retry_after_ms))
     body = f"{refusal.code.value} {refusal.code.name} {refusal.ran.value}: {refusal.reason}\n"
     return http_status(refusal.code), headers, body.encode()
+
+
+def wrap_callback(callback, fail):
+    """Wrap a callback so that a fault in it goes to the call that it belongs to.
+
+    :param callback: any function.
+    :param fail: takes the exception.
+    :return: the function to register in its place.
+    """
+
+    def run(*arguments):
+        try:
+            callback(*arguments)
+        except Exception as error:
+            fail(error)
+
+    return run
+
+
+def refuse_fault(error):
+    """Make the refusal of a call that met a fault of our own.
+
+    :param error: the exception.
+    :return: the :class:`Refusal`.
+    """
+    # It is not known how far the call had come when the fault struck.
+    reason = f"a fault inside the node: {type(error).__name__}"
+    return Refusal(Code.INTERNAL, reason, Ran.OUTCOME_UNKNOWN)
--- a/packages/node/src/camphorshelf_node/keyedcall.py
+++ b/packages/node/src/camphorshelf_node/keyedcall.py
@@ -1,6 +1,6 @@
 """A call under a key on its way to a target, apart from the callers that wait for it."""
 
-from camphorshelf_core.errors import Code, Ran, Refusal
+from .exchange import refuse_fault, wrap_callback
 
 
 class KeyedCall:
@@ -54,14 +54,7 @@
         :param callback: any function.
         :return: the function to register in its place.
         """
-
-        def run(*arguments):
-            try:
-                callback(*arguments)
-            except Exception as error:
-                self.fail(error)
-
-        return run
+        return wrap_callback(callback, self.fail)
 
     def fail(self, error):
         """End the call after a fault of our own.
@@ -71,8 +64,7 @@
         """
         if self._finished:
             raise error
-        reason = f"a fault inside the node: {type(error).__name__}"
-        self.refuse(Refusal(Code.INTERNAL, reason, Ran.OUTCOME_UNKNOWN))
+        self.refuse(refuse_fault(error))
 
     def _finish(self, result):
         if not self._finished:
