--- /dev/null
+++ b/packages/core/src/camphorshelf_core/intake.py
@@ -0,0 +1,262 @@
+"""What a target's node lets in, what waits there, in which order, and what it turns away.
+
+Load patterns: a burst, saturation, long work among short, and a host that slows down under work
+that already waits. A target that takes all it is offered finishes most of it too late to be of
+use: every request waits for all before it. Here a request waits only where it will probably
+start early enough to be answered within its goal. Every other one is turned away at once, while
+its caller can still go to another target or come back.
+
+The target's own queue stays empty: a request that waits there can be neither reordered nor
+turned away, and the last slots of most servers finish work slower than they add to it.
+"""
+
+import heapq
+import itertools
+from typing import NamedTuple
+
+# Full servers slow down: the last fifth of the slots costs all requests more time than it gives.
+# (With 9 slots and a slow-down of 1.7 beyond 80 %, 7 at once finish 1.3 times as many as 9.)
+USABLE_SHARE = 0.8
+# At most twice as many wait as run: a longer queue is never served within a goal.
+_QUEUE_PER_SLOT = 2.0
+# Late work may wait only in a short queue, or it takes the slots of what is still in time.
+_LATE_PER_SLOT = 0.5
+_WORK_SMOOTHING = 0.05
+
+
+class Verdict(NamedTuple):
+    """What became of an offered job.
+
+    :param admitted: whether it runs or waits.
+    :param wait_s: when it was turned away, how long it would have had to wait.
+    """
+
+    admitted: bool
+    wait_s: float = 0.0
+
+
+class Job:
+    """One request at the door of the target.
+
+    :param priority: 0 goes first.
+    :param goal_at: when its answer is due, seconds on the monotonic clock.
+    :param expires_at: when nobody waits for it any more.
+    :param work_s: how long such work runs where the slowness is 1.0.
+    :param patient: whether an answer after the goal is still wanted.
+    :param start: called when its slot is there.
+    :param decline: called with the expected wait when it was let in and has to go after all.
+    """
+
+    __slots__ = (
+        "priority",
+        "goal_at",
+        "expires_at",
+        "work_s",
+        "patient",
+        "start",
+        "decline",
+        "state",
+        "late",
+    )
+
+    def __init__(self, priority, goal_at, expires_at, work_s, patient, start, decline):
+        self.priority = priority
+        self.goal_at = goal_at
+        self.expires_at = expires_at
+        self.work_s = work_s
+        self.patient = patient
+        self.start = start
+        self.decline = decline
+        self.state = "new"
+        self.late = False
+
+
+class Intake:
+    """The door of one target: exact counts of what runs, and the queue before it."""
+
+    def __init__(self, slots=0):
+        self._order = itertools.count()
+        self._queue = []
+        self._queued = 0
+        self._late = 0
+        self.running = 0
+        self.slowness = 1.0
+        self.work_s = 0.0
+        self.closed = False
+        self.resize(slots)
+
+    @property
+    def queued(self):
+        """How many jobs wait."""
+        return self._queued
+
+    def resize(self, slots):
+        """Take another number of slots.
+
+        :param slots: how many requests the target says it works on at once.
+        :return: None.
+        """
+        self.slots = slots
+        self.limit = max(1, int(slots * USABLE_SHARE)) if slots else 0
+
+    def offer(self, job, now):
+        """Let a job start, wait, or go elsewhere.
+
+        :param job: the :class:`Job`.
+        :param now: seconds on the monotonic clock.
+        :return: a :class:`Verdict`.
+        """
+        if self.closed or not self.limit:
+            return Verdict(False, 0.0)
+        if self.running < self.limit and not self._queued:
+            self._start(job)
+            return Verdict(True)
+        wait = self.expected_wait(job)
+        if self._is_late(job, now + wait):
+            room = self._late < max(1, self.limit * _LATE_PER_SLOT)
+            if not job.patient or not room or now + wait + self._run_s(job) > job.expires_at:
+                return Verdict(False, wait)
+            job.late = True
+        if self._queued >= self.limit * _QUEUE_PER_SLOT:
+            return Verdict(False, wait)
+        self._push(job)
+        return Verdict(True)
+
+    def expected_wait(self, job):
+        """Foretell how long a job would wait for a slot.
+
+        :param job: the :class:`Job`.
+        :return: seconds.
+        """
+        key = _key(job)
+        ahead = sum(1 for entry in self._queue if entry[2].state == "queued" and entry[0] <= key)
+        mean = (self.work_s or job.work_s) * self.slowness
+        return (ahead + 1) / max(1, self.limit) * mean
+
+    def finish(self, job, now):
+        """Take note that a job left the target, and start what waits.
+
+        :param job: the :class:`Job`.
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        if job.state == "running":
+            job.state = "done"
+            self.running -= 1
+            self.pump(now)
+
+    def withdraw(self, job):
+        """Take back a job that waits.
+
+        :param job: the :class:`Job`.
+        :return: whether it waited.
+        """
+        if job.state != "queued":
+            return False
+        self._leave_queue(job)
+        job.state = "done"
+        return True
+
+    def note_work(self, seconds):
+        """Take in how long a request ran.
+
+        :param seconds: its time, as if the slowness had been 1.0.
+        :return: None.
+        """
+        if self.work_s == 0.0:
+            self.work_s = seconds
+        else:
+            self.work_s += _WORK_SMOOTHING * (seconds - self.work_s)
+
+    def pump(self, now):
+        """Start waiting jobs while there are slots, and turn away those that came too late.
+
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        while self._queue and self.running < self.limit and not self.closed:
+            job = heapq.heappop(self._queue)[2]
+            if job.state != "queued":
+                continue
+            self._leave_queue(job)
+            if self._is_hopeless(job, now):
+                self._turn_away(job, now)
+            else:
+                self._start(job)
+
+    def review(self, now):
+        """Turn away waiting jobs that will not start in time any more.
+
+        Called when the target slowed down: with four times the usual slowness a queue that was
+        fine a moment ago is four times as long, and its requests still have time to go elsewhere.
+
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        ahead = 0
+        for _, _, job in sorted(entry for entry in self._queue if entry[2].state == "queued"):
+            wait = (ahead + 1) / max(1, self.limit) * (self.work_s or job.work_s) * self.slowness
+            if not job.late and self._is_late(job, now + wait):
+                self._leave_queue(job)
+                self._turn_away(job, now, wait)
+            else:
+                ahead += 1
+
+    def close(self, now):
+        """Let nothing in any more and turn away all that waits.
+
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        self.closed = True
+        queue, self._queue = self._queue, []
+        for _, _, job in queue:
+            if job.state == "queued":
+                self._leave_queue(job)
+                self._turn_away(job, now)
+
+    def open(self, now):
+        """Let jobs in again.
+
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        self.closed = False
+        self.pump(now)
+
+    def _run_s(self, job):
+        return job.work_s * self.slowness
+
+    def _is_late(self, job, start_at):
+        return start_at + self._run_s(job) > job.goal_at
+
+    def _is_hopeless(self, job, now):
+        if job.late:
+            return now + self._run_s(job) * 0.5 > job.expires_at
+        return now + self._run_s(job) * 0.5 > job.goal_at and not job.patient
+
+    def _start(self, job):
+        job.state = "running"
+        self.running += 1
+        job.start()
+
+    def _push(self, job):
+        job.state = "queued"
+        self._queued += 1
+        self._late += job.late
+        heapq.heappush(self._queue, (_key(job), next(self._order), job))
+
+    def _leave_queue(self, job):
+        self._queued -= 1
+        self._late -= job.late
+        job.state = "left"
+
+    def _turn_away(self, job, now, wait=None):
+        job.state = "done"
+        job.decline(self.expected_wait(job) if wait is None else wait)
+
+
+def _key(job):
+    # What is late already goes behind everything that is not; then the more important; then
+    # what is due first.
+    return job.late, job.priority, job.goal_at
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -184,6 +184,71 @@
     entries: tuple
 
 
+class RelayMessage(NamedTuple):
+    """Asks the node beside a target to run a request; ``call_id`` is never reused on its link.
+
+    Times are seconds from the moment at which it was sent. ``patient`` tells that an answer
+    after the goal is still wanted; ``work_s`` is how long such work usually runs.
+    """
+
+    call_id: int
+    sent_at: float
+    service: str
+    idempotent: bool
+    priority: int
+    goal_s: float
+    left_s: float
+    work_s: float
+    patient: bool
+    request_id: str
+    caller_service: str
+    method: str
+    path: bytes
+    headers: tuple
+    body: bytes
+
+
+class RelayedMessage(NamedTuple):
+    """Carries a target's whole answer and how long it waited and ran there, in seconds."""
+
+    call_id: int
+    status: int
+    headers: tuple
+    body: bytes
+    waited_s: float
+    ran_s: float
+    slowness: float
+
+
+class DeclinedMessage(NamedTuple):
+    """Says that a request got no answer, and whether it ran.
+
+    ``reached`` tells whether a target got it, ``wait_s`` how long it would have had to wait.
+    """
+
+    call_id: int
+    code: int
+    reason: str
+    ran: str
+    wait_s: float
+    reached: bool
+
+
+class ConfigRequestMessage(NamedTuple):
+    """Asks a peer for its configuration if it is newer than a version."""
+
+    call_id: int
+    version: int
+
+
+class ConfigReplyMessage(NamedTuple):
+    """Carries a peer's version, and the document unless it is no newer than asked for."""
+
+    call_id: int
+    version: int
+    document: bytes | None
+
+
 _KINDS = {
     1: CallMessage,
     2: AnswerMessage,
@@ -204,6 +269,11 @@
     43: DeltaMessage,
     44: SnapshotRequestMessage,
     45: SnapshotMessage,
+    50: RelayMessage,
+    51: RelayedMessage,
+    52: DeclinedMessage,
+    53: ConfigRequestMessage,
+    54: ConfigReplyMessage,
 }
 _NUMBERS = {cls: number for number, cls in _KINDS.items()}
 
@@ -269,6 +339,12 @@
         return message._replace(load=load, headers=_pairs(message.headers))
     if isinstance(message, ProbeAnswerMessage):
         return message._replace(load=LoadReport(*message.load))
+    if isinstance(message, RelayMessage | RelayedMessage):
+        return message._replace(headers=_pairs(message.headers))
+    if isinstance(message, DeclinedMessage):
+        Code(message.code)
+        Ran(message.ran)
+        return message
     if isinstance(message, RefusedMessage):
         Code(message.code)
         Ran(message.ran)
--- /dev/null
+++ b/packages/core/src/camphorshelf_core/placement.py
@@ -0,0 +1,101 @@
+"""Where a request goes: to the target that will probably finish it first.
+
+Load pattern: hosts shared with noisy neighbours, where a target works at a quarter of its speed
+for some 300 ms at a time, unlike targets, and targets that fail some of their requests. Sending
+by load alone keeps a slow host as busy as a fast one; here its slowness, its own pace and what
+waits there are put together into one expected time.
+"""
+
+from typing import NamedTuple
+
+from .hosts import SILENT_SECONDS
+
+# Between otherwise equal targets the emptier one, so that a burst finds room everywhere: a full
+# target counts as a fifth slower than an empty one.
+_CROWDING = 0.2
+# A target that has just started works at about half of its speed; its node tells for how long.
+_WARMING = 2.0
+# A failed request costs its caller the answer, or another try and the time of both.
+_FAILURE_WEIGHT = 4.0
+# From here on a target gets no work while another one fails less.
+BROKEN_SHARE = 0.5
+# Traffic between failure domains is paid for: between equal targets the near one.
+_FAR_FACTOR = 1.08
+_FAR_SECONDS = 0.002
+_PACE_BOUNDS = (0.5, 12.0)
+
+
+class Candidate(NamedTuple):
+    """A target that a request may be sent to.
+
+    :param address: its node's address for links.
+    :param expected_s: seconds to the answer, by what is known now.
+    :param wait_s: the part of that which is spent waiting for a slot.
+    """
+
+    address: str
+    expected_s: float
+    wait_s: float
+
+
+def rank(views, work_s, now, domain):
+    """Order the targets of a service by the time to the answer.
+
+    :param views: the :class:`~camphorshelf_core.hosts.HostView` of the service's accepting hosts.
+    :param work_s: the mean time of such a request where the slowness is 1.0.
+    :param now: seconds on the monotonic clock.
+    :param domain: the own failure domain.
+    :return: a list of :class:`Candidate`, the best first.
+    """
+    usual = _usual_work(views)
+    sound, doubtful = [], []
+    for view in views:
+        status = view.status
+        wait, run = estimate(view, work_s, usual)
+        total = wait + run
+        if status.domain != domain:
+            total = total * _FAR_FACTOR + _FAR_SECONDS
+        total *= 1 + _FAILURE_WEIGHT * status.failing
+        candidate = Candidate(status.address, total, wait)
+        silent = now - view.heard_at > SILENT_SECONDS
+        (doubtful if silent or status.failing >= BROKEN_SHARE else sound).append(candidate)
+    # A silent or broken target may still answer, but a caller that is sent there while another
+    # target is sound waits for its time-out.
+    sound.sort(key=_by_time)
+    doubtful.sort(key=_by_time)
+    return sound + doubtful
+
+
+def estimate(view, work_s, usual_work_s):
+    """Foretell a request's time at one target.
+
+    :param view: the target's :class:`~camphorshelf_core.hosts.HostView`.
+    :param work_s: the mean time of such a request where the slowness is 1.0.
+    :param usual_work_s: mean time of the service's requests at its targets; 0.0 unknown.
+    :return: seconds of waiting and seconds of running.
+    """
+    status = view.status
+    pace = status.slowness
+    if status.work_s > 0 and usual_work_s > 0:
+        least, most = _PACE_BOUNDS
+        pace *= min(most, max(least, status.work_s / usual_work_s))
+    if status.warming_s > 0:
+        pace *= _WARMING
+    limit = max(1, status.limit)
+    outstanding = status.running + status.queued + view.unseen
+    mean = status.work_s or work_s
+    wait = 0.0
+    if outstanding >= limit:
+        wait = (outstanding - limit + 1) / limit * mean * status.slowness
+    run = work_s * pace * (1 + _CROWDING * min(1.0, outstanding / limit))
+    return wait, run
+
+
+def _usual_work(views):
+    known = sorted(view.status.work_s for view in views if view.status.work_s > 0)
+    # The median: one very slow target must not make the others look fast.
+    return known[len(known) // 2] if known else 0.0
+
+
+def _by_time(candidate):
+    return candidate.expected_s
--- /dev/null
+++ b/packages/core/src/camphorshelf_core/returns.py
@@ -0,0 +1,31 @@
+"""When a refused caller should come back.
+
+Load pattern: saturation, where many callers are refused within a moment. All of them coming back
+after the same time would be the same burst again; coming back past their goal is of no use to
+most. So each is told a moment of its own, within what its goal leaves.
+"""
+
+# Earlier than this nothing has changed: the speed of a host holds for some 300 ms.
+_LEAST_SECONDS = 0.04
+# Without a target there is nothing to wait for but its return; a quarter of a second spares the
+# node a caller that asks in a loop, and costs the caller little.
+_NO_TARGET_SECONDS = 0.25
+_MOST_SECONDS = 1.0
+
+
+def retry_after(wait_s, goal_left_s, work_s, random):
+    """Tell a refused caller when to come back.
+
+    :param wait_s: the shortest wait that any target foretold; None when there was no target.
+    :param goal_left_s: what is left of the caller's goal.
+    :param work_s: how long its work usually runs.
+    :param random: the source of random numbers.
+    :return: seconds.
+    """
+    if wait_s is None:
+        return random.uniform(0.5, 1.0) * _NO_TARGET_SECONDS
+    spare = goal_left_s - work_s * 1.5
+    if spare > _LEAST_SECONDS:
+        # In time for its goal, when what waits now has mostly gone.
+        return random.uniform(_LEAST_SECONDS, max(_LEAST_SECONDS, min(spare, wait_s * 1.5)))
+    return min(_MOST_SECONDS, random.uniform(0.5, 1.5) * max(wait_s, _LEAST_SECONDS))
--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -36,6 +36,9 @@
         self._on_message = on_message
         self._on_close = on_close
         self._unsent = []
+        self.heard = 0
+        # Whether the handshake was ever over: until then no message has been sent.
+        self.opened = False
         stream.on_data = self._on_data
         stream.on_close = on_close
 
@@ -44,6 +47,15 @@
         """Whether the connection is gone."""
         return self._stream.closed
 
+    def ping(self):
+        """Ask the peer for a sign of life on this connection.
+
+        :return: None.
+        """
+        if self._protocol.state is OPEN:
+            self._protocol.send_ping(b"")
+            self._flush()
+
     def start(self):
         """Send the opening handshake as the side that dials.
 
@@ -72,6 +84,7 @@
         self._stream.close()
 
     def _on_data(self, data):
+        self.heard += 1
         self._protocol.receive_data(data)
         for event in self._protocol.events_received():
             self._on_event(event)
@@ -86,6 +99,7 @@
             return
         if isinstance(event, Request):
             self._protocol.send_response(self._protocol.accept(event))
+        self.opened = True
         unsent, self._unsent = self._unsent, []
         for message in unsent:
             self.send(message)
@@ -110,16 +124,18 @@
 class PeerLink:
     """The calling side of a link: pairs each answer with its call by an id never reused."""
 
-    def __init__(self, loop, address):
+    def __init__(self, loop, address, silence_s=None):
         host, port = address
+        self._loop = loop
+        self._silence_s = silence_s
+        self._watched = None
         self._ids = itertools.count(1)
         self._pending = {}
         self.unknown_answers = 0
         self.told_version = None
         uri = parse_uri(f"ws://{host}:{port}/")
         protocol = ClientProtocol(uri, max_size=_MAX_MESSAGE)
-        stream = dial(loop, address)
-        self._connected = False
+        stream = dial(loop, address, silence_s)
         self._retired = False
         self._channel = Channel(stream, protocol, self._on_message, self._on_close)
         stream.on_connect = self._on_connect
@@ -140,6 +156,8 @@
         call_id = next(self._ids)
         self._pending[call_id] = on_done
         self._channel.send(message._replace(call_id=call_id))
+        if self._silence_s is not None and self._watched is None:
+            self._watch_silence()
 
         def cancel():
             if self._pending.pop(call_id, None) is not None and not self._channel.closed:
@@ -155,8 +173,34 @@
         """
         self._channel.close()
 
+    def _watch_silence(self):
+        # A connection can go silent for good while new ones work. Without this each call on it
+        # would wait for its own deadline, and new calls would follow them: a peer that answers
+        # nothing, not even a ping, within a time gets a new connection.
+        self._watched = self._channel.heard
+        self._loop.call_later(self._silence_s / 2, self._ask_for_life)
+
+    def _ask_for_life(self):
+        if self._channel.closed or not self._pending:
+            self._watched = None
+        elif self._channel.heard != self._watched:
+            self._watch_silence()
+        else:
+            self._channel.ping()
+            self._loop.call_later(self._silence_s / 2, self._judge_silence)
+
+    def _judge_silence(self):
+        if self._channel.closed:
+            self._watched = None
+        elif self._channel.heard != self._watched:
+            self._watched = None
+            if self._pending:
+                self._watch_silence()
+        else:
+            self._watched = None
+            self._channel.close()
+
     def _on_connect(self):
-        self._connected = True
         self._channel.start()
 
     def _on_message(self, message):
@@ -181,7 +225,7 @@
 
     def _on_close(self):
         pending, self._pending = self._pending, {}
-        if self._connected:
+        if self._channel.opened:
             refusal = Refusal(Code.PEER_LOST, "the peer link was lost", Ran.OUTCOME_UNKNOWN)
         else:
             refusal = Refusal(Code.PEER_LOST, "the peer cannot be reached", Ran.NOT_RUN)
--- a/packages/node/src/camphorshelf_node/loop.py
+++ b/packages/node/src/camphorshelf_node/loop.py
@@ -55,11 +55,14 @@
 
     @staticmethod
     def now():
-        """Read the monotonic clock.
+        """Read the steady clock, which goes on while the host is suspended.
+
+        ``time.monotonic`` stands still then, so a host that wakes would take every deadline of
+        before for unspent and run work that nobody waits for any more.
 
         :return: seconds.
         """
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def watch(self, fileno, mask, callback):
         """Call back when a descriptor is ready.
--- a/packages/node/src/camphorshelf_node/streams.py
+++ b/packages/node/src/camphorshelf_node/streams.py
@@ -28,6 +28,8 @@
         self.on_close = None
         self.on_connect = None
         self.on_drain = None
+        # Whether the peer ended its sending in order, not by a reset or an error.
+        self.ended_cleanly = False
 
     @property
     def closed(self):
@@ -200,32 +202,40 @@
         except BlockingIOError:
             return
         except OSError:
-            data = b""
+            self.close()
+            return
         if not data:
+            self.ended_cleanly = True
             self.close()
         elif not self._closing:
             self.on_data(data)
 
 
-def dial(loop, address):
+def dial(loop, address, silence_s=None):
     """Open a connection to an address.
 
     :param loop: the node's loop.
     :param address: the pair of IP and port.
+    :param silence_s: how long the peer's host may leave bytes or keep-alive probes unacknowledged
+        before the connection counts as gone; None for the kernel's many minutes.
     :return: the :class:`Stream`, not yet connected.
     """
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    stream = Stream(loop, _prepare(socket.socket(family, socket.SOCK_STREAM)))
+    sock = _prepare(socket.socket(family, socket.SOCK_STREAM))
+    if silence_s is not None:
+        _bound_silence(sock, silence_s)
+    stream = Stream(loop, sock)
     stream.connect(address)
     return stream
 
 
-def listen(loop, address, on_accept):
+def listen(loop, address, on_accept, silence_s=None):
     """Take connections on an address.
 
     :param loop: the node's loop.
     :param address: the pair of IP and port.
     :param on_accept: takes each new :class:`Stream` and the address it comes from.
+    :param silence_s: as in :func:`dial`.
     :return: a function that closes the listening socket.
     """
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -241,6 +251,8 @@
                 if error.errno in _NO_RESOURCES:
                     rest()
                 return
+            if silence_s is not None:
+                _bound_silence(sock, silence_s)
             on_accept(Stream(loop, _prepare(sock)), peer)
 
     def rest():
@@ -266,3 +278,13 @@
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
+
+
+def _bound_silence(sock, seconds):
+    # A connection across a cut or to a frozen host hangs without a reset, and everything sent
+    # over it waits: TCP alone would take a quarter of an hour to say so.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, int(seconds)))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * 1000))
--- /dev/null
+++ b/packages/relay/src/camphorshelf_relay/__init__.py
@@ -0,0 +1,1 @@
+"""The request path between nodes: entry, relay, the target's door, and what hosts tell each other."""
--- /dev/null
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -0,0 +1,187 @@
+"""Runs requests at the target beside the node: at most once each, and never past their time."""
+
+from camphorshelf_core.calls import Request
+from camphorshelf_core.errors import Code, Ran
+from camphorshelf_core.intake import Job
+from camphorshelf_core.messages import DeclinedMessage, RelayedMessage
+
+from .targetlink import Answered
+
+_FAILED_STATUSES = frozenset({500, 502, 503, 504})
+_DEADLINE_STATUS = 504
+_LEAST_SECONDS = 0.005
+
+
+class Gate:
+    """The door of the target: all work for it passes here."""
+
+    def __init__(self, loop, settings, dialect, intake, target, log):
+        self._loop = loop
+        self._settings = settings
+        self.dialect = dialect
+        self.intake = intake
+        self.target = target
+        self.log = log
+        self.counts = {}
+
+    def run(self, message, reply):
+        """Run a request, let it wait, or decline it.
+
+        :param message: the :class:`~camphorshelf_core.messages.RelayMessage`.
+        :param reply: takes a :class:`~camphorshelf_core.messages.RelayedMessage` or a
+            :class:`~camphorshelf_core.messages.DeclinedMessage`, once.
+        :return: a function that breaks it off, or None when it is answered already.
+        """
+        run = _Run(self, self._loop, message, reply)
+        if not self.target.accepting or message.service != self._settings.service:
+            run.decline(Code.NO_TARGET, "the target takes no work", Ran.NOT_RUN)
+            return None
+        cancel = run.offer()
+        self.target.on_change()
+        return cancel
+
+    def count(self, outcome):
+        """Count what became of a request.
+
+        :param outcome: a short name.
+        :return: None.
+        """
+        self.counts[outcome] = self.counts.get(outcome, 0) + 1
+
+
+class _Run:
+    """One request on its way through the door."""
+
+    def __init__(self, gate, loop, message, reply):
+        self._gate = gate
+        self._loop = loop
+        self._message = message
+        self._reply = reply
+        self._arrived = loop.now()
+        self._expires_at = self._arrived + message.left_s
+        self._started = None
+        self._slowness = 1.0
+        self._abort = None
+        self._timer = None
+        self._job = Job(
+            message.priority,
+            self._arrived + message.goal_s,
+            self._expires_at,
+            message.work_s,
+            message.patient,
+            self._start,
+            self._on_turned_away,
+        )
+
+    def offer(self):
+        verdict = self._gate.intake.offer(self._job, self._arrived)
+        if not verdict.admitted:
+            self.decline(Code.TARGET_BUSY, "no slot in time", Ran.NOT_RUN, verdict.wait_s)
+            return None
+        self._timer = self._loop.call_later(max(0.0, self._message.left_s), self._on_expiry)
+        return self.cancel
+
+    def cancel(self):
+        if self._reply is None:
+            return
+        self._reply = None
+        self._release()
+        self._gate.count("cancelled")
+
+    def decline(self, code, reason, ran, wait_s=0.0, reached=False):
+        reply, self._reply = self._reply, None
+        if reply is None:
+            return
+        self._release()
+        self._gate.count(code.name.lower())
+        reply(DeclinedMessage(0, int(code), reason, ran.value, wait_s, reached))
+
+    def _start(self):
+        now = self._loop.now()
+        left = self._expires_at - now
+        target = self._gate.target
+        self._started = now
+        self._slowness = target.slowness
+        message = self._message
+        headers = self._gate.dialect.write_request(
+            message.headers, left, target.record.instance, message.caller_service
+        )
+        request = Request(message.method, message.path, headers, message.body)
+        self._abort = target.link.send(
+            request, message.request_id, message.idempotent, self._on_result
+        )
+
+    def _on_result(self, result):
+        self._abort = None
+        if self._reply is None:
+            return
+        if isinstance(result, Answered):
+            self._on_answer(result)
+        elif result.sent:
+            self._gate.target.note_outcome(True)
+            self.decline(Code.TARGET_LOST, result.reason, Ran.OUTCOME_UNKNOWN, reached=True)
+        else:
+            self._gate.target.note_unreachable()
+            self.decline(Code.TARGET_UNREACHABLE, result.reason, Ran.NOT_RUN)
+
+    def _on_answer(self, answered):
+        response, word = answered
+        target = self._gate.target
+        target.note_word(word)
+        if word.not_run:
+            self._on_not_run(response, word)
+            return
+        now = self._loop.now()
+        ran_s = now - self._started
+        target.note_outcome(response.status in _FAILED_STATUSES)
+        if response.status < 300:
+            slowness = max(0.1, (self._slowness + target.slowness) / 2)
+            self._gate.intake.note_work(ran_s / slowness)
+        waited_s = self._started - self._arrived
+        reply, self._reply = self._reply, None
+        self._release()
+        self._gate.count("answered")
+        reply(
+            RelayedMessage(
+                0,
+                response.status,
+                response.headers,
+                response.body,
+                waited_s,
+                ran_s,
+                self._slowness,
+            )
+        )
+
+    def _on_not_run(self, response, word):
+        target = self._gate.target
+        if response.status == 421:
+            target.note_other(word.instance)
+            self.decline(Code.NO_TARGET, "another process has the address", Ran.NOT_RUN)
+            return
+        target.note_outcome(True)
+        self.decline(Code.TARGET_SHED, "the target turned it away", Ran.NOT_RUN, reached=True)
+
+    def _on_turned_away(self, wait_s):
+        self.decline(Code.TARGET_BUSY, "the wait became too long", Ran.NOT_RUN, wait_s)
+
+    def _on_expiry(self):
+        self._timer = None
+        if self._started is None:
+            self.decline(Code.DEADLINE_UNREACHABLE, "its time passed in the queue", Ran.NOT_RUN)
+        else:
+            self.decline(
+                Code.DEADLINE_EXCEEDED, "its time passed", Ran.OUTCOME_UNKNOWN, reached=True
+            )
+
+    def _release(self):
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._abort is not None:
+            # The connection goes with the request: the target drops its work, and nothing that
+            # it still says can reach another request.
+            self._abort()
+            self._abort = None
+        if not self._gate.intake.withdraw(self._job):
+            self._gate.intake.finish(self._job, self._loop.now())
+        self._gate.target.on_change()
--- /dev/null
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -0,0 +1,229 @@
+"""One node: its loop, its listeners, its controllers, and how it stops."""
+
+import gc
+import os
+import random
+import signal
+
+from circuits import Component, handler
+
+from camphorshelf_core.hosts import HostStatus, HostView
+from camphorshelf_core.intake import Intake
+from camphorshelf_core.messages import ConfigRequestMessage
+from camphorshelf_node.loop import Loop
+
+from .configkeeper import ConfigKeeper
+from .discovery import Discovery
+from .eventlog import EventLog
+from .gate import Gate
+from .listeners import (
+    CallerListener,
+    LinkListener,
+    LiveLimits,
+    make_link_handlers,
+    serve_questions,
+)
+from .peers import Peers
+from .router import Router
+from .target import Target
+
+# Callers are told to go elsewhere by two failed questions, a second apart; until then they still
+# come, and are served.
+_LEAVING_SECONDS = 2.6
+# Ends itself so long before it would be killed, so that the last answers are out.
+_SPARE_GRACE_SECONDS = 0.4
+_STOP_POLL_SECONDS = 0.05
+# A node whose peers are all away is better than none.
+_ALONE_SECONDS = 2.0
+_YOUNG_OBJECTS = 10_000
+_READY = (200, b'{"ready":true}')
+
+
+class Ports:
+    """What the adapter provides: the store and the formats; plain functions and one client.
+
+    :param store: the store's client for a loop and an address.
+    :param dialect: a :class:`~camphorshelf_relay.settings.Dialect`.
+    :param read_document: takes the operators' document, gives the configuration.
+    :param document_table: the store's table that the document lies in.
+    :param document_key: its key there.
+    :param read_call: takes method, path and body of a target's call.
+    :param read_settings: reads the settings again, for their changes.
+    """
+
+    def __init__(
+        self,
+        store,
+        dialect,
+        read_document,
+        document_table,
+        document_key,
+        answer_target,
+        read_settings,
+    ):
+        self.store = store
+        self.dialect = dialect
+        self.read_document = read_document
+        self.document_table = document_table
+        self.document_key = document_key
+        self.answer_target = answer_target
+        self.read_settings = read_settings
+
+
+class Node(Component):
+    """Everything that runs in one node process."""
+
+    channel = "node"
+
+    def __init__(self, settings, ports):
+        super().__init__()
+        self._settings = settings
+        self._ports = ports
+        self._random = random.Random(os.urandom(8))
+        self._stopping = False
+        loop = self._loop = Loop().register(self)
+        log = self._log = EventLog(loop, settings.name)
+        loop.on_error = log.fault
+        self._started_at = loop.now()
+        self._intake = Intake()
+        self._target = Target(loop, settings, ports.dialect, self._intake, log)
+        self._gate = Gate(loop, settings, ports.dialect, self._intake, self._target, log)
+        self._peers = Peers(loop, settings, self._describe, log)
+        store = ports.store(loop, settings.addresses.store)
+        self._store = store
+        self._config = ConfigKeeper(
+            loop, settings, store, self._peers, ports.read_document, self._random, log
+        )
+        self._discovery = Discovery(loop, settings, store, self._peers, self._random, log)
+        self._router = Router(
+            loop,
+            settings,
+            ports.dialect,
+            self._config,
+            self._peers,
+            self._gate,
+            self._own_view,
+            self._random,
+            log,
+        )
+        limits = LiveLimits(self._config)
+        addresses = settings.addresses
+        self._callers = CallerListener(
+            loop, addresses.callers, limits, self._router.handle, log.fault
+        )
+        handlers = make_link_handlers(
+            loop, self._gate, log.fault, {ConfigRequestMessage: self._config.answer_peer}
+        )
+        self._links = LinkListener(loop, addresses.links, handlers)
+        self._questions = (
+            (addresses.readiness, self._answer_readiness),
+            (addresses.heartbeats, self._answer_target),
+        )
+        self._limits = limits
+        self._target.on_change = self._peers.tell
+        self._peers.on_status = self._config.hear
+        self._config.on_change(self._on_config)
+
+    @property
+    def ready(self):
+        """Whether callers should come here."""
+        if self._stopping or self._config.config is None:
+            return False
+        heard = bool(self._peers.directory.live(self._loop.now()))
+        alone = self._loop.now() - self._started_at > _ALONE_SECONDS
+        return self._discovery.done or heard or alone
+
+    @handler("started", channel="*")
+    def _on_started(self, _manager):
+        signal.signal(signal.SIGTERM, self._on_sigterm)
+        signal.signal(signal.SIGINT, self._on_sigterm)
+        signal.signal(signal.SIGHUP, self._on_sighup)
+        self._callers.start()
+        self._links.start()
+        for address, answer in self._questions:
+            serve_questions(self._loop, address, self._limits, answer, self._log.fault)
+        self._peers.start()
+        self._config.start(self._ports.document_table, self._ports.document_key)
+        self._discovery.start()
+        self._log.notable("start", service=self._settings.service, domain=self._settings.domain)
+        # What the libraries made at import lives as long as the process; looking through it at
+        # each full collection would stop every request for some 20 ms.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(_YOUNG_OBJECTS, 10, 10)
+
+    def _describe(self):
+        target, intake = self._target, self._intake
+        record = target.record
+        return HostStatus(
+            host=self._settings.name,
+            incarnation="",
+            sequence=0,
+            domain=self._settings.domain,
+            address="%s:%d" % self._settings.addresses.links,
+            service=self._settings.service,
+            instance=record.instance,
+            accepting=target.accepting,
+            warming_s=round(record.warming_s(self._loop.now()), 2),
+            limit=intake.limit,
+            running=intake.running,
+            queued=intake.queued,
+            slowness=target.slowness,
+            work_s=round(intake.work_s, 4),
+            failing=round(target.failing, 3),
+            config_version=self._config.version,
+            store_age_s=round(self._config.store_age_s, 1),
+        )
+
+    def _own_view(self):
+        view = HostView()
+        view.status = self._describe()
+        view.heard_at = self._loop.now()
+        return view
+
+    def _on_config(self, config):
+        self._target.configure(config.services.get(self._settings.service))
+        self._peers.tell()
+
+    def _answer_readiness(self, _request):
+        if self.ready:
+            return _READY
+        return 503, b'{"ready":false}'
+
+    def _answer_target(self, request):
+        return self._ports.answer_target(request, self._target, self._log)
+
+    def _on_sighup(self, _number, _frame):
+        self._loop.interrupt(self._reload)
+
+    def _reload(self):
+        # Addresses are those of listening sockets and of the target beside the node: a process
+        # keeps them for its life. What else may change is taken over.
+        settings = self._ports.read_settings()
+        if settings is None:
+            self._log.notable("reload_failed")
+            return
+        self._log.notable("reload", changed=settings != self._settings)
+
+    def _on_sigterm(self, _number, _frame):
+        # circuits would raise SystemExit in a handler here, which leaves its loop spinning
+        # and deaf; the loop itself ends the node instead.
+        if not self._stopping:
+            self._stopping = True
+            self._loop.interrupt(self._leave)
+
+    def _leave(self):
+        self._log.notable("stop", running=self._intake.running, callers=self._callers.connections)
+        self._target.stop()
+        latest = self._loop.now() + self._settings.grace_s - _SPARE_GRACE_SECONDS
+        self._loop.call_later(_LEAVING_SECONDS, self._callers.finish)
+        self._loop.call_later(_LEAVING_SECONDS, lambda: self._end_when_idle(latest))
+
+    def _end_when_idle(self, latest):
+        busy = self._callers.busy or self._links.busy or self._intake.running
+        if busy and self._loop.now() < latest:
+            self._loop.call_later(_STOP_POLL_SECONDS, lambda: self._end_when_idle(latest))
+            return
+        self._log.notable("stopped", idle=not busy)
+        self._log.flush()
+        self.stop()
--- /dev/null
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -0,0 +1,303 @@
+"""One caller's request on its way: which targets it is offered to, and its one answer."""
+
+from camphorshelf_core.calls import Response
+from camphorshelf_core.errors import Code, Ran, Refusal
+from camphorshelf_core.messages import DeclinedMessage, RelayedMessage, RelayMessage
+from camphorshelf_core.placement import rank
+from camphorshelf_core.returns import retry_after
+from camphorshelf_node.headers import strip_hop_by_hop
+
+# Targets' nodes that are asked in turn before the request is refused. Each "busy" costs two ways
+# between failure domains, some 4 ms; the third is seldom better than the second.
+_MAX_OFFERS = 4
+_FAILED_STATUSES = frozenset({500, 502, 503, 504})
+# A target that takes this many times the expected time has most likely lost the request; an
+# idempotent one is then offered to another target as well.
+_OVERDUE_FACTOR = 3.0
+_OVERDUE_LEAST_SECONDS = 0.08
+_LEAST_SECONDS = 0.01
+
+
+class Relay:
+    """Drives one request to its single answer."""
+
+    def __init__(self, router, exchange, route, terms):
+        self._router = router
+        self._loop = router.loop
+        self._exchange = exchange
+        self._route = route
+        self._terms = terms
+        self._service = router.pick_part(route)
+        self._facts = router.book.facts(route)
+        self._arrived = exchange.received
+        wait_s = route.timeout_s if terms.wait_s is None else min(terms.wait_s, route.timeout_s)
+        spent = 0.0 if terms.wait_s is None else self._facts.spent_before(terms.wait_s)
+        self._expires_at = self._arrived + wait_s
+        self._goal_at = self._arrived + route.goal_s - spent
+        self._headers = strip_hop_by_hop(exchange.request.headers)
+        self._tried = set()
+        self._reached = 0
+        self._offers = 0
+        self._running = {}
+        self._shortest_wait = None
+        self._maybe_ran = False
+        self._finished = False
+        self._overdue_timer = None
+        self._timer = None
+
+    def start(self):
+        """Offer the request to the best target.
+
+        :return: None.
+        """
+        now = self._loop.now()
+        if self._expires_at <= now + _LEAST_SECONDS:
+            self._refuse(Code.DEADLINE_UNREACHABLE, "its time has passed")
+            return
+        guard = self._exchange.guard
+        self._exchange.when_hung_up(self._on_hang_up)
+        self._timer = self._loop.call_later(self._expires_at - now, guard(self._on_expiry))
+        self._router.note_request(self._service)
+        self._offer_next()
+
+    def _offer_next(self):
+        now = self._loop.now()
+        candidates = rank(
+            self._router.views(self._service), self._facts.work_s, now, self._router.domain
+        )
+        fresh = [one for one in candidates if one.address not in self._tried]
+        if not candidates:
+            self._refuse(Code.NO_TARGET, "no target of the service takes work")
+            return
+        in_time = [one for one in fresh if now + one.expected_s <= self._goal_at]
+        if in_time and self._offers < _MAX_OFFERS - 1:
+            self._offer(in_time[0], patient=False)
+        elif self._offers < _MAX_OFFERS:
+            # None will be in time by what is known here; the best one's node knows better, and
+            # has room for some late work.
+            self._offers = _MAX_OFFERS
+            self._offer((fresh or candidates)[0], patient=True)
+        else:
+            self._refuse(Code.QUEUE_FULL, "every target is busy beyond the request's time")
+
+    def _offer(self, candidate, patient):
+        now = self._loop.now()
+        self._offers += 1
+        self._tried.add(candidate.address)
+        offer = _Offer(self, candidate, now)
+        self._running[offer] = None
+        self._router.note_sent(candidate.address)
+        exchange = self._exchange
+        request = exchange.request
+        message = RelayMessage(
+            call_id=0,
+            sent_at=now,
+            service=self._service,
+            idempotent=self._route.idempotent,
+            priority=self._route.priority,
+            goal_s=self._goal_at - now,
+            left_s=self._expires_at - now,
+            work_s=self._facts.work_s,
+            patient=patient,
+            request_id=self._terms.request_id,
+            caller_service=self._router.service,
+            method=request.method,
+            path=request.path,
+            headers=self._headers,
+            body=request.body,
+        )
+        cancel = self._router.send(candidate.address, message, exchange.guard(offer.on_message))
+        if offer in self._running:
+            self._running[offer] = cancel
+            if self._route.idempotent and self._overdue_timer is None:
+                self._watch_overdue(candidate)
+
+    def _watch_overdue(self, candidate):
+        wait = max(_OVERDUE_LEAST_SECONDS, candidate.expected_s * _OVERDUE_FACTOR)
+        if self._loop.now() + wait < self._expires_at:
+            guard = self._exchange.guard
+            self._overdue_timer = self._loop.call_later(wait, guard(self._on_overdue))
+
+    def on_relayed(self, offer, message):
+        """Take a target's answer.
+
+        :param offer: the offer that it answers.
+        :param message: the :class:`~camphorshelf_core.messages.RelayedMessage`.
+        :return: None.
+        """
+        self._running.pop(offer, None)
+        if self._finished:
+            return
+        self._reached += 1
+        now = self._loop.now()
+        self._router.note_answer(offer.address, now - offer.sent_at, message)
+        failed = message.status in _FAILED_STATUSES
+        if message.status < 300:
+            self._facts.note_work(message.ran_s / max(0.1, message.slowness))
+        if failed and self._route.idempotent:
+            if self._running:
+                return
+            if self._may_repeat(now):
+                self._offers = 0
+                self._log_step("repeat", offer, status=message.status)
+                self._offer_next()
+                return
+        self._answer(offer, message)
+
+    def on_declined(self, offer, message):
+        """Take the word that an offer got no answer.
+
+        :param offer: the offer.
+        :param message: the :class:`~camphorshelf_core.messages.DeclinedMessage` or
+            :class:`~camphorshelf_core.errors.Refusal` of the link.
+        :return: None.
+        """
+        self._running.pop(offer, None)
+        if self._finished:
+            return
+        now = self._loop.now()
+        not_run = _ran(message) is Ran.NOT_RUN
+        reached = getattr(message, "reached", not not_run)
+        self._reached += reached
+        if not not_run:
+            self._maybe_ran = True
+        wait_s = getattr(message, "wait_s", 0.0)
+        if message.code == Code.TARGET_BUSY:
+            known = self._shortest_wait
+            self._shortest_wait = wait_s if known is None else min(known, wait_s)
+        self._log_step("declined", offer, code=Code(message.code).name, wait_s=round(wait_s, 4))
+        if self._running:
+            return
+        if not not_run and not self._route.idempotent:
+            self._give_up(message)
+        elif not reached:
+            self._offer_next()
+        elif self._may_repeat(now):
+            self._offers = min(self._offers, _MAX_OFFERS - 1)
+            self._offer_next()
+        else:
+            self._give_up(message)
+
+    def _may_repeat(self, now):
+        if self._reached >= self._route.attempts:
+            return False
+        if now + self._facts.work_s > self._expires_at:
+            return False
+        return self._router.spend_retry(self._service)
+
+    def _on_overdue(self):
+        if self._finished or len(self._running) != 1 or not self._route.idempotent:
+            return
+        if self._reached + 1 >= self._route.attempts:
+            return
+        now = self._loop.now()
+        views = self._router.views(self._service)
+        ranked = rank(views, self._facts.work_s, now, self._router.domain)
+        fresh = [one for one in ranked if one.address not in self._tried and one.wait_s == 0.0]
+        if not fresh or now + fresh[0].expected_s > self._expires_at:
+            return
+        if self._router.spend_retry(self._service):
+            (first,) = self._running
+            self._log_step("hedge", first)
+            self._offer(fresh[0], patient=False)
+
+    def _answer(self, offer, message):
+        self._end()
+        self._router.log_outcome(
+            self._exchange,
+            self._route,
+            "answered",
+            status=message.status,
+            service=self._service,
+            target=offer.address,
+            expected_ms=round(offer.expected_s * 1000, 1),
+            waited_ms=round(message.waited_s * 1000, 1),
+            ran_ms=round(message.ran_s * 1000, 1),
+            slowness=message.slowness,
+            offers=len(self._tried),
+        )
+        self._exchange.answer(Response(message.status, message.headers, message.body))
+
+    def _give_up(self, message):
+        ran = Ran.OUTCOME_UNKNOWN if self._maybe_ran else Ran.NOT_RUN
+        self._finish(Refusal(Code(message.code), message.reason, ran))
+
+    def _refuse(self, code, reason):
+        if self._maybe_ran:
+            self._finish(Refusal(Code.TARGET_LOST, reason, Ran.OUTCOME_UNKNOWN))
+            return
+        self._finish(Refusal(code, reason))
+
+    def _finish(self, refusal):
+        self._end()
+        now = self._loop.now()
+        if refusal.ran is Ran.NOT_RUN:
+            goal_left = self._goal_at - now
+            seconds = retry_after(
+                self._shortest_wait, goal_left, self._facts.work_s, self._router.random
+            )
+            refusal = refusal._replace(retry_after_ms=max(1, round(seconds * 1000)))
+        self._router.refuse(
+            self._exchange,
+            self._terms.request_id,
+            refusal,
+            self._route,
+            service=self._service,
+            offers=len(self._tried),
+            held_ms=round((now - self._arrived) * 1000, 1),
+        )
+
+    def _on_expiry(self):
+        self._timer = None
+        self._maybe_ran = self._maybe_ran or bool(self._running)
+        if self._maybe_ran:
+            reason = "no answer within the route's or the caller's time"
+            self._finish(Refusal(Code.DEADLINE_EXCEEDED, reason, Ran.OUTCOME_UNKNOWN))
+        else:
+            self._finish(Refusal(Code.DEADLINE_UNREACHABLE, "its time has passed"))
+
+    def _on_hang_up(self):
+        self._end()
+        self._router.log_outcome(self._exchange, self._route, "caller_left")
+
+    def _end(self):
+        self._finished = True
+        for timer in (self._timer, self._overdue_timer):
+            if timer is not None:
+                timer.cancel()
+        running, self._running = self._running, {}
+        for cancel in running.values():
+            if cancel is not None:
+                cancel()
+
+    def _log_step(self, event, offer, **fields):
+        self._router.log.routine(
+            event,
+            request=self._terms.request_id,
+            route=self._route.name,
+            target=offer.address,
+            expected_ms=round(offer.expected_s * 1000, 1),
+            **fields,
+        )
+
+
+class _Offer:
+    """One send of a request to one target's node."""
+
+    def __init__(self, relay, candidate, sent_at):
+        self._relay = relay
+        self.address = candidate.address
+        self.expected_s = candidate.expected_s
+        self.sent_at = sent_at
+
+    def on_message(self, message):
+        if isinstance(message, RelayedMessage):
+            self._relay.on_relayed(self, message)
+        elif isinstance(message, DeclinedMessage | Refusal):
+            self._relay.on_declined(self, message)
+        else:
+            raise TypeError(f"not an answer to a request: {type(message).__name__}")
+
+
+def _ran(message):
+    return message.ran if isinstance(message.ran, Ran) else Ran(message.ran)
--- /dev/null
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -0,0 +1,228 @@
+"""The target beside the node, watched closely: which process runs, its load and its failures.
+
+Only this node can reach the target, so only it can know the load of this moment, say "not run"
+and be right, and end all new work at one point when the target leaves.
+"""
+
+from camphorshelf_core.calls import Request
+from camphorshelf_core.instances import InstanceRecord
+
+from .targetlink import Answered, TargetLink
+
+# A host's speed changes every few hundred milliseconds: asked 20 times a second, the answer is
+# 25 ms old on average. Answers to requests carry the same word, so a busy target is asked less.
+PROBE_SECONDS = 0.05
+_PROBE_TIMEOUT_SECONDS = 0.25
+# Asked less while nothing is known of the configuration or the target is down: a connection that
+# is refused costs as much as one that is not.
+_DOWN_PROBE_SECONDS = 0.2
+# The health path answers at once. Two questions without an answer are half a second's silence.
+_SILENT_PROBES = 2
+_FAILURE_WEIGHT = 0.08
+# A share of failures halves within this time, so a target that gets no work for its failures is
+# tried again.
+_FAILURE_HALF_LIFE = 1.5
+
+
+class Target:
+    """What the node knows of its target, and the connections to it."""
+
+    def __init__(self, loop, settings, dialect, intake, log):
+        self._loop = loop
+        self._settings = settings
+        self._intake = intake
+        self._log = log
+        self._record = InstanceRecord()
+        self._link = TargetLink(loop, settings.addresses.target, dialect)
+        self._health_path = None
+        self._load_at = 0.0
+        self._probed_at = 0.0
+        self._probing = False
+        self._silent_probes = 0
+        self._failing = 0.0
+        self._failing_at = 0.0
+        self._stopping = False
+        self.slowness = 1.0
+        self.probes = 0
+        # Told after every change that others may want to know of.
+        self.on_change = _do_nothing
+        loop.call_every(PROBE_SECONDS, self._probe)
+
+    @property
+    def record(self):
+        """The :class:`~camphorshelf_core.instances.InstanceRecord`."""
+        return self._record
+
+    @property
+    def link(self):
+        """The :class:`~camphorshelf_relay.targetlink.TargetLink`."""
+        return self._link
+
+    @property
+    def accepting(self):
+        """Whether new work is let in."""
+        return self._record.usable and not self._stopping and self._intake.limit > 0
+
+    @property
+    def failing(self):
+        """The share of recent requests that failed, fading with time."""
+        age = self._loop.now() - self._failing_at
+        return self._failing * 0.5 ** (age / _FAILURE_HALF_LIFE)
+
+    def configure(self, terms):
+        """Take what is configured for the target's service.
+
+        :param terms: :class:`~camphorshelf_core.routes.ServiceTerms`, or None.
+        :return: None.
+        """
+        self._health_path = terms.health_path if terms is not None else None
+
+    def stop(self):
+        """Let no more work in; what runs goes on.
+
+        :return: None.
+        """
+        self._stopping = True
+        self._settle("stopping")
+
+    def beat(self, heartbeat):
+        """Take in a heartbeat of the target.
+
+        :param heartbeat: the :class:`~camphorshelf_core.instances.Heartbeat`.
+        :return: whether it was taken in.
+        """
+        if heartbeat.service != self._settings.service:
+            self._log.notable("heartbeat_refused", instance=heartbeat.instance, reason="service")
+            return False
+        before = self._record.instance, self._record.leaving
+        taken = self._record.beat(heartbeat, self._loop.now())
+        if taken and heartbeat.slots != self._intake.slots:
+            self._intake.resize(heartbeat.slots)
+        if (self._record.instance, self._record.leaving) != before:
+            self._settle("heartbeat")
+        elif taken:
+            self._refresh()
+        return taken
+
+    def leave(self, instance, started_ms):
+        """Take in that a process of the target goes for good.
+
+        :param instance: its id.
+        :param started_ms: when it started, Unix milliseconds, or None.
+        :return: None.
+        """
+        if self._record.leave(instance, started_ms):
+            self._settle("farewell")
+
+    def note_word(self, word):
+        """Take in what the target said on an answer.
+
+        :param word: a :class:`~camphorshelf_relay.settings.TargetWord`.
+        :return: None.
+        """
+        if word.running is None:
+            return
+        now = self._loop.now()
+        self._load_at = now
+        if word.slots and word.slots != self._intake.slots:
+            self._intake.resize(word.slots)
+        if word.slowness is not None and word.slowness != self.slowness:
+            slower = word.slowness > self.slowness * 1.3
+            self.slowness = self._intake.slowness = word.slowness
+            if slower:
+                self._intake.review(now)
+            self.on_change()
+
+    def note_outcome(self, failed):
+        """Count a request that the target finished or failed.
+
+        :param failed: whether it failed there.
+        :return: None.
+        """
+        value = 1.0 if failed else 0.0
+        share = self.failing
+        self._failing = share + _FAILURE_WEIGHT * (value - share)
+        self._failing_at = self._loop.now()
+
+    def note_unreachable(self):
+        """Take in that the target took no connection.
+
+        :return: None.
+        """
+        if not self._record.down:
+            self._record.seen_down()
+            self._settle("unreachable")
+
+    def note_other(self, instance):
+        """Take in that another process answers at the target's address.
+
+        :param instance: its id, empty when it was not named.
+        :return: None.
+        """
+        self._record.seen_elsewhere(instance)
+        self._settle("another process")
+
+    def _probe(self):
+        now = self._loop.now()
+        if self._probing or self._health_path is None:
+            return
+        pause = _DOWN_PROBE_SECONDS if self._record.down else PROBE_SECONDS
+        pause = max(pause, 1 / self._settings.probes_per_s) - PROBE_SECONDS / 5
+        if now - max(self._load_at, self._probed_at) < pause:
+            return
+        self._probing = True
+        self._probed_at = now
+        self.probes += 1
+        host = "%s:%d" % self._settings.addresses.target
+        request = Request("GET", self._health_path.encode(), ((b"host", host.encode()),), b"")
+        timer = self._loop.call_later(_PROBE_TIMEOUT_SECONDS, lambda: self._on_silence(abort))
+        abort = self._link.send(request, "", True, lambda result: self._on_probe(result, timer))
+
+    def _on_silence(self, abort):
+        abort()
+        self._probing = False
+        self._silent_probes += 1
+        if self._silent_probes >= _SILENT_PROBES:
+            self.note_unreachable()
+
+    def _on_probe(self, result, timer):
+        timer.cancel()
+        self._probing = False
+        if not isinstance(result, Answered):
+            if not result.sent:
+                self.note_unreachable()
+            return
+        self._silent_probes = 0
+        before = self._record.usable, self._record.instance
+        if result.response.status == 200 and result.word.instance:
+            self._record.seen_healthy(result.word.instance)
+        else:
+            self._record.seen_unhealthy(result.word.instance)
+        self.note_word(result.word)
+        if (self._record.usable, self._record.instance) != before:
+            self._settle("health")
+
+    def _settle(self, cause):
+        self._refresh()
+        record = self._record
+        self._log.notable(
+            "target",
+            cause=cause,
+            instance=record.instance,
+            accepting=self.accepting,
+            leaving=record.leaving,
+            down=record.down,
+        )
+        self.on_change()
+
+    def _refresh(self):
+        now = self._loop.now()
+        if self.accepting:
+            if self._intake.closed:
+                self._intake.open(now)
+        elif not self._intake.closed:
+            self._intake.close(now)
+
+
+def _do_nothing():
+    """Stands for nobody who wants to know."""
