--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,17 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := packages tests models bench demo
+SOURCES := packages platform deploy tests models bench demo
 
 .PHONY: setup demo test soak lint format bench bench-scenarios clean
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements.txt packages/core/pyproject.toml packages/node/pyproject.toml packages/cli/pyproject.toml
+$(VENV)/.ready: requirements.txt packages/core/pyproject.toml packages/node/pyproject.toml packages/cli/pyproject.toml packages/relay/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check setuptools -r requirements.txt
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation \
-		-e packages/core -e packages/node -e packages/cli
+		-e packages/core -e packages/node -e packages/cli -e packages/relay -e platform
 	touch $@
 
 demo: setup
--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -184,9 +184,7 @@
         :param now: seconds on the monotonic clock.
         :return: the dropped addresses.
         """
-        old = [
-            address for address, at in self._known_at.items() if now - at > FORGOTTEN_SECONDS
-        ]
+        old = [address for address, at in self._known_at.items() if now - at > FORGOTTEN_SECONDS]
         for address in old:
             del self._known_at[address]
             self._views.pop(address, None)
--- a/packages/core/src/camphorshelf_core/intake.py
+++ b/packages/core/src/camphorshelf_core/intake.py
@@ -117,7 +117,7 @@
             if not job.patient or not room or now + wait + self._run_s(job) > job.expires_at:
                 return Verdict(False, wait)
             job.late = True
-        if self._queued >= self.limit * _QUEUE_PER_SLOT:
+        elif self._queued - self._late >= self.limit * _QUEUE_PER_SLOT:
             return Verdict(False, wait)
         self._push(job)
         return Verdict(True)
--- a/packages/core/src/camphorshelf_core/placement.py
+++ b/packages/core/src/camphorshelf_core/placement.py
@@ -19,7 +19,11 @@
 _FAILURE_WEIGHT = 4.0
 # From here on a target gets no work while another one fails less.
 BROKEN_SHARE = 0.5
-# Traffic between failure domains is paid for: between equal targets the near one.
+# Traffic between failure domains is paid for, some 4 kB for a request with its answer. Where a
+# near target has a free slot and answers in half of the goal, a faster one elsewhere is of no use
+# to the caller; otherwise the near one is preferred between equals.
+_COMFORT = 0.5
+_ROOM_SLOTS = 1
 _FAR_FACTOR = 1.08
 _FAR_SECONDS = 0.002
 _PACE_BOUNDS = (0.5, 12.0)
@@ -38,32 +42,38 @@
     wait_s: float
 
 
-def rank(views, work_s, now, domain):
-    """Order the targets of a service by the time to the answer.
+def rank(views, work_s, now, domain, goal_left_s):
+    """Order the targets of a service by the time to the answer, near ones that are good first.
 
     :param views: the :class:`~camphorshelf_core.hosts.HostView` of the service's accepting hosts.
     :param work_s: the mean time of such a request where the slowness is 1.0.
     :param now: seconds on the monotonic clock.
     :param domain: the own failure domain.
+    :param goal_left_s: seconds until the answer is due.
     :return: a list of :class:`Candidate`, the best first.
     """
     usual = _usual_work(views)
-    sound, doubtful = [], []
+    near, sound, doubtful = [], [], []
     for view in views:
         status = view.status
         wait, run = estimate(view, work_s, usual)
         total = wait + run
-        if status.domain != domain:
+        is_near = status.domain == domain
+        if not is_near:
             total = total * _FAR_FACTOR + _FAR_SECONDS
         total *= 1 + _FAILURE_WEIGHT * status.failing
         candidate = Candidate(status.address, total, wait)
-        silent = now - view.heard_at > SILENT_SECONDS
-        (doubtful if silent or status.failing >= BROKEN_SHARE else sound).append(candidate)
+        if now - view.heard_at > SILENT_SECONDS or status.failing >= BROKEN_SHARE:
+            doubtful.append(candidate)
+        elif is_near and total <= _COMFORT * goal_left_s and _has_room(view):
+            near.append(candidate)
+        else:
+            sound.append(candidate)
     # A silent or broken target may still answer, but a caller that is sent there while another
     # target is sound waits for its time-out.
-    sound.sort(key=_by_time)
-    doubtful.sort(key=_by_time)
-    return sound + doubtful
+    for group in (near, sound, doubtful):
+        group.sort(key=_by_time)
+    return near + sound + doubtful
 
 
 def estimate(view, work_s, usual_work_s):
@@ -91,6 +101,11 @@
     return wait, run
 
 
+def _has_room(view):
+    status = view.status
+    return status.running + status.queued + view.unseen + _ROOM_SLOTS < status.limit
+
+
 def _usual_work(views):
     known = sorted(view.status.work_s for view in views if view.status.work_s > 0)
     # The median: one very slow target must not make the others look fast.
--- a/packages/core/src/camphorshelf_core/retrybudget.py
+++ b/packages/core/src/camphorshelf_core/retrybudget.py
@@ -1,16 +1,21 @@
 """How often a request may be handed to a second target, kept by all nodes without talk.
 
 Load pattern: a service whose targets fail or shed most of what they get. Each request that goes
-on to another target doubles the load just when there is least room. So all nodes together may
-add a share of the requests and a fixed number in a time; each node spends its part of that.
+on to another target adds load just when there is least room, and a run that is repeated makes its
+own calls again. So all nodes together may add a share of the requests and a fixed number in a
+time; each node spends its part of that and asks nobody.
 """
 
+import math
 from typing import NamedTuple
 
-# Of what operators allow. A full bucket spent at once and its refill within the same window are
-# together less than twice the bucket, so 0.45 of the allowance can never exceed the whole of it.
-_USED_SHARE = 0.45
-_MOST_RATIO_TOKENS = 6.0
+# Of what operators allow. A repeated run repeats its own calls, which count at the service that
+# is called, so with one level of calls half is the most; what is kept for a moment and spent
+# together with what is earned meanwhile is another fifth.
+_RATIO_SHARE = 0.4
+_SLACK_SHARE = 0.25
+# Retries that were not used must not pile up for a storm: they fade within some seconds.
+_KEPT_SECONDS = 2.0
 
 
 class RetryTerms(NamedTuple):
@@ -29,12 +34,13 @@
 class RetryBudget:
     """One node's part of the retries to one service."""
 
-    def __init__(self, terms, now):
+    def __init__(self, terms, random, now):
         self._terms = terms
+        self._random = random
         self._nodes = 1
         self._from_requests = 0.0
         self._from_time = 0.0
-        self._filled_at = now
+        self._at = now
         self.denied = 0
 
     def share_among(self, nodes):
@@ -45,14 +51,14 @@
         """
         self._nodes = max(1, nodes)
 
-    def note_request(self):
+    def note_request(self, now):
         """Count a request of a caller.
 
+        :param now: seconds on the monotonic clock.
         :return: None.
         """
-        # Twice the other share: the ratio counts requests of up to two windows.
-        earned = self._terms.ratio * _USED_SHARE * 2
-        self._from_requests = min(_MOST_RATIO_TOKENS, self._from_requests + earned)
+        self._pass_time(now)
+        self._from_requests += self._terms.ratio * _RATIO_SHARE
 
     def spend(self, now):
         """Take one retry if there is one.
@@ -60,20 +66,24 @@
         :param now: seconds on the monotonic clock.
         :return: whether there was one.
         """
-        self._refill(now)
-        if self._from_requests >= 1:
-            self._from_requests -= 1
+        self._pass_time(now)
+        there = self._from_requests + self._from_time
+        if there >= 1:
+            taken = min(1.0, self._from_requests)
+            self._from_requests -= taken
+            self._from_time -= 1 - taken
             return True
-        if self._from_time >= 1:
-            self._from_time -= 1
+        # A node of a large system seldom holds a whole one. It stakes the part that it holds on a
+        # draw with that chance, so that all nodes together take as many as they hold.
+        self._from_requests = self._from_time = 0.0
+        if self._random.random() < there:
             return True
         self.denied += 1
         return False
 
-    def _refill(self, now):
-        # At least one token fits, or nodes of a large system could never retry at all; they fill
-        # it slowly enough to keep to their part.
-        part = self._terms.slack * _USED_SHARE / self._nodes
-        rate = part / self._terms.window_s
-        self._from_time = min(max(1.0, part), self._from_time + (now - self._filled_at) * rate)
-        self._filled_at = now
+    def _pass_time(self, now):
+        passed = now - self._at
+        self._at = now
+        self._from_requests *= math.exp(-passed / _KEPT_SECONDS)
+        part = self._terms.slack * _SLACK_SHARE / self._nodes
+        self._from_time = min(part, self._from_time + part * passed / self._terms.window_s)
--- a/packages/core/src/camphorshelf_core/routes.py
+++ b/packages/core/src/camphorshelf_core/routes.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+# Weights are mostly percentages: the turns repeat after 100 at the latest.
+_FIRST_TURNS = 100
+
 
 class Part(NamedTuple):
     """One service of a route and its share of the route's requests.
@@ -97,8 +100,8 @@
     """Shares a route's requests among its parts, as exactly as whole requests allow.
 
     Random draws would leave a part of 10 % with 7 to 13 of 100 requests; here each part is within
-    one request of its share at any time (smooth weighted round robin). The first turn is drawn, or
-    all nodes would send their first request to the same part.
+    one request of its share at any time (smooth weighted round robin). Each node starts at a turn
+    that is drawn, or all nodes would send their first request to the same part.
     """
 
     def __init__(self, random):
@@ -111,19 +114,12 @@
         :param route: the :class:`Route`.
         :return: the service's name.
         """
-        parts = route.parts
-        if len(parts) == 1:
-            return parts[0].service
-        credits = self._credits.get((route.name, parts))
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        credits = self._credits.get((route.name, route.parts))
         if credits is None:
             credits = self._start(route)
-        total = 0.0
-        for index, part in enumerate(parts):
-            credits[index] += part.weight
-            total += part.weight
-        best = max(range(len(parts)), key=credits.__getitem__)
-        credits[best] -= total
-        return parts[best].service
+        return route.parts[_take_turn(route.parts, credits)].service
 
     def keep(self, routes):
         """Forget routes and weights that are no longer configured.
@@ -135,11 +131,15 @@
         self._credits = {key: value for key, value in self._credits.items() if key in live}
 
     def _start(self, route):
-        total = sum(part.weight for part in route.parts)
-        shift = self._random.uniform(0, total)
-        credits = [0.0] * len(route.parts)
-        # The drawn shift moves credit from the first part to the last; the sum stays zero.
-        credits[0] -= shift
-        credits[-1] += shift
-        self._credits[route.name, route.parts] = credits
+        credits = self._credits[route.name, route.parts] = [0.0] * len(route.parts)
+        for _ in range(self._random.randrange(_FIRST_TURNS)):
+            _take_turn(route.parts, credits)
         return credits
+
+
+def _take_turn(parts, credits):
+    for index, part in enumerate(parts):
+        credits[index] += part.weight
+    best = max(range(len(parts)), key=credits.__getitem__)
+    credits[best] -= sum(part.weight for part in parts)
+    return best
--- a/packages/core/src/camphorshelf_core/watchers.py
+++ b/packages/core/src/camphorshelf_core/watchers.py
@@ -6,6 +6,7 @@
 is alone, and the nodes beside a watcher that the store turns away lose nothing.
 """
 
+from functools import lru_cache
 from hashlib import blake2b
 
 # Three: one may be gone and one turned away by the store, and a change still comes at once.
@@ -36,6 +37,7 @@
     return 0 <= store_age_s <= STALE_SECONDS
 
 
+@lru_cache(maxsize=4096)
 def _rank(name):
     # By a hash and not by name: names follow the failure domains, and the first three would
     # stand in one.
--- a/packages/node/src/camphorshelf_node/streams.py
+++ b/packages/node/src/camphorshelf_node/streams.py
@@ -221,10 +221,7 @@
     :return: the :class:`Stream`, not yet connected.
     """
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = _prepare(socket.socket(family, socket.SOCK_STREAM))
-    if silence_s is not None:
-        _bound_silence(sock, silence_s)
-    stream = Stream(loop, sock)
+    stream = Stream(loop, _prepare(socket.socket(family, socket.SOCK_STREAM), silence_s))
     stream.connect(address)
     return stream
 
@@ -251,9 +248,7 @@
                 if error.errno in _NO_RESOURCES:
                     rest()
                 return
-            if silence_s is not None:
-                _bound_silence(sock, silence_s)
-            on_accept(Stream(loop, _prepare(sock)), peer)
+            on_accept(Stream(loop, _prepare(sock, silence_s)), peer)
 
     def rest():
         # Without a descriptor to spare the listener stays readable, and the loop would spin on
@@ -274,9 +269,11 @@
     return close
 
 
-def _prepare(sock):
+def _prepare(sock, silence_s=None):
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if silence_s is not None:
+        _bound_silence(sock, silence_s)
     return sock
 
 
--- a/packages/relay/src/camphorshelf_relay/__init__.py
+++ b/packages/relay/src/camphorshelf_relay/__init__.py
@@ -1,1 +1,1 @@
-"""The request path between nodes: entry, relay, the target's door, and what hosts tell each other."""
+"""The request path between nodes: entry, relay, the door of the target, and host statuses."""
--- a/packages/relay/src/camphorshelf_relay/discovery.py
+++ b/packages/relay/src/camphorshelf_relay/discovery.py
@@ -34,7 +34,7 @@
         """
         # Written before the others' rows are read: of two nodes that start together at least
         # one then finds the other.
-        address = "%s:%d" % self._settings.addresses.links
+        address = self._settings.addresses.links.text
         self._store.put(TABLE, self._settings.name, cbor2.dumps(address), self._on_written)
 
     def _on_written(self, result):
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -160,7 +160,7 @@
             incarnation="",
             sequence=0,
             domain=self._settings.domain,
-            address="%s:%d" % self._settings.addresses.links,
+            address=self._settings.addresses.links.text,
             service=self._settings.service,
             instance=record.instance,
             accepting=target.accepting,
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -62,9 +62,7 @@
 
     def _offer_next(self):
         now = self._loop.now()
-        candidates = rank(
-            self._router.views(self._service), self._facts.work_s, now, self._router.domain
-        )
+        candidates = self._rank(now)
         fresh = [one for one in candidates if one.address not in self._tried]
         if not candidates:
             self._refuse(Code.NO_TARGET, "no target of the service takes work")
@@ -80,6 +78,11 @@
         else:
             self._refuse(Code.QUEUE_FULL, "every target is busy beyond the request's time")
 
+    def _rank(self, now):
+        views = self._router.views(self._service)
+        goal_left = self._goal_at - now
+        return rank(views, self._facts.work_s, now, self._router.domain, goal_left)
+
     def _offer(self, candidate, patient):
         now = self._loop.now()
         self._offers += 1
@@ -191,9 +194,9 @@
         if self._reached + 1 >= self._route.attempts:
             return
         now = self._loop.now()
-        views = self._router.views(self._service)
-        ranked = rank(views, self._facts.work_s, now, self._router.domain)
-        fresh = [one for one in ranked if one.address not in self._tried and one.wait_s == 0.0]
+        fresh = [
+            one for one in self._rank(now) if one.address not in self._tried and one.wait_s == 0.0
+        ]
         if not fresh or now + fresh[0].expected_s > self._expires_at:
             return
         if self._router.spend_retry(self._service):
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -27,7 +27,7 @@
         self._peers = peers
         self._gate = gate
         self._own_view = own_view
-        self._own_address = "%s:%d" % settings.addresses.links
+        self._own_address = settings.addresses.links.text
         self._picker = PartPicker(random)
         self._budgets = {}
         self.outcomes = {}
@@ -102,7 +102,7 @@
         :param service: the service's name.
         :return: None.
         """
-        self._budget(service).note_request()
+        self._budget(service).note_request(self.loop.now())
 
     def spend_retry(self, service):
         """Take one from the budget of retries.
@@ -188,7 +188,9 @@
     def _budget(self, service):
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = RetryBudget(self._settings.retry, self.loop.now())
+            budget = self._budgets[service] = RetryBudget(
+                self._settings.retry, self.random, self.loop.now()
+            )
         return budget
 
     def _on_config(self, config):
--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -5,8 +5,20 @@
 from camphorshelf_core.retrybudget import RetryTerms
 
 
+class Endpoint(NamedTuple):
+    """An IP address and a port."""
+
+    ip: str
+    port: int
+
+    @property
+    def text(self):
+        """Both as ``ip:port``."""
+        return f"{self.ip}:{self.port}"
+
+
 class Addresses(NamedTuple):
-    """Where a node listens and whom it speaks to, each a pair of IP and port.
+    """Where a node listens and whom it speaks to.
 
     :param callers: requests of callers on this host.
     :param readiness: the question whether callers should come here.
@@ -18,14 +30,14 @@
     :param metrics: where counters and histograms are read; None for nowhere.
     """
 
-    callers: tuple
-    readiness: tuple
-    heartbeats: tuple
-    links: tuple
-    datagrams: tuple
-    target: tuple
-    store: tuple
-    metrics: tuple | None
+    callers: Endpoint
+    readiness: Endpoint
+    heartbeats: Endpoint
+    links: Endpoint
+    datagrams: Endpoint
+    target: Endpoint
+    store: Endpoint
+    metrics: Endpoint | None
 
 
 class NodeSettings(NamedTuple):
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -173,7 +173,7 @@
         self._probing = True
         self._probed_at = now
         self.probes += 1
-        host = "%s:%d" % self._settings.addresses.target
+        host = self._settings.addresses.target.text
         request = Request("GET", self._health_path.encode(), ((b"host", host.encode()),), b"")
         timer = self._loop.call_later(_PROBE_TIMEOUT_SECONDS, lambda: self._on_silence(abort))
         abort = self._link.send(request, "", True, lambda result: self._on_probe(result, timer))
--- /dev/null
+++ b/tests/features/intake.feature
@@ -0,0 +1,62 @@
+Feature: What a target's node lets in, what waits and what is turned away
+
+  A target with nine slots of which seven are used, because the last ones slow all work down.
+  Work of 100 ms with a goal of 300 ms unless said otherwise; a clock of its own, no network.
+
+  Scenario: A burst fills the slots and a short queue, and the rest is told at once
+    # Forty callers come in one moment. Seven run, those that can start in time wait, and the others
+    # know at once that they have to go elsewhere: none of them finds out at its deadline.
+    Given a target with 9 slots
+    When 40 requests come at once
+    Then 7 run and 13 wait
+    And 20 were turned away, each with the wait it would have had
+    When the target works through it
+    Then every request that was let in is answered within its goal
+
+  Scenario: Saturation: what is let in is in time, whatever is offered
+    # Twice what the target can do, for 10 s. Without the foretold wait the queue is always full
+    # and each request waits for two rounds.
+    Given a target with 9 slots
+    When 140 requests a second come for 10 s
+    Then at least 95 in 100 of those let in are answered within their goal
+    And the target is busy at least 95 in 100 of the time
+
+  Scenario: Urgent work goes first among long work
+    # Registrations of priority 0 share the target with reports of priority 2 that fill it.
+    Given a target with 9 slots
+    And 12 requests of 100 ms with priority 2 that came first
+    When a request with priority 0 comes
+    Then it starts before any of the waiting ones
+
+  Scenario: A host that slows down under its queue sends the queue away at once
+    # A neighbour takes the host's processor. What waits would start four times as late; it still
+    # has time to go elsewhere.
+    Given a target with 9 slots
+    When 20 requests come at once
+    And the target becomes 4 times slower
+    Then at least 10 waiting requests are sent away in that moment
+
+  Scenario: Late work waits only in a short line and behind all that is in time
+    # A few callers take an answer after their goal rather than none. They get slots that nobody
+    # else wants, and no more than a few may wait.
+    Given a target with 9 slots
+    When 21 requests come at once
+    And 10 patient requests whose goal has passed come
+    Then 4 of them wait
+    When the target works through it
+    Then the late ones are answered last
+
+  Scenario: A leaving target turns away what waits and ends what runs
+    Given a target with 9 slots
+    When 20 requests come at once
+    And the target's door is closed
+    Then 7 run and 0 wait
+    And every waiting request was sent away
+    And no request that comes later is let in
+
+  Scenario: A caller that leaves gives its place to the next
+    Given a target with 9 slots
+    When 9 requests come at once
+    And the first one that waits is withdrawn
+    And one that runs is finished
+    Then 7 run and 0 wait
--- /dev/null
+++ b/tests/features/retry_budget.feature
@@ -0,0 +1,30 @@
+Feature: Retries of all nodes together stay within what operators allow
+
+  Each node spends its part of the allowance without talk. The runs that are repeated make their
+  own calls again, and those count as repeats at the service that is called: one level of calls
+  doubles what a retry costs.
+
+  Scenario Outline: A service that sheds most of its load is not sent twice as much
+    # Callers see refusals with a time to come back. Each request that a target turned away asks
+    # for a retry; at most half of the allowance is granted, for the repeated calls are as many.
+    Given <nodes> nodes that each take <rate> requests a second for 40 s
+    When every request asks for a retry
+    Then twice the retries of any 10 s stay within 0.2 of the requests and 60 more
+
+    Examples:
+      | nodes | rate |
+      | 12    | 3    |
+      | 12    | 20   |
+      | 11    | 60   |
+      | 77    | 5    |
+      | 300   | 1    |
+
+  Scenario: A single failure after a quiet time is retried
+    Given 12 nodes that each take 1 requests a second for 40 s
+    When one request asks for a retry after 10 s
+    Then it is granted
+
+  Scenario: Retries that were not used do not pile up for a storm
+    Given 12 nodes that each take 50 requests a second for 40 s
+    When every request asks for a retry after 30 s
+    Then twice the retries of any 10 s stay within 0.2 of the requests and 60 more
--- /dev/null
+++ b/tests/features/steps/intake_steps.py
@@ -0,0 +1,183 @@
+"""Steps that offer work to a target's door on a clock of their own."""
+
+import heapq
+
+from behave import given, then, when
+
+from camphorshelf_core.intake import Intake, Job
+
+_WORK = 0.1
+_GOAL = 0.3
+_DEADLINE = 1.2
+
+
+class Play:
+    """A target that works on what its door lets in, with a clock that only this moves."""
+
+    def __init__(self, slots):
+        self.now = 0.0
+        self.intake = Intake(slots)
+        self.intake.work_s = _WORK
+        self.started = []
+        self.sent_away = []
+        self.turned_away = []
+        self.finished = []
+        self.busy_s = 0.0
+        self._ends = []
+
+    def offer(self, name, priority=2, goal=_GOAL, patient=False):
+        job = Job(
+            priority,
+            self.now + goal,
+            self.now + _DEADLINE,
+            _WORK,
+            patient,
+            lambda: self._start(name, job),
+            lambda wait: self.sent_away.append((name, wait)),
+        )
+        verdict = self.intake.offer(job, self.now)
+        if not verdict.admitted:
+            self.turned_away.append((name, verdict.wait_s))
+        return job
+
+    def advance(self, until):
+        while self._ends and self._ends[0][0] <= until:
+            end, _, name, job = heapq.heappop(self._ends)
+            self._pass(end)
+            self.finished.append((name, end, job))
+            self.intake.finish(job, end)
+        self._pass(until)
+
+    def _pass(self, moment):
+        self.busy_s += (moment - self.now) * (self.intake.running == self.intake.limit)
+        self.now = moment
+
+    def _start(self, name, job):
+        self.started.append(name)
+        heapq.heappush(self._ends, (self.now + _WORK, len(self.started), name, job))
+
+
+@given("a target with {slots:d} slots")
+def target(context, slots):
+    context.play = Play(slots)
+
+
+@given("{count:d} requests of 100 ms with priority 2 that came first")
+@when("{count:d} requests come at once")
+def come_at_once(context, count):
+    context.jobs = [context.play.offer(number) for number in range(count)]
+
+
+@when("{rate:d} requests a second come for 10 s")
+def come_steadily(context, rate):
+    for number in range(rate * 10):
+        context.play.advance(number / rate)
+        context.play.offer(number)
+    context.play.advance(20.0)
+    context.offered_s = 10.0
+
+
+@when("a request with priority 0 comes")
+def urgent(context):
+    context.play.offer("urgent", priority=0)
+
+
+@when("the target becomes {factor:d} times slower")
+def slower(context, factor):
+    context.play.intake.slowness = float(factor)
+    context.play.intake.review(context.play.now)
+
+
+@when("{count:d} patient requests whose goal has passed come")
+def late_ones(context, count):
+    for number in range(count):
+        context.play.offer(1000 + number, goal=0.0, patient=True)
+
+
+@when("the target's door is closed")
+def close(context):
+    context.play.intake.close(context.play.now)
+
+
+@when("the first one that waits is withdrawn")
+def withdraw(context):
+    waiting = [job for job in context.jobs if job.state == "queued"]
+    assert context.play.intake.withdraw(waiting[0])
+
+
+@when("one that runs is finished")
+def finish_one(context):
+    running = [job for job in context.jobs if job.state == "running"]
+    context.play.intake.finish(running[0], context.play.now)
+
+
+@when("the target works through it")
+def work_through(context):
+    context.play.advance(context.play.now + 10.0)
+
+
+@then("{running:d} run and {waiting:d} wait")
+def counts(context, running, waiting):
+    intake = context.play.intake
+    assert (intake.running, intake.queued) == (running, waiting), (intake.running, intake.queued)
+
+
+@then("{count:d} were turned away, each with the wait it would have had")
+def turned_away(context, count):
+    assert len(context.play.turned_away) == count, len(context.play.turned_away)
+    assert all(wait > 0.1 for _, wait in context.play.turned_away)
+
+
+@then("every request that was let in is answered within its goal")
+def all_in_time(context):
+    play = context.play
+    assert not play.sent_away
+    assert all(end <= job.goal_at + 1e-6 for _, end, job in play.finished)
+
+
+@then("at least {percent:d} in 100 of those let in are answered within their goal")
+def mostly_in_time(context, percent):
+    play = context.play
+    admitted = len(play.finished) + len(play.sent_away)
+    in_time = sum(end <= job.goal_at + 1e-6 for _, end, job in play.finished)
+    assert in_time >= admitted * percent / 100, (in_time, admitted)
+
+
+@then("the target is busy at least {percent:d} in 100 of the time")
+def busy(context, percent):
+    assert context.play.busy_s >= context.offered_s * percent / 100, context.play.busy_s
+
+
+@then("it starts before any of the waiting ones")
+def starts_first(context):
+    context.play.advance(10.0)
+    assert context.play.started[7] == "urgent", context.play.started
+
+
+@then("at least {count:d} waiting requests are sent away in that moment")
+def sent_away(context, count):
+    assert len(context.play.sent_away) >= count, context.play.sent_away
+
+
+@then("{count:d} of them wait")
+def late_wait(context, count):
+    refused = [name for name, _ in context.play.turned_away if name >= 1000]
+    assert len(refused) == 10 - count, refused
+
+
+@then("the late ones are answered last")
+def late_last(context):
+    names = [name for name, _, _ in context.play.finished]
+    assert all(name >= 1000 for name in names[-4:]), names
+
+
+@then("every waiting request was sent away")
+def all_sent_away(context):
+    assert len(context.play.sent_away) == 13, context.play.sent_away
+
+
+@then("no request that comes later is let in")
+def nothing_let_in(context):
+    before = len(context.play.turned_away)
+    context.play.offer("later")
+    assert len(context.play.turned_away) == before + 1
--- /dev/null
+++ b/tests/features/steps/retry_budget_steps.py
@@ -0,0 +1,60 @@
+"""Steps that let many nodes draw on one allowance of retries."""
+
+import random
+
+from behave import given, then, when
+
+from camphorshelf_core.retrybudget import RetryBudget, RetryTerms
+
+_TERMS = RetryTerms(ratio=0.2, slack=60, window_s=10)
+_SECONDS = 40
+
+
+@given("{nodes:d} nodes that each take {rate:d} requests a second for 40 s")
+def nodes_and_rate(context, nodes, rate):
+    context.budgets = [RetryBudget(_TERMS, random.Random(node), 0.0) for node in range(nodes)]
+    for budget in context.budgets:
+        budget.share_among(nodes)
+    context.rate = rate
+    context.granted = []
+    context.requests = []
+
+
+def _play(context, asks):
+    for step in range(_SECONDS * context.rate):
+        now = step / context.rate
+        for budget in context.budgets:
+            budget.note_request(now)
+            context.requests.append(now)
+            if asks(now) and budget.spend(now):
+                context.granted.append(now)
+
+
+@when("every request asks for a retry")
+def all_ask(context):
+    _play(context, lambda now: True)
+
+
+@when("every request asks for a retry after 30 s")
+def all_ask_late(context):
+    _play(context, lambda now: now >= 30)
+
+
+@when("one request asks for a retry after 10 s")
+def one_asks(context):
+    _play(context, lambda now: False)
+    context.granted = [context.budgets[0].spend(10.0)]
+
+
+@then("twice the retries of any 10 s stay within 0.2 of the requests and 60 more")
+def within_allowance(context):
+    for start in range(_SECONDS - 10 + 1):
+        inside = [at for at in context.granted if start <= at < start + 10]
+        sent = [at for at in context.requests if start <= at < start + 10]
+        allowed = 0.2 * len(sent) + 60
+        assert 2 * len(inside) <= allowed, (start, len(inside), allowed)
+
+
+@then("it is granted")
+def granted(context):
+    assert context.granted == [True]
--- /dev/null
+++ b/tests/features/watchers.feature
@@ -0,0 +1,26 @@
+Feature: Few nodes watch the store, and no change is missed
+
+  Scenario Outline: A handful of nodes watch, whatever the system's size
+    Given <nodes> nodes that the store answers
+    Then 3 of them watch
+
+    Examples:
+      | nodes |
+      | 12    |
+      | 77    |
+      | 2100  |
+
+  Scenario: A node that is alone watches
+    Given 1 nodes that the store answers
+    Then 1 of them watch
+
+  Scenario: The places of watchers that the store turns away are taken
+    # The store serves some hosts and refuses others; a change must still come at once.
+    Given 12 nodes that the store answers
+    When the store answers none of those that watch
+    Then 3 others watch as well
+
+  Scenario: Each side of a partition has watchers of its own
+    Given 12 nodes that the store answers
+    When they are cut into halves that do not hear each other
+    Then 3 watch on each side
--- /dev/null
+++ b/tests/standins/hosts.py
@@ -0,0 +1,44 @@
+"""Statuses of hosts that tests make up."""
+
+from camphorshelf_core.hosts import HostStatus, HostView
+
+
+def make_status(name, **changes):
+    """Make a host's status with usual figures.
+
+    :param name: the host's name, which is its address too.
+    :param changes: the fields that differ.
+    :return: the :class:`HostStatus`.
+    """
+    usual = HostStatus(
+        host=name,
+        incarnation="i1",
+        sequence=1,
+        domain="a",
+        address=name,
+        service="counter",
+        instance=f"i-{name}",
+        accepting=True,
+        warming_s=0.0,
+        limit=7,
+        running=0,
+        queued=0,
+        slowness=1.0,
+        work_s=0.1,
+        failing=0.0,
+        config_version=1,
+        store_age_s=0.1,
+    )
+    return usual._replace(**changes)
+
+
+def make_view(status, heard_at=0.0):
+    """Make the view of a host that was heard once.
+
+    :param status: its :class:`HostStatus`.
+    :param heard_at: when it was heard.
+    :return: the :class:`HostView`.
+    """
+    view = HostView()
+    view.take(status, heard_at)
+    return view
