Test the whole path on the platform with a stand-in of its store, targets and callers

Stand-ins: rows with transactions, feed, faults; targets with heartbeats, instance checks, mischief. A request line that names another host than Host is refused by the edge (it was routed by the one and passed on with the other). Ruled out: CONNECT is answered once; the second 'HTTP/1.1' in its answer is the text of the reason.

--- a/packages/core/src/camphorshelf_core/retrybudget.py
+++ b/packages/core/src/camphorshelf_core/retrybudget.py
@@ -13,7 +13,7 @@
 # is called, so with one level of calls half is the most; what is kept for a moment and spent
 # together with what is earned meanwhile is another fifth.
 _RATIO_SHARE = 0.4
-_SLACK_SHARE = 0.25
+_SLACK_SHARE = 0.2
 # Retries that were not used must not pile up for a storm: they fade within some seconds.
 _KEPT_SECONDS = 2.0
 
@@ -39,7 +39,9 @@
         self._random = random
         self._nodes = 1
         self._from_requests = 0.0
-        self._from_time = 0.0
+        # A node that was just started has its whole part: callers retried by it are as few as
+        # those of any other. All nodes started anew at once are still within the allowance.
+        self._from_time = terms.slack
         self._at = now
         self.denied = 0
 
--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -145,6 +145,7 @@
             raise _RefusedError(Code.HEADERS_TOO_LARGE, "the head is larger than allowed")
         version = self._parser.get_http_version()
         _check_head(version, self._parser.get_method(), self._headers)
+        _check_target(self._url, header(self._headers, b"host"))
         length = header(self._headers, b"content-length")
         if length is not None and int(length) > self._limits.body_bytes:
             raise _RefusedError(Code.BODY_TOO_LARGE, "the body is larger than allowed")
@@ -370,6 +371,17 @@
         raise _RefusedError(Code.EXPECTATION_FAILED, "the only expectation met is 100-continue")
 
 
+def _check_target(url, host):
+    # A request line that names another host than the Host header would be routed by the one and
+    # served by the other.
+    scheme, separator, rest = url.partition(b"://")
+    if url.startswith(b"/") or not separator or b"/" in scheme:
+        return
+    authority = rest.partition(b"/")[0].partition(b"?")[0]
+    if authority.lower() != (host or b"").strip().lower():
+        raise _RefusedError(Code.BAD_REQUEST, "the request line names another host than Host")
+
+
 def _wants_continue(version, headers):
     if version == "1.0" or header(headers, b"expect") is None:
         return False
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -50,10 +50,6 @@
             self.refuse(exchange, terms.request_id, refusal, None)
             return
         host, path = find_host_and_path(exchange.request)
-        if host is None:
-            refusal = Refusal(Code.BAD_REQUEST, "the request names two hosts")
-            self.refuse(exchange, terms.request_id, refusal, None)
-            return
         route = self._config.table.find(host, path)
         if route is None:
             refusal = Refusal(Code.UNKNOWN_ROUTE, "no route matches the request")
@@ -202,17 +198,13 @@
     """Find what a request's route is chosen by.
 
     :param request: the :class:`~camphorshelf_core.calls.Request`.
-    :return: the host in lower case without a port, and the path without a query. The host is
-        None when the request line names another host than the Host header: a target behind
-        could serve the one while this node routed by the other.
+    :return: the host in lower case without a port, and the path without a query.
     """
     host = (header(request.headers, b"host") or b"").decode("latin-1").strip().lower()
     path = request.path.decode("latin-1")
     if not path.startswith("/") and "://" in path:
-        authority, slash, rest = path.partition("://")[2].partition("/")
-        if authority.lower() != host:
-            return None, ""
-        path = slash + rest or "/"
+        # The connection has checked that both name the same host.
+        path = "/" + path.partition("://")[2].partition("/")[2]
     return _strip_port(host), path.partition("?")[0].partition("#")[0]
 
 
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -7,6 +7,7 @@
 from standins.deployment import Deployment, NodePlan
 from standins.inner import InnerLoop
 from standins.operator import administration, change, wait_version
+from standins.relays import RelayDeployment, RelayPlan, make_document
 
 _SMALL = (
     NodePlan("a1", "counter", "fd-a"),
@@ -118,8 +119,28 @@
     return deployment
 
 
+_RELAYS = (
+    RelayPlan("a", "counter", "fd-a"),
+    RelayPlan("b", "counter", "fd-b"),
+    RelayPlan("c", "orders", "fd-a"),
+)
+
+
+@fixture
+def relay_deployment(context):
+    """Three hosts on the users' platform, with a usual configuration."""
+    deployment = RelayDeployment(_RELAYS, make_document(7))
+    context.add_cleanup(deployment.close)
+    deployment.wait_ready()
+    deployment.wait_served()
+    deployment.wait_until(lambda: deployment.send("a", "POST", "/order/warm").status == 200)
+    context.relays = deployment
+
+
 def before_tag(context, tag):
     """Set up the fixture that a tag names."""
+    if tag == "fixture.relay_deployment":
+        use_fixture(relay_deployment, context)
     if tag == "fixture.entry_deployment":
         use_fixture(entry_deployment, context)
     if tag == "fixture.edge_deployment":
@@ -132,6 +153,8 @@
     """Give each scenario that changes the platform a fresh one."""
     if "fixture.owned_deployment" in scenario.effective_tags:
         use_fixture(owned_deployment, context)
+    if "fixture.fresh_relay_deployment" in scenario.effective_tags:
+        use_fixture(relay_deployment, context)
     if "fixture.platform" in scenario.effective_tags:
         use_fixture(platform, context)
     if "fixture.orders_deployment" in scenario.effective_tags:
--- /dev/null
+++ b/tests/features/relay_changes.feature
@@ -0,0 +1,71 @@
+@fixture.fresh_relay_deployment
+Feature: Changes and outages on the users' platform
+
+  The same three hosts, started anew for each scenario.
+
+  Scenario: A new version is in force at every node within moments, and never goes back
+    When version 9 moves "/look/" to "orders"
+    Then within 2 s every node sends "/look/" to "orders"
+    When version 8 of before is written
+    Then after 1 s every node still sends "/look/" to "orders"
+
+  Scenario: A node that the store turns away learns a new version from the others
+    Given the store turns "a" away
+    When version 9 moves "/look/" to "orders"
+    Then within 2 s every node sends "/look/" to "orders"
+
+  Scenario: A node restarted while the store is away serves the newest version
+    # Its memory is gone and the store does not answer; the other nodes tell it everything.
+    When version 9 moves "/look/" to "orders"
+    And within 2 s every node sends "/look/" to "orders"
+    And the store is down
+    And the node of "b" is killed and started again
+    Then "b" is ready within 3 s
+    And within 1 s every node sends "/look/" to "orders"
+
+  Scenario: A broken document changes nothing
+    When a document that cannot be read is written
+    Then after 1 s "/look/" still goes to "counter"
+
+  Scenario: Nobody is served before a configuration is known, and nobody is told "no such route"
+    Given the store is down and every node is started again
+    Then "a" is not ready and answers 503 with a time to come back
+    When the store is back
+    Then every node is ready within 3 s
+
+  Scenario: A leaving target gets nothing after it was told so
+    # The target says it leaves; from the acknowledgement on all work goes to the other one.
+    Given callers at "a, b, c" send "GET /look/x?work_ms=20" all the time
+    When the target of "a" announces that it leaves
+    Then from its acknowledgement on it starts nothing new
+    And no caller is told of a failure
+
+  Scenario: A node restarted beside a leaving target gives it no work
+    When the target of "a" announces that it leaves
+    And the node of "a" is killed and started again
+    And 30 requests "GET /look/x" are sent by "b"
+    Then the target of "a" ran none of those
+
+  Scenario: A node restarted beside a living target serves it again
+    When the node of "c" is killed and started again
+    Then "c" is ready within 3 s
+    And a caller at "a" is served "POST /order/x" within 2 s
+
+  Scenario: A node that is told to stop serves who still comes, and cuts off nobody
+    # Callers learn by two questions, a second apart, that the node is leaving.
+    Given callers at "a" send "GET /look/x?work_ms=20" all the time
+    When the node of "a" is told to stop
+    Then it says at once that it is not ready
+    And callers that come within 2 s are all served
+    And it has ended within 6 s
+
+  Scenario: A store that forgets its history is read anew
+    Given the store has forgotten its history
+    When version 9 moves "/look/" to "orders"
+    Then within 3 s every node sends "/look/" to "orders"
+
+  Scenario: A target that crashes takes no new orders until it is back
+    When the target of "c" is killed
+    Then within 1 s an order at "a" is answered 503 with a time to come back
+    When the target of "c" is started again
+    Then a caller at "a" is served "POST /order/x" within 3 s
--- /dev/null
+++ b/tests/features/relay_path.feature
@@ -0,0 +1,61 @@
+@fixture.relay_deployment
+Feature: The whole path on the users' platform
+
+  Three hosts in two failure domains: "a" and "b" run counter, "c" runs orders. Nodes find each
+  other by rows of the store, learn routes from the operators' document there, and hear from the
+  target beside them. Every process is a real one.
+
+  Scenario: A request reaches a target as its caller sent it, with what the target expects
+    When a caller at "c" sends "GET /look/tag?work_ms=1"
+    Then it is answered 200 by a target of "counter"
+    And the target saw its id, the caller's service "orders" and at most 2000 ms left
+
+  Scenario: A caller cannot pass for another service or choose an instance
+    When with "Caller: forged" and "Expect-Instance: i-no" a caller at "c" sends "GET /look/x"
+    Then it is answered 200 by a target of "counter"
+    And the target saw its id, the caller's service "orders" and at most 2000 ms left
+
+  Scenario: What no route matches is answered 404, by every node
+    When callers at "a, b, c" send "GET /nowhere/x"
+    Then all are answered 404
+
+  Scenario: An order whose target breaks off is not run again, and is not called "not run"
+    # The caller sees 502: it may have run. A second target exists but must not get it.
+    When a caller at "a" sends "POST /order/x?cut=1"
+    Then it is answered 502 without a time to come back
+    And it ran once
+
+  Scenario: A lookup whose target breaks off goes on to another one
+    # The caller sees the other target's answer.
+    When the target breaks off while it runs "GET /look/x?cut=1" of a caller at "c"
+    Then it ran at two targets
+
+  Scenario: An answer that belongs to no request reaches no caller
+    # The target sends a second answer behind the first. On a kept connection the next caller
+    # would get it as the answer to its own request.
+    When the "GET /look/x?extra=1" of a caller at "a" is followed by 10 others
+    Then each gets the answer to its own request
+
+  Scenario: A caller that leaves takes its work along
+    When after 0.2 s a caller at "a" leaves its "GET /look/x?work_ms=1500"
+    Then the target drops the work within 0.5 s
+
+  Scenario: A request that its target never answers ends at the route's time
+    When a caller at "c" sends "POST /order/x?mute=1"
+    Then it is answered 504 after 0.9 to 1.4 s
+
+  Scenario: Requests beyond the last slot are turned away or wait, and none is lost
+    # Forty callers at once where two targets take seven each; nobody waits for nothing.
+    When 40 callers at "a" send "GET /look/x?work_ms=100" at once
+    Then each is answered 200, or 503 with a time to come back
+    And no refused one ran
+
+  Scenario: A malformed request harms nobody behind it
+    When "a" is sent the malformed requests of the list
+    Then each is answered 4xx or its connection is closed
+    And nothing of them reached a target
+
+  Scenario: A malformed heartbeat names no target
+    When "a" gets heartbeats with wrong fields
+    Then each is answered 400
+    And a caller at "c" is still served "GET /look/x"
--- /dev/null
+++ b/tests/features/steps/relay_steps.py
@@ -0,0 +1,487 @@
+"""Steps that play callers, operators and faults against nodes on the users' platform."""
+
+import signal
+import threading
+import time
+
+from behave import given, then, when
+
+from standins.caller import Caller, call
+from standins.relays import make_document
+
+_SERVICES = {"a": "counter", "b": "counter", "c": "orders"}
+_MALFORMED = (
+    b"GET /look/bad HTTP/1.1\r\n\r\n",
+    b"GET /look/bad HTTP/1.1\r\nHost: shop.example\r\nHost: other.example\r\n\r\n",
+    b"POST /look/bad HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\n"
+    b"Content-Length: 30\r\n\r\nabc",
+    b"POST /look/bad HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /look/bad HTTP/1.1\r\n\r\n",
+    b"POST /look/bad HTTP/1.1\r\nHost: shop.example\r\nContent-Length: -1\r\n\r\n",
+    b"POST /look/bad HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"POST /look/bad HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 99999999\r\n\r\n",
+    b"GET http://other.example/look/bad HTTP/1.1\r\nHost: shop.example\r\n\r\n",
+    b"CONNECT other.example:1 HTTP/1.1\r\nHost: shop.example\r\n\r\n",
+    b"GET /look/bad HTTP/1.1\r\nHost: shop.example\r\nX: " + b"x" * 20_000 + b"\r\n\r\n",
+    b"\x16\x03\x01 not HTTP at all\r\n\r\n",
+)
+_BAD_BEATS = (
+    b"not json",
+    b"[]",
+    b'{"service":"counter"}',
+    b'{"service":"counter","addr":"x","state":"odd","slots":9,"seq":1}',
+    b'{"service":"counter","addr":"x","state":"ready","slots":"9","seq":1}',
+    b'{"service":"counter","addr":"x","state":"ready","slots":9,"seq":true}',
+    b'{"service":"counter","addr":"x","state":"ready","slots":9,"seq":1,"born":"now"}',
+)
+
+
+class Flow:
+    """Callers that send one request after the other until they are stopped."""
+
+    def __init__(self, deployment, names, path):
+        self.answers = []
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(deployment, name, path), daemon=True)
+            for name in names
+            for _ in range(3)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        """Stop and wait for the last answers."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join(10)
+
+    def _run(self, deployment, name, path):
+        while not self._stop.is_set():
+            sent = time.time()
+            try:
+                status = deployment.send(name, "GET", path).status
+            except (OSError, EOFError) as error:
+                status = type(error).__name__
+            self.answers.append((sent, status))
+
+
+def _split(line):
+    method, _, path = line.partition(" ")
+    return method, path
+
+
+def _names(text):
+    return text.split(", ")
+
+
+def _send(context, name, line, headers=()):
+    started = time.monotonic()
+    context.answer = context.relays.send(name, *_split(line), headers)
+    context.seconds = time.monotonic() - started
+    context.request_id = f"r{context.relays._request}"
+
+
+@when('a caller at "{name}" sends "{line}"')
+def caller_sends(context, name, line):
+    _send(context, name, line)
+
+
+@when('with "{first}" and "{second}" a caller at "{name}" sends "{line}"')
+def caller_sends_headers(context, name, line, first, second):
+    _send(context, name, line, [tuple(one.split(": ")) for one in (first, second)])
+
+
+@then('it is answered 200 by a target of "{service}"')
+def answered_by(context, service):
+    assert context.answer.status == 200, context.answer
+    name = context.answer.body.split()[0].decode()
+    assert _SERVICES[name] == service, context.answer.body
+    context.target = name
+
+
+@then('the target saw its id, the caller\'s service "{service}" and at most {most:d} ms left')
+def target_saw(context, service, most):
+    runs = context.relays.runs(context.target)
+    run = next(one for one in runs if one["request-id"] == context.request_id)
+    assert run["caller"] == service, run
+    assert run["host"] == "shop.example", run
+    assert 0 < int(run["deadline-ms"]) <= most, run
+
+
+@when('callers at "{names}" send "{line}"')
+def callers_send(context, names, line):
+    context.statuses = [context.relays.send(name, *_split(line)).status for name in _names(names)]
+
+
+@then("all are answered {status:d}")
+def all_answered(context, status):
+    assert set(context.statuses) == {status}, context.statuses
+
+
+@then("it is answered {status:d} without a time to come back")
+def answered_without_return(context, status):
+    assert context.answer.status == status, context.answer
+    assert "retry-after" not in context.answer.headers, context.answer
+
+
+@then("it ran once")
+def ran_once(context):
+    assert context.relays.all_runs()[context.request_id] == 1
+
+
+@when('the target breaks off while it runs "{line}" of a caller at "{name}"')
+def broken_off(context, name, line):
+    _send(context, name, line)
+
+
+@then("it ran at two targets")
+def ran_twice(context):
+    assert context.relays.all_runs()[context.request_id] == 2
+
+
+@when('the "{line}" of a caller at "{name}" is followed by 10 others')
+def with_extra(context, name, line):
+    caller = context.relays.connect(name)
+    context.pairs = []
+    for number in range(11):
+        path = _split(line)[1] if number == 0 else f"/look/n{number}"
+        headers = (("Request-Id", context.relays.next_id()), ("Deadline-Ms", "2000"))
+        answer = caller.request("GET", "shop", path, headers)
+        context.pairs.append((path, answer))
+    caller.close()
+
+
+@then("each gets the answer to its own request")
+def own_answers(context):
+    (_, first), *others = context.pairs
+    assert first.body == b"own\n", first
+    for path, answer in others:
+        assert answer.status == 200 and path.encode() in answer.body, (path, answer)
+
+
+@when('after {seconds:f} s a caller at "{name}" leaves its "{line}"')
+def sends_and_leaves(context, name, line, seconds):
+    caller = context.relays.connect(name)
+    context.request_id = context.relays.next_id()
+    lines = (
+        f"{line} HTTP/1.1",
+        "Host: shop.example",
+        f"Request-Id: {context.request_id}",
+        "Deadline-Ms: 2000",
+    )
+    caller.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+    time.sleep(seconds)
+    caller.close()
+
+
+@then("the target drops the work within {seconds:f} s")
+def work_dropped(context, seconds):
+    def dropped():
+        runs = [one for name in ("a", "b") for one in context.relays.runs(name)]
+        return any(one["request-id"] == context.request_id and one.get("cancelled") for one in runs)
+
+    context.relays.wait_until(dropped, seconds + 1.0)
+
+
+@then("it is answered {status:d} after {least:f} to {most:f} s")
+def answered_after(context, status, least, most):
+    assert context.answer.status == status, context.answer
+    assert least <= context.seconds, context.seconds
+
+
+@when('{count:d} callers at "{name}" send "{line}" at once')
+def many_at_once(context, count, name, line):
+    context.answers = []
+
+    def run(request_id):
+        headers = (("Request-Id", request_id), ("Deadline-Ms", "2000"))
+        address = context.relays.address("callers", name)
+        answer = call(address, "GET", "shop", _split(line)[1], headers)
+        context.answers.append((request_id, answer))
+
+    ids = [context.relays.next_id() for _ in range(count)]
+    threads = [threading.Thread(target=run, args=(one,)) for one in ids]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(10)
+    assert len(context.answers) == count
+
+
+@then("each is answered 200, or 503 with a time to come back")
+def served_or_refused(context):
+    for _, answer in context.answers:
+        assert answer.status in (200, 503), answer
+        if answer.status == 503:
+            assert 0 < float(answer.headers["retry-after"]) <= 2, answer
+    assert sum(answer.status == 200 for _, answer in context.answers) >= 14
+
+
+@then("no refused one ran")
+def refused_did_not_run(context):
+    runs = context.relays.all_runs()
+    refused = [one for one, answer in context.answers if answer.status == 503]
+    assert not any(runs[one] for one in refused), refused
+
+
+@when('"{name}" is sent the malformed requests of the list')
+def malformed(context, name):
+    context.outcomes = []
+    for data in _MALFORMED:
+        caller = Caller(context.relays.address("callers", name))
+        caller.send(data)
+        try:
+            first = caller.read().status
+            context.outcomes.append((data[:60], first, caller.at_end()))
+        except (EOFError, OSError):
+            context.outcomes.append((data[:60], None, True))
+        caller.close()
+
+
+@then("each is answered 4xx or its connection is closed")
+def refused_or_closed(context):
+    for data, status, ended in context.outcomes:
+        assert status is None or 400 <= status < 500, (data, status)
+        # Bytes behind the refusal would be an answer to a request that nobody sent.
+        assert ended, (data, status)
+
+
+@then("nothing of them reached a target")
+def nothing_reached(context):
+    runs = [one for name in context.relays.names for one in context.relays.runs(name)]
+    assert not any("/look/bad" in one["path"] for one in runs), runs
+
+
+@when('"{name}" gets heartbeats with wrong fields')
+def bad_beats(context, name):
+    address = context.relays.address("heartbeats", name)
+    context.statuses = [
+        call(address, "PUT", "node", "/api/instances/i-odd", body=body).status
+        for body in _BAD_BEATS
+    ]
+
+
+@then("each is answered {status:d}")
+def each_answered(context, status):
+    assert set(context.statuses) == {status}, context.statuses
+
+
+@then('a caller at "{name}" is still served "{line}"')
+def still_served(context, name, line):
+    assert context.relays.send(name, *_split(line)).status == 200
+
+
+def _goes_to(context, name, prefix, service):
+    try:
+        answer = context.relays.send(name, "GET", f"{prefix}x")
+    except (OSError, EOFError):
+        return False
+    return answer.status == 200 and _SERVICES[answer.body.split()[0].decode()] == service
+
+
+@when('version {version:d} moves "{prefix}" to "{service}"')
+def move(context, version, prefix, service):
+    routes = {
+        prefix: {"service": service, "kind": "idempotent"},
+        "/order/": {"service": "orders", "kind": "non_idempotent"},
+    }
+    context.relays.configure(make_document(version, routes))
+
+
+@when("version {version:d} of before is written")
+def old_version(context, version):
+    context.relays.configure(make_document(version))
+
+
+@when('within {seconds:d} s every node sends "{prefix}" to "{service}"')
+@then('within {seconds:d} s every node sends "{prefix}" to "{service}"')
+def every_node_sends(context, seconds, prefix, service):
+    names = context.relays.names
+    context.relays.wait_until(
+        lambda: all(_goes_to(context, name, prefix, service) for name in names), seconds + 2
+    )
+
+
+@then('after {seconds:d} s every node still sends "{prefix}" to "{service}"')
+def still_sends(context, seconds, prefix, service):
+    time.sleep(seconds)
+    assert all(_goes_to(context, name, prefix, service) for name in context.relays.names)
+
+
+@then('after {seconds:d} s "{prefix}" still goes to "{service}"')
+def nothing_changed(context, seconds, prefix, service):
+    still_sends(context, seconds, prefix, service)
+
+
+@given('the store turns "{name}" away')
+def turned_away(context, name):
+    context.relays.set_faults(down=[context.relays.ip(name)])
+
+
+@when("the store is down")
+def store_down(context):
+    context.relays.set_faults(down=True)
+
+
+@when("the store is back")
+def store_back(context):
+    context.relays.set_faults()
+
+
+@given("the store has forgotten its history")
+def forgotten(context):
+    context.relays.set_faults(forget=True)
+
+
+@when("a document that cannot be read is written")
+def broken_document(context):
+    context.relays.configure(b'{"version": 12, "resources": [{"type": "routes"')
+
+
+@when('the node of "{name}" is killed and started again')
+def restart_node(context, name):
+    context.relays.signal(f"node-{name}", signal.SIGKILL)
+    context.relays.wait_end(f"node-{name}")
+    context.relays.start_node(name)
+    context.relays.wait_until(lambda: _listens(context, name))
+
+
+def _listens(context, name):
+    try:
+        context.relays.connect(name).close()
+    except OSError:
+        return False
+    return True
+
+
+@given("the store is down and every node is started again")
+def all_restarted(context):
+    context.relays.set_faults(down=True)
+    for name in context.relays.names:
+        context.relays.signal(f"node-{name}", signal.SIGKILL)
+        context.relays.wait_end(f"node-{name}")
+    for name in context.relays.names:
+        context.relays.start_node(name)
+    for name in context.relays.names:
+        context.relays.wait_until(lambda name=name: _listens(context, name))
+
+
+@then('"{name}" is not ready and answers 503 with a time to come back')
+def not_ready(context, name):
+    assert not context.relays.is_ready(name)
+    answer = context.relays.send(name, "GET", "/look/x")
+    assert answer.status == 503 and float(answer.headers["retry-after"]) > 0, answer
+
+
+@then('"{name}" is ready within {seconds:d} s')
+def ready_within(context, name, seconds):
+    context.relays.wait_until(lambda: context.relays.is_ready(name), seconds + 2)
+
+
+@then("every node is ready within {seconds:d} s")
+def all_ready_within(context, seconds):
+    for name in context.relays.names:
+        ready_within(context, name, seconds)
+
+
+@given('callers at "{names}" send "{line}" all the time')
+def flow(context, names, line):
+    context.flow = Flow(context.relays, _names(names), _split(line)[1])
+    context.add_cleanup(context.flow.stop)
+    time.sleep(0.5)
+
+
+@when('the target of "{name}" announces that it leaves')
+def announce_leaving(context, name):
+    context.relays.signal(f"target-{name}", signal.SIGUSR1)
+    context.leaving = name
+    context.relays.wait_until(lambda: _acknowledged_at(context, name) is not None)
+
+
+def _acknowledged_at(context, name):
+    for line in context.relays.log(f"target-{name}").splitlines():
+        if line.startswith("acknowledged PUT leaving=True"):
+            return float(line.split()[-1])
+    return None
+
+
+@then("from its acknowledgement on it starts nothing new")
+def nothing_new(context):
+    time.sleep(1.5)
+    context.flow.stop()
+    acknowledged = _acknowledged_at(context, context.leaving)
+    late = [at for at in context.relays.run_times(context.leaving) if at > acknowledged]
+    assert not late, (acknowledged, late)
+
+
+@then("no caller is told of a failure")
+def no_failure(context):
+    context.flow.stop()
+    bad = [one for one in context.flow.answers if one[1] != 200]
+    assert not bad, bad[:5]
+
+
+@when('{count:d} requests "{line}" are sent by "{name}"')
+def sent_by(context, count, line, name):
+    context.since = time.time()
+    statuses = [context.relays.send(name, *_split(line)).status for _ in range(count)]
+    assert set(statuses) == {200}, statuses
+
+
+@then('the target of "{name}" ran none of those')
+def ran_none(context, name):
+    assert not [at for at in context.relays.run_times(name) if at > context.since]
+
+
+@then('a caller at "{name}" is served "{line}" within {seconds:d} s')
+def served_within(context, name, line, seconds):
+    context.relays.wait_until(
+        lambda: context.relays.send(name, *_split(line)).status == 200, seconds + 2
+    )
+
+
+@when('the node of "{name}" is told to stop')
+def stop_node(context, name):
+    context.stopped = name
+    context.stopped_at = time.time()
+    context.relays.signal(f"node-{name}", signal.SIGTERM)
+
+
+@then("it says at once that it is not ready")
+def says_not_ready(context):
+    context.relays.wait_until(lambda: not context.relays.is_ready(context.stopped), 1.0)
+
+
+@then("callers that come within {seconds:d} s are all served")
+def served_meanwhile(context, seconds):
+    time.sleep(seconds)
+    context.flow.stop()
+    early = [one for one in context.flow.answers if one[0] < context.stopped_at + seconds]
+    bad = [one for one in early if one[1] != 200]
+    assert early and not bad, bad[:5]
+
+
+@then("it has ended within {seconds:d} s")
+def ended(context, seconds):
+    assert context.relays.wait_end(f"node-{context.stopped}") == 0
+
+
+@when('the target of "{name}" is killed')
+def kill_target(context, name):
+    context.relays.signal(f"target-{name}", signal.SIGKILL)
+    context.relays.wait_end(f"target-{name}")
+
+
+@when('the target of "{name}" is started again')
+def target_again(context, name):
+    context.relays.start_target(name)
+
+
+@then('within {seconds:d} s an order at "{name}" is answered 503 with a time to come back')
+def order_refused(context, seconds, name):
+    def refused():
+        answer = context.relays.send(name, "POST", "/order/x")
+        return answer.status == 503 and float(answer.headers["retry-after"]) > 0
+
+    context.relays.wait_until(refused, seconds + 1)
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -1,23 +1,15 @@
 """Starts a platform, nodes and targets as separate processes on loopback and ends them."""
 
 import json
-import os
 import random
-import signal
 import socket
-import subprocess
 import sys
-import tempfile
-import time
 from collections import Counter
-from pathlib import Path
 from typing import NamedTuple
 
 from standins.caller import call
+from standins.processes import Processes
 
-_TESTS = Path(__file__).resolve().parent.parent
-_START_SECONDS = 20.0
-_STOP_SECONDS = 10.0
 _PORTS = (10_000, 32_000)
 
 
@@ -42,15 +34,13 @@
     target: str
 
 
-class Deployment:
+class Deployment(Processes):
     """The processes of one small deployment."""
 
     def __init__(self, plans, log_level="WARNING", node_paths=()):
-        self._directory = tempfile.TemporaryDirectory(prefix="camphorshelf-")
+        super().__init__(node_paths)
         self._log_level = log_level
-        self._node_paths = list(node_paths)
         self._plans = {plan.name: plan for plan in plans}
-        self._processes = {}
         self._nodes = {}
         self._host = _loopback()
         self._given = set()
@@ -81,11 +71,6 @@
         """The started nodes by name."""
         return self._nodes
 
-    @property
-    def directory(self):
-        """Where settings and logs are, as a path."""
-        return Path(self._directory.name)
-
     def add(self, plan):
         """Start one more node and its target."""
         self._plan(plan)
@@ -131,41 +116,6 @@
         self._start(f"target-{name}", command)
         self._wait(node.target)
 
-    def signal(self, process, number):
-        """Send a signal to ``node-NAME``, ``target-NAME`` or ``platform``."""
-        self._processes[process].send_signal(number)
-
-    def wait_end(self, process):
-        """Wait for a process to end and give its exit status."""
-        return self._processes[process].wait(_STOP_SECONDS)
-
-    def has_ended(self, process):
-        """Whether a started process is gone."""
-        return self._processes[process].poll() is not None
-
-    def pid(self, process):
-        """The process id of a started process."""
-        return self._processes[process].pid
-
-    def log(self, process):
-        """What a process has written so far."""
-        return (self.directory / f"{process}.log").read_text()
-
-    def wait_until(self, condition, seconds=_START_SECONDS):
-        """Wait for a condition to hold; raises TimeoutError when it does not."""
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            if condition():
-                return
-            time.sleep(0.02)
-        raise TimeoutError(f"the condition did not come to hold; {self._describe()}")
-
-    def _describe(self):
-        ended = {name: one.poll() for name, one in self._processes.items()}
-        ended = {name: status for name, status in ended.items() if status is not None}
-        logs = {name: self.log(name)[-500:] for name in self._processes}
-        return f"ended: {ended}, logs: {logs}"
-
     def wait_served(self, name, service):
         """Wait until a node serves calls to a service."""
         address = self._nodes[name].callers
@@ -193,16 +143,6 @@
         journal = self.directory / "runs.log"
         return Counter(journal.read_text().split()) if journal.exists() else Counter()
 
-    def close(self):
-        """End every process that was started and remove the files."""
-        for process in self._processes.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-        for process in self._processes.values():
-            process.wait()
-        self._directory.cleanup()
-
     def _plan(self, plan):
         self._plans[plan.name] = plan
         addresses = [self._find_address() for _ in range(4)]
@@ -225,28 +165,6 @@
         }
         return {**settings, **plan.settings}
 
-    def _start(self, name, command):
-        environment = {
-            **os.environ,
-            "PYTHONPATH": os.pathsep.join([*self._node_paths, str(_TESTS)]),
-        }
-        with open(self.directory / f"{name}.log", "ab") as log:
-            self._processes[name] = subprocess.Popen(
-                command, env=environment, stdout=log, stderr=log
-            )
-
-    def _wait(self, address):
-        host, port = address.split(":")
-
-        def connects():
-            try:
-                socket.create_connection((host, int(port)), timeout=1).close()
-            except OSError:
-                return False
-            return True
-
-        self.wait_until(connects)
-
 
 def _loopback():
     """Pick an address of the loopback range that no other deployment has at this time.
--- /dev/null
+++ b/tests/standins/relays.py
@@ -0,0 +1,227 @@
+"""Starts a store, nodes and targets of the users' platform as separate processes on loopback.
+
+As on the platform, every host has an address of its own and all use the same ports.
+"""
+
+import json
+import random
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import NamedTuple
+
+from standins.caller import Caller, call
+from standins.processes import Processes
+from standins.rowstore import encode_value
+
+_ROOT = Path(__file__).resolve().parent.parent.parent
+_PORT_NAMES = ("callers", "links", "readiness", "heartbeats", "datagrams", "target", "store")
+_HOST = "shop"
+_GRACE_SECONDS = 6
+
+
+class RelayPlan(NamedTuple):
+    """A host to start: its node, and the target beside it."""
+
+    name: str
+    service: str
+    domain: str = "fd-a"
+    slots: int = 9
+
+
+class RelayDeployment(Processes):
+    """The processes of one small deployment on the platform."""
+
+    def __init__(self, plans, document=None):
+        super().__init__()
+        numbers = random.SystemRandom()
+        self._net = "127." + ".".join(str(numbers.randrange(1, 255)) for _ in range(2))
+        first = numbers.randrange(10_000, 32_000 - len(_PORT_NAMES))
+        self._ports = {name: first + index for index, name in enumerate(_PORT_NAMES)}
+        self._plans = {plan.name: plan for plan in plans}
+        self._hosts = {plan.name: index + 2 for index, plan in enumerate(plans)}
+        self.store = self.address("store", None)
+        self._request = 0
+        try:
+            command = [sys.executable, "-m", "standins.rowstore", self.store]
+            self._start("store", command)
+            self._wait(self.store)
+            if document is not None:
+                self.configure(document)
+            for plan in plans:
+                self.start_target(plan.name)
+                self.start_node(plan.name)
+        except BaseException:
+            # Whoever started it has nothing to close yet; the processes would stay for ever.
+            self.close()
+            raise
+
+    @property
+    def names(self):
+        """The hosts' names."""
+        return list(self._plans)
+
+    def ip(self, name):
+        """The address of a host; None stands for the store's."""
+        return f"{self._net}.{1 if name is None else self._hosts[name]}"
+
+    def address(self, port, name):
+        """Where a host listens for something, as ``ip:port``."""
+        return f"{self.ip(name)}:{self._ports[port]}"
+
+    def start_node(self, name):
+        """Start the node of a host, or start it again."""
+        path = self.directory / f"{name}.conf"
+        path.write_text(self._settings(name))
+        command = [sys.executable, str(_ROOT / "deploy" / "node.py")]
+        self._start(f"node-{name}", command, CAMPHORSHELF_SETTINGS=str(path))
+
+    def start_target(self, name):
+        """Start the target of a host, or start it again as a new process."""
+        plan = self._plans[name]
+        options = {
+            "name": name,
+            "service": plan.service,
+            "address": self.address("target", name),
+            "slots": plan.slots,
+            "announce": self.address("heartbeats", name),
+            "journal": str(self.directory / "runs.log"),
+        }
+        command = [sys.executable, "-m", "standins.relaytarget", json.dumps(options)]
+        self._start(f"target-{name}", command)
+
+    def configure(self, document):
+        """Write the operators' document."""
+        row = {"table": "op", "key": "config", "value": encode_value(document)}
+        call(self.store, "POST", "store", "/_put", body=json.dumps(row).encode())
+
+    def set_faults(self, **faults):
+        """Set the store's faults, replacing all earlier ones."""
+        call(self.store, "POST", "store", "/_faults", body=json.dumps(faults).encode())
+
+    def counts(self):
+        """The store's calls by path."""
+        return json.loads(call(self.store, "GET", "store", "/_counts").body)
+
+    def is_ready(self, name):
+        """Whether a node wants callers."""
+        try:
+            answer = call(self.address("readiness", name), "GET", "node", "/api/ready")
+        except OSError:
+            return False
+        return answer.status == 200
+
+    def wait_ready(self, *names):
+        """Wait until nodes want callers."""
+        for name in names or self.names:
+            self.wait_until(lambda name=name: self.is_ready(name))
+
+    def wait_served(self, path="/look/warm", names=()):
+        """Wait until nodes serve a path."""
+        for name in names or self.names:
+            self.wait_until(lambda name=name: self._is_served(name, path))
+
+    def _is_served(self, name, path):
+        try:
+            return self.send(name, "GET", path).status == 200
+        except OSError:
+            return False
+
+    def send(self, name, method, path, headers=(), body=b"", wait_ms=2000):
+        """Send a request to a node over a connection of its own."""
+        headers = (*headers, ("Request-Id", self.next_id()), ("Deadline-Ms", str(wait_ms)))
+        return call(self.address("callers", name), method, _HOST, path, headers, body)
+
+    def connect(self, name):
+        """Open a caller's connection to a node."""
+        return Caller(self.address("callers", name))
+
+    def next_id(self):
+        """Make the id of one more request."""
+        self._request += 1
+        return f"r{self._request}"
+
+    def runs(self, name):
+        """What the target of a host ran."""
+        answer = call(self.address("target", name), "GET", "target", "/_runs")
+        return json.loads(answer.body)
+
+    def all_runs(self):
+        """How often each request ran at any target, those that are gone included."""
+        journal = self.directory / "runs.log"
+        lines = journal.read_text().splitlines() if journal.exists() else []
+        return Counter(line.split()[0] for line in lines)
+
+    def run_times(self, name):
+        """When the targets of a host began to run requests, Unix seconds."""
+        journal = self.directory / "runs.log"
+        lines = journal.read_text().splitlines() if journal.exists() else []
+        return [float(line.split()[2]) for line in lines if line.split()[1] == name]
+
+    def events(self, name, event):
+        """The log lines of one event that a node has written."""
+        lines = self.log(f"node-{name}").splitlines()
+        parsed = [json.loads(line) for line in lines if line.startswith("{")]
+        return [line for line in parsed if line["event"] == event]
+
+    def _settings(self, name):
+        plan = self._plans[name]
+        fields = {
+            "self.node": name,
+            "self.ip": self.ip(name),
+            "self.zone": plan.domain,
+            "self.service": plan.service,
+            "self.app_addr": self.address("target", name),
+            "network.listen.inbound": self.address("links", name),
+            "network.listen.outbound": self.address("callers", name),
+            "network.listen.ready": self.address("readiness", name),
+            "network.listen.control": self.address("heartbeats", name),
+            "network.port_range": f"{self._ports['datagrams']},{self._ports['datagrams']}",
+            "platform.platform.addr": self.store,
+            "terms.bounds.grace_s": _GRACE_SECONDS,
+            "terms.bounds.retry_ratio": 0.2,
+            "terms.bounds.retry_window_s": 10,
+            "terms.bounds.retry_slack": 60,
+            "terms.bounds.probes_per_s": 60,
+            "terms.bounds.a_new_one": "ignored",
+        }
+        return "".join(f"{name}={value}\n" for name, value in fields.items())
+
+
+def make_document(version, routes=None, **limits):
+    """Make an operators' document.
+
+    :param version: its version.
+    :param routes: pairs of prefix and the route's fields; a usual set when left out.
+    :param limits: limits that differ from the usual ones.
+    :return: the document.
+    """
+    usual = {
+        "/look/": {"service": "counter", "kind": "idempotent"},
+        "/order/": {"service": "orders", "kind": "non_idempotent", "priority": 0},
+    }
+    entries = [_route(prefix, fields) for prefix, fields in (routes or usual).items()]
+    for service in ("counter", "orders"):
+        spec = {"health_path": "/health", "max_conns": 100}
+        entries.append({"type": "services", "meta": {"name": service}, "spec": spec})
+    bounds = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 1_048_576,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+        **limits,
+    }
+    entries.append({"type": "limits", "meta": {}, "spec": bounds})
+    return {"version": version, "resources": entries}
+
+
+def _route(prefix, fields):
+    usual = {
+        "host": f"{_HOST}.example",
+        "prefix": prefix,
+        "timeout_s": 1.0,
+        "goal_s": 0.5,
+        "priority": 2,
+        "attempts": 2,
+    }
+    return {"type": "routes", "meta": {"name": f"r{prefix}"}, "spec": {**usual, **fields}}
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -14,6 +14,7 @@
     path: str
     headers: dict
     body: bytes
+    peer: str = ""
 
 
 class Reply(NamedTuple):
@@ -23,6 +24,7 @@
     headers: tuple = ()
     body: bytes = b""
     raw: bytes | None = None
+    close: bool = True
     hang_up: bool = False
 
 
@@ -59,7 +61,9 @@
 
     def on_message_complete(self):
         method = self._parser.get_method().decode()
-        received = Received(method, self._url.decode(), self._headers, b"".join(self._body))
+        peer = self._transport.get_extra_info("peername")[0]
+        body = b"".join(self._body)
+        received = Received(method, self._url.decode(), self._headers, body, peer)
         self._tail = asyncio.ensure_future(self._answer(received))
 
     async def _answer(self, received):
@@ -68,7 +72,8 @@
             self._transport.abort()
         elif reply.raw is not None:
             self._transport.write(reply.raw)
-            self._transport.close()
+            if reply.close:
+                self._transport.close()
         else:
             self._transport.write(_render(reply, received.method))
 
