--- a/packages/relay/src/camphorshelf_relay/eventlog.py
+++ b/packages/relay/src/camphorshelf_relay/eventlog.py
@@ -33,7 +33,7 @@
         self._handler = _Descriptor(descriptor)
         self._logger = logbook.Logger(host)
         self._flushing = False
-        self.dropped = 0
+        self.counts = {"rate": 0, "unread": 0}
         self._dropped_said = 0
 
     def routine(self, event, **fields):
@@ -68,19 +68,20 @@
         :return: None.
         """
         self._flushing = False
-        if self.dropped != self._dropped_said:
-            self._append("lines_dropped", {"total": self.dropped})
-            self._dropped_said = self.dropped
+        dropped = sum(self.counts.values())
+        if dropped != self._dropped_said:
+            self._append("lines_dropped", dict(self.counts))
+            self._dropped_said = dropped
         lines, self._lines = self._lines, []
         with self._handler.threadbound():
             self._logger.info("\n".join(lines))
-        self.dropped += self._handler.take_dropped()
+        self.counts["unread"] += self._handler.take_dropped()
         if self._handler.unwritten:
             self._arm()
 
     def _note(self, bucket, event, fields):
         if not bucket.spend(1, self._loop.now()):
-            self.dropped += 1
+            self.counts["rate"] += 1
             return
         self._append(event, fields)
         self._arm()
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -23,6 +23,7 @@
         self.target = target
         self.log = log
         self.counts = {}
+        self.on_answer = lambda waited_s, ran_s: None
 
     def run(self, message, reply):
         """Run a request, let it wait, or decline it.
@@ -141,6 +142,7 @@
         reply, self._reply = self._reply, None
         self._release()
         self._gate.count("answered")
+        self._gate.on_answer(waited_s, ran_s)
         reply(
             RelayedMessage(
                 0,
--- a/packages/relay/src/camphorshelf_relay/listeners.py
+++ b/packages/relay/src/camphorshelf_relay/listeners.py
@@ -180,7 +180,7 @@
     return lambda: {RelayMessage: make_relay_handler(loop, gate, on_fault), **others}
 
 
-def serve_questions(loop, address, limits, answer, on_fault):
+def serve_questions(loop, address, limits, answer, on_fault, headers=_PLAIN):
     """Answer simple HTTP requests, each by a function of its request.
 
     :param loop: the node's loop.
@@ -188,12 +188,13 @@
     :param limits: as for callers.
     :param answer: takes a :class:`~camphorshelf_core.calls.Request`, gives status and body.
     :param on_fault: takes the exception when a request ends in one.
+    :param headers: the headers of each answer.
     :return: None.
     """
 
     def handle(exchange):
         status, body = answer(exchange.request)
-        exchange.answer(Response(status, _PLAIN, body))
+        exchange.answer(Response(status, headers, body))
 
     def accept(stream, _peer):
         HttpConnection(stream, limits, loop, handle, on_fault)
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -23,6 +23,7 @@
     make_link_handlers,
     serve_questions,
 )
+from .metrics import CONTENT_TYPE, Metrics
 from .peers import Peers
 from .router import Router
 from .target import Target
@@ -120,6 +121,8 @@
             (addresses.heartbeats, self._answer_target),
         )
         self._limits = limits
+        self._metrics = Metrics()
+        self._watch_metrics()
         self._target.on_change = self._peers.tell
         self._peers.on_status = self._config.hear
         self._config.on_change(self._on_config)
@@ -142,6 +145,8 @@
         self._links.start()
         for address, answer in self._questions:
             serve_questions(self._loop, address, self._limits, answer, self._log.fault)
+        if self._settings.addresses.metrics is not None:
+            self._serve_metrics()
         self._peers.start()
         self._config.start(self._ports.document_table, self._ports.document_key)
         self._discovery.start()
@@ -152,6 +157,38 @@
         gc.freeze()
         gc.set_threshold(_YOUNG_OBJECTS, 10, 10)
 
+    def _serve_metrics(self):
+        def answer(_request):
+            return 200, self._metrics.render()
+
+        address = self._settings.addresses.metrics
+        headers = (CONTENT_TYPE,)
+        serve_questions(self._loop, address, self._limits, answer, self._log.fault, headers)
+
+    def _watch_metrics(self):
+        metrics, target, intake = self._metrics, self._target, self._intake
+        self._router.on_outcome = metrics.note_request
+        self._gate.on_answer = metrics.note_run
+        count, watch = metrics.count, metrics.watch
+        count("offers", "Requests at the target's door, by outcome.", self._gate.counts, "outcome")
+        count("retries", "Retries by service and verdict.", self._router.retries, "service verdict")
+        count("store.calls", "Calls to the store.", self._store.counts, "kind outcome")
+        count("statuses", "Statuses of hosts.", self._peers.counts, "direction")
+        count("target.contacts", "Probes and connections.", target.counts, "kind")
+        count("log.dropped", "Log lines left out.", self._log.counts, "reason")
+        watch("target.running", "Requests that run at the target.", lambda: intake.running)
+        watch("target.queued", "Requests that wait for a slot.", lambda: intake.queued)
+        watch("target.limit", "Requests that may run at once.", lambda: intake.limit)
+        watch("target.slowness", "How long work takes, 1 as usual.", lambda: target.slowness)
+        watch("target.failing", "Share of failed requests.", lambda: target.failing)
+        watch("target.accepting", "1 while work is let in.", lambda: int(target.accepting))
+        watch("ready", "1 while callers should come.", lambda: int(self.ready))
+        watch("config.version", "The configuration in force.", lambda: self._config.version)
+        watch("store.age", "Seconds since the store answered.", lambda: self._config.store_age_s)
+        watch("callers", "Connections of callers.", lambda: self._callers.connections)
+        live = self._peers.directory.live
+        watch("hosts", "Other hosts heard lately.", lambda: len(live(self._loop.now())))
+
     def _describe(self):
         target, intake = self._target, self._intake
         record = target.record
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -57,8 +57,7 @@
         self._own_address = settings.addresses.links.text
         self._datagram_port = settings.addresses.datagrams[1]
         self._socket = None
-        self.sent = 0
-        self.received = 0
+        self.counts = {"sent": 0, "received": 0}
         # Told the view of each host that said something new.
         self.on_status = lambda view: None
 
@@ -174,7 +173,7 @@
         ip = address.rpartition(":")[0]
         try:
             self._socket.sendto(data, (ip, self._datagram_port))
-            self.sent += 1
+            self.counts["sent"] += 1
         except OSError:
             # Full buffers and unreachable hosts look alike; the next status makes up for it.
             return
@@ -193,7 +192,7 @@
 
     def _take(self, status):
         now = self._loop.now()
-        self.received += 1
+        self.counts["received"] += 1
         is_new = self._directory.view(status.address) is None
         if not self._directory.take(status, now):
             return
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -5,16 +5,13 @@
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage, RelayMessage
 from camphorshelf_core.placement import rank
 from camphorshelf_core.returns import retry_after
+from camphorshelf_core.secondtry import second_try_times
 from camphorshelf_node.headers import strip_hop_by_hop
 
 # Targets' nodes that are asked in turn before the request is refused. Each "busy" costs two ways
 # between failure domains, some 4 ms; the third is seldom better than the second.
 _MAX_OFFERS = 4
 _FAILED_STATUSES = frozenset({500, 502, 503, 504})
-# A target that takes this many times the expected time has most likely lost the request; an
-# idempotent one is then offered to another target as well.
-_OVERDUE_FACTOR = 3.0
-_OVERDUE_LEAST_SECONDS = 0.08
 _LEAST_SECONDS = 0.01
 
 
@@ -42,7 +39,7 @@
         self._shortest_wait = None
         self._maybe_ran = False
         self._finished = False
-        self._overdue_timer = None
+        self._overdue_timers = []
         self._timer = None
 
     def start(self):
@@ -112,14 +109,23 @@
         cancel = self._router.send(candidate.address, message, exchange.guard(offer.on_message))
         if offer in self._running:
             self._running[offer] = cancel
-            if self._route.idempotent and self._overdue_timer is None:
-                self._watch_overdue(candidate)
+            if self._route.idempotent and self._route.attempts > 1:
+                self._watch_overdue(candidate, now)
 
-    def _watch_overdue(self, candidate):
-        wait = max(_OVERDUE_LEAST_SECONDS, candidate.expected_s * _OVERDUE_FACTOR)
-        if self._loop.now() + wait < self._expires_at:
-            guard = self._exchange.guard
-            self._overdue_timer = self._loop.call_later(wait, guard(self._on_overdue))
+    def _watch_overdue(self, candidate, now):
+        self._cancel_overdue()
+        times = second_try_times(
+            candidate.expected_s, self._facts.work_s, self._goal_at - now, self._expires_at - now
+        )
+        guard = self._exchange.guard
+        self._overdue_timers = [
+            self._loop.call_later(wait, guard(self._on_overdue)) for wait in times
+        ]
+
+    def _cancel_overdue(self):
+        for timer in self._overdue_timers:
+            timer.cancel()
+        self._overdue_timers = []
 
     def on_relayed(self, offer, message):
         """Take a target's answer.
@@ -189,20 +195,21 @@
         return self._router.spend_retry(self._service)
 
     def _on_overdue(self):
-        if self._finished or len(self._running) != 1 or not self._route.idempotent:
+        if self._finished or len(self._running) != 1:
             return
         if self._reached + 1 >= self._route.attempts:
             return
         now = self._loop.now()
-        fresh = [
-            one for one in self._rank(now) if one.address not in self._tried and one.wait_s == 0.0
+        due = self._goal_at if now < self._goal_at else self._expires_at
+        free = [
+            one
+            for one in self._rank(now)
+            if one.address not in self._tried and one.wait_s == 0.0 and now + one.expected_s <= due
         ]
-        if not fresh or now + fresh[0].expected_s > self._expires_at:
-            return
-        if self._router.spend_retry(self._service):
+        if free and self._router.spend_retry(self._service):
             (first,) = self._running
-            self._log_step("hedge", first)
-            self._offer(fresh[0], patient=False)
+            self._log_step("second_try", first, to=free[0].address)
+            self._offer(free[0], patient=False)
 
     def _answer(self, offer, message):
         self._end()
@@ -265,9 +272,9 @@
 
     def _end(self):
         self._finished = True
-        for timer in (self._timer, self._overdue_timer):
-            if timer is not None:
-                timer.cancel()
+        self._cancel_overdue()
+        if self._timer is not None:
+            self._timer.cancel()
         running, self._running = self._running, {}
         for cancel in running.values():
             if cancel is not None:
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -30,7 +30,7 @@
         self._own_address = settings.addresses.links.text
         self._picker = PartPicker(random)
         self._budgets = {}
-        self.outcomes = {}
+        self.retries = {}
         self.on_outcome = lambda route, outcome, seconds: None
         config.on_change(self._on_config)
 
@@ -109,7 +109,10 @@
         budget = self._budget(service)
         now = self.loop.now()
         budget.share_among(len(self._peers.directory.live(now)) + 1)
-        return budget.spend(now)
+        granted = budget.spend(now)
+        key = service, "granted" if granted else "denied"
+        self.retries[key] = self.retries.get(key, 0) + 1
+        return granted
 
     def note_sent(self, address):
         """Count a request that the target's next status may not yet count.
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -34,6 +34,7 @@
         self._log = log
         self._record = InstanceRecord()
         self._link = TargetLink(loop, settings.addresses.target, dialect)
+        self._link.on_dial = self._note_dial
         self._health_path = None
         self._load_at = 0.0
         self._probed_at = 0.0
@@ -43,7 +44,7 @@
         self._failing_at = 0.0
         self._stopping = False
         self.slowness = 1.0
-        self.probes = 0
+        self.counts = {"probe": 0, "silent_probe": 0, "connection": 0}
         # Told after every change that others may want to know of.
         self.on_change = _do_nothing
         loop.call_every(PROBE_SECONDS, self._probe)
@@ -162,6 +163,9 @@
         self._record.seen_elsewhere(instance)
         self._settle("another process")
 
+    def _note_dial(self):
+        self.counts["connection"] += 1
+
     def _probe(self):
         now = self._loop.now()
         if self._probing or self._health_path is None:
@@ -172,7 +176,7 @@
             return
         self._probing = True
         self._probed_at = now
-        self.probes += 1
+        self.counts["probe"] += 1
         host = self._settings.addresses.target.text
         request = Request("GET", self._health_path.encode(), ((b"host", host.encode()),), b"")
         timer = self._loop.call_later(_PROBE_TIMEOUT_SECONDS, lambda: self._on_silence(abort))
@@ -182,6 +186,7 @@
         abort()
         self._probing = False
         self._silent_probes += 1
+        self.counts["silent_probe"] += 1
         if self._silent_probes >= _SILENT_PROBES:
             self.note_unreachable()
 
--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -58,7 +58,8 @@
         self._idle = []
         self._open = 0
         self.idle_s = _DEFAULT_IDLE_SECONDS
-        self.dialled = 0
+        # Told of each connection that is opened.
+        self.on_dial = _do_nothing
         loop.call_every(_SWEEP_SECONDS, self._sweep)
 
     @property
@@ -113,7 +114,7 @@
         except OSError:
             return None
         self._open += 1
-        self.dialled += 1
+        self.on_dial()
         return _Connection(self, stream, self._dialect)
 
     def _give_back(self, connection):
--- a/tests/features/relay_path.feature
+++ b/tests/features/relay_path.feature
@@ -59,3 +59,13 @@
     When "a" gets heartbeats with wrong fields
     Then each is answered 400
     And a caller at "c" is still served "GET /look/x"
+
+  Scenario: Counters and latency histograms can be read
+    When a caller at "c" sends "GET /look/x"
+    And the metrics of "c" are read
+    Then they count the request by route and outcome
+    And they hold a latency histogram, the configuration's version and calls to the store
+
+  Scenario: Each decision about a request can be found in the logs by its id
+    When a caller at "a" sends "POST /order/x?cut=1"
+    Then the log of "a" says of it that it was refused with 502 and why
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -485,3 +485,41 @@
         return answer.status == 503 and float(answer.headers["retry-after"]) > 0
 
     context.relays.wait_until(refused, seconds + 1)
+
+
+@when('the metrics of "{name}" are read')
+def read_metrics(context, name):
+    answer = call(f"{context.relays.ip(name)}:9464", "GET", "node", "/metrics")
+    context.metrics = answer.body.decode()
+
+
+@then("they count the request by route and outcome")
+def counted(context):
+    lines = context.metrics.splitlines()
+    assert any(
+        line.startswith("camphorshelf_requests") and 'route="r/look/"' in line and "200" in line
+        for line in lines
+    ), context.metrics
+
+
+@then("they hold a latency histogram, the configuration's version and calls to the store")
+def histogram(context):
+    for wanted in (
+        "camphorshelf_request_duration_seconds_bucket",
+        "camphorshelf_config_version 7.0",
+        "camphorshelf_store_calls",
+    ):
+        assert wanted in context.metrics, context.metrics
+
+
+@then('the log of "{name}" says of it that it was refused with {status:d} and why')
+def log_says(context, name, status):
+    def found():
+        lines = context.relays.events(name, "refused")
+        return [one for one in lines if one["request"] == context.request_id]
+
+    assert context.answer.status == status
+    context.relays.wait_until(found, 2.0)
+    (line,) = found()
+    assert line["code"] == "TARGET_LOST" and line["ran"] == "OUTCOME_UNKNOWN", line
+    assert line["reason"] and line["service"] == "orders" and line["config"] == 7, line
