--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -39,6 +39,7 @@
     :param failing: share of recent requests that failed.
     :param config_version: the configuration in force there; 0 for none.
     :param store_age_s: seconds since the store last answered its node; below 0 for never.
+    :param crashes: pairs of a request's fingerprint and how often the target crashed under it.
     """
 
     host: str
@@ -58,6 +59,7 @@
     failing: float
     config_version: int
     store_age_s: float
+    crashes: tuple = ()
 
 
 class HostView:
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -8,16 +8,15 @@
 from .targetlink import Answered
 
 _FAILED_STATUSES = frozenset({500, 502, 503, 504})
-_DEADLINE_STATUS = 504
-_LEAST_SECONDS = 0.005
 
 
 class Gate:
     """The door of the target: all work for it passes here."""
 
-    def __init__(self, loop, settings, dialect, intake, target, log):
+    def __init__(self, loop, settings, dialect, intake, target, crashes, log):
         self._loop = loop
         self._settings = settings
+        self.crashes = crashes
         self.dialect = dialect
         self.intake = intake
         self.target = target
@@ -37,6 +36,9 @@
         if not self.target.accepting or message.service != self._settings.service:
             run.decline(Code.NO_TARGET, "the target takes no work", Ran.NOT_RUN)
             return None
+        if self.crashes.is_refused(run.fingerprint):
+            run.decline(Code.QUARANTINED, "targets crash under this request", Ran.NOT_RUN)
+            return None
         cancel = run.offer()
         self.target.on_change()
         return cancel
@@ -58,6 +60,7 @@
         self._loop = loop
         self._message = message
         self._reply = reply
+        self.fingerprint = gate.crashes.name(message)
         self._arrived = loop.now()
         self._expires_at = self._arrived + message.left_s
         self._started = None
@@ -120,6 +123,8 @@
             self._on_answer(result)
         elif result.sent:
             self._gate.target.note_outcome(True)
+            if result.crashed:
+                self._gate.crashes.note_lost(self.fingerprint)
             self.decline(Code.TARGET_LOST, result.reason, Ran.OUTCOME_UNKNOWN, reached=True)
         else:
             self._gate.target.note_unreachable()
@@ -135,6 +140,7 @@
         now = self._loop.now()
         ran_s = now - self._started
         target.note_outcome(response.status in _FAILED_STATUSES)
+        self._gate.crashes.note_answered(self.fingerprint, self._started)
         if response.status < 300:
             slowness = max(0.1, (self._slowness + target.slowness) / 2)
             self._gate.intake.note_work(ran_s / slowness)
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -13,6 +13,7 @@
 from camphorshelf_node.loop import Loop
 
 from .configkeeper import ConfigKeeper
+from .crashes import CrashWatch
 from .discovery import Discovery
 from .eventlog import EventLog
 from .gate import Gate
@@ -88,7 +89,11 @@
         self._started_at = loop.now()
         self._intake = Intake()
         self._target = Target(loop, settings, ports.dialect, self._intake, log)
-        self._gate = Gate(loop, settings, ports.dialect, self._intake, self._target, log)
+        self._crashes = CrashWatch(loop, settings.name, log)
+        self._target.on_crash = self._crashes.note_crash
+        self._gate = Gate(
+            loop, settings, ports.dialect, self._intake, self._target, self._crashes, log
+        )
         self._peers = Peers(loop, settings, self._describe, log)
         store = ports.store(loop, settings.addresses.store)
         self._store = store
@@ -124,7 +129,7 @@
         self._metrics = Metrics()
         self._watch_metrics()
         self._target.on_change = self._peers.tell
-        self._peers.on_status = self._config.hear
+        self._peers.on_status = self._hear
         self._config.on_change(self._on_config)
 
     @property
@@ -210,8 +215,13 @@
             failing=round(target.failing, 3),
             config_version=self._config.version,
             store_age_s=round(self._config.store_age_s, 1),
+            crashes=self._crashes.told,
         )
 
+    def _hear(self, view):
+        self._config.hear(view)
+        self._crashes.hear(view.status.host, view.status.crashes)
+
     def _own_view(self):
         view = HostView()
         view.status = self._describe()
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -220,8 +220,23 @@
                 link.close()
 
 
+def _is_crash(value):
+    return (
+        isinstance(value, list | tuple)
+        and len(value) == 2
+        and isinstance(value[0], str)
+        and isinstance(value[1], int)
+    )
+
+
 def _standing(status):
-    return status.accepting, status.instance, status.config_version, status.limit
+    return (
+        status.accepting,
+        status.instance,
+        status.config_version,
+        status.limit,
+        status.crashes,
+    )
 
 
 def read_status(data):
@@ -238,8 +253,10 @@
     texts = status.host, status.incarnation, status.domain, status.address, status.service
     if not all(isinstance(text, str) for text in (*texts, status.instance)):
         return None
-    numbers = (*status[8:], status.sequence)
+    numbers = (*status[8:-1], status.sequence)
     if not all(isinstance(number, int | float) for number in numbers):
         return None
+    if not all(_is_crash(one) for one in status.crashes):
+        return None
     ip, _, port = status.address.rpartition(":")
     return status if ip and port.isdigit() else None
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -177,7 +177,8 @@
         self._log_step("declined", offer, code=Code(message.code).name, wait_s=round(wait_s, 4))
         if self._running:
             return
-        if not not_run and not self._route.idempotent:
+        is_final = message.code == Code.QUARANTINED
+        if is_final or (not not_run and not self._route.idempotent):
             self._give_up(message)
         elif not reached:
             self._offer_next()
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -47,6 +47,8 @@
         self.counts = {"probe": 0, "silent_probe": 0, "connection": 0}
         # Told after every change that others may want to know of.
         self.on_change = _do_nothing
+        # Told when the target's process has ended without a word.
+        self.on_crash = _do_nothing
         loop.call_every(PROBE_SECONDS, self._probe)
 
     @property
@@ -100,6 +102,8 @@
         if taken and heartbeat.slots != self._intake.slots:
             self._intake.resize(heartbeat.slots)
         if (self._record.instance, self._record.leaving) != before:
+            if before[0] and before[0] != self._record.instance and not before[1]:
+                self.on_crash()
             self._settle("heartbeat")
         elif taken:
             self._refresh()
@@ -151,6 +155,8 @@
         :return: None.
         """
         if not self._record.down:
+            if not self._record.leaving:
+                self.on_crash()
             self._record.seen_down()
             self._settle("unreachable")
 
--- a/tests/features/relay_changes.feature
+++ b/tests/features/relay_changes.feature
@@ -69,3 +69,10 @@
     Then within 1 s an order at "a" is answered 503 with a time to come back
     When the target of "c" is started again
     Then a caller at "a" is served "POST /order/x" within 3 s
+
+  Scenario: A request that crashes its targets is refused before it has ended them all
+    # Its caller sends it again after each failure. The second crash convicts it; the others learn
+    # that, and the targets that come back stay up.
+    When "POST /order/x?crash=1" is sent by "a" and again each time the target of "c" is back
+    Then after the second crash it is refused 503 and the target stays up
+    And a caller at "a" is served "POST /order/x" within 2 s
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -523,3 +523,24 @@
     (line,) = found()
     assert line["code"] == "TARGET_LOST" and line["ran"] == "OUTCOME_UNKNOWN", line
     assert line["reason"] and line["service"] == "orders" and line["config"] == 7, line
+
+
+@when('"{line}" is sent by "{name}" and again each time the target of "{target}" is back')
+def crash_again(context, line, name, target):
+    method, path = _split(line)
+    context.statuses = []
+    for _ in range(4):
+        context.statuses.append(context.relays.send(name, method, path).status)
+        time.sleep(0.3)
+        if context.relays.has_ended(f"target-{target}"):
+            context.relays.start_target(target)
+        context.relays.wait_until(
+            lambda: context.relays.send(name, "POST", "/order/other").status == 200
+        )
+    context.target = target
+
+
+@then("after the second crash it is refused 503 and the target stays up")
+def refused_after_second(context):
+    assert context.statuses == [502, 502, 503, 503], context.statuses
+    assert not context.relays.has_ended(f"target-{context.target}")
--- a/tests/standins/relaytarget.py
+++ b/tests/standins/relaytarget.py
@@ -3,8 +3,8 @@
 It starts with an id of its own, sends heartbeats to the node beside it, answers its health path,
 and runs requests for that id only. A request's query says what to do: ``work_ms``, ``fail`` (a
 status), ``cut`` (the connection breaks off while it runs), ``extra`` (a second answer behind the
-first, which belongs to no request), ``mute`` (no answer). ``/_runs`` lists what ran. SIGUSR1 makes
-it announce that it leaves, SIGUSR2 that it stays.
+first, which belongs to no request), ``mute`` (no answer), ``crash``.
+``/_runs`` lists what ran. SIGUSR1 makes it announce that it leaves, SIGUSR2 that it stays.
 """
 
 import asyncio
@@ -59,6 +59,8 @@
 
     async def _work(self, received, query):
         await asyncio.sleep(int(query.get("work_ms", _WORK_MS)) / 1000)
+        if "crash" in query:
+            os._exit(1)
         if "cut" in query:
             return Reply(hang_up=True)
         if "mute" in query:
