--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -79,13 +79,6 @@
         if not self.busy:
             self._stream.close_when_sent()
 
-    def finish_after_next(self):
-        """Serve one request of a connection that has just been opened, then close it.
-
-        :return: None.
-        """
-        self._last_request = True
-
     def note_fault(self, error):
         """Report an exception in the code of one call.
 
--- a/packages/relay/src/camphorshelf_relay/listeners.py
+++ b/packages/relay/src/camphorshelf_relay/listeners.py
@@ -59,7 +59,7 @@
         self._handle = handle
         self._on_fault = on_fault
         self._connections = set()
-        self._finishing = False
+        self._close_listener = None
 
     @property
     def connections(self):
@@ -76,14 +76,17 @@
 
         :return: None.
         """
-        listen(self._loop, self._address, self._on_accept)
+        self._close_listener = listen(self._loop, self._address, self._on_accept)
 
     def finish(self):
-        """Close each connection as soon as it is idle; new ones are still taken and served once.
+        """Take no new connection, and close each one as soon as it is idle.
+
+        A caller that comes all the same finds no connection and goes elsewhere. Read and then cut
+        off at the process's end, its request might have run.
 
         :return: None.
         """
-        self._finishing = True
+        self._close_listener()
         for connection in list(self._connections):
             connection.finish()
 
@@ -100,11 +103,8 @@
             self._on_fault,
             self._connections.discard,
         )
-        if stream.closed:
-            return
-        self._connections.add(connection)
-        if self._finishing:
-            connection.finish_after_next()
+        if not stream.closed:
+            self._connections.add(connection)
 
 
 class LinkListener:
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -16,9 +16,6 @@
 
 # Changes closer together than this go out as one: 40 statuses a second at most to each host.
 _LEAST_GAP_SECONDS = 0.025
-# Other failure domains hear of mere load and speed less often: traffic between domains is paid
-# for, and a request goes there only when no near target is good enough.
-_FAR_GAP_SECONDS = 0.1
 # Statuses a second that one node sends at most on average, over all hosts: 400 of some 150 bytes
 # with their headers are 60 kB/s, a tenth of the slowest link these hosts have (5 Mbit/s).
 _STATUSES_PER_SECOND = 400
@@ -50,7 +47,6 @@
         self._links = {}
         self._told = None
         self._told_at = 0.0
-        self._far_told_at = 0.0
         self._pending = None
         self._silent_told = {}
         self._lively = set()
@@ -133,29 +129,18 @@
 
     def _repeat(self):
         now = self._loop.now()
-        if now - self._far_told_at >= REPEAT_SECONDS * 0.9:
+        if now - self._told_at >= REPEAT_SECONDS * 0.9:
             self._send_all()
         self._loop.call_later(max(REPEAT_SECONDS, self._gap()), self._repeat)
 
     def _send_all(self):
         now = self._loop.now()
-        before = self._told
         data = self._encode()
-        urgent = before is None or _standing(before) != _standing(self._told)
-        far_too = urgent or now - self._far_told_at >= _FAR_GAP_SECONDS
         self._told_at = now
-        if far_too:
-            self._far_told_at = now
         for address in self._directory.addresses:
-            if not self._directory.heard(address, now, GONE_SECONDS):
-                if self._is_due(address, now):
-                    self._send_to(address, data)
-            elif far_too or self._is_near(address):
+            if self._directory.heard(address, now, GONE_SECONDS) or self._is_due(address, now):
                 self._send_to(address, data)
 
-    def _is_near(self, address):
-        return self._directory.view(address).status.domain == self._settings.domain
-
     def _is_due(self, address, now):
         if now - self._silent_told.get(address, 0.0) < _SILENT_REPEAT_SECONDS:
             return False
--- a/tests/features/relay_changes.feature
+++ b/tests/features/relay_changes.feature
@@ -76,3 +76,11 @@
     When "POST /order/x?crash=1" is sent by "a" and again each time the target of "c" is back
     Then after the second crash it is refused 503 and the target stays up
     And a caller at "a" is served "POST /order/x" within 2 s
+
+  Scenario: Callers that keep coming to a stopping node are never cut off midway
+    # They do not ask whether it is ready. Once it has stopped taking them they find no connection
+    # and go elsewhere; whoever's request was read is answered.
+    Given callers at "a" send "GET /look/x?work_ms=200" all the time
+    When the node of "a" is told to stop
+    Then it has ended within 6 s
+    And every request that ran was answered
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -58,12 +58,14 @@
 
     def _run(self, deployment, name, path):
         while not self._stop.is_set():
-            sent = time.time()
+            sent, request_id = time.time(), deployment.next_id()
+            headers = (("Request-Id", request_id), ("Deadline-Ms", "2000"))
             try:
-                status = deployment.send(name, "GET", path).status
+                address = deployment.address("callers", name)
+                status = call(address, "GET", "shop", path, headers).status
             except (OSError, EOFError) as error:
                 status = type(error).__name__
-            self.answers.append((sent, status))
+            self.answers.append((sent, status, request_id))
 
 
 def _split(line):
@@ -79,7 +81,7 @@
     started = time.monotonic()
     context.answer = context.relays.send(name, *_split(line), headers)
     context.seconds = time.monotonic() - started
-    context.request_id = f"r{context.relays._request}"
+    context.request_id = context.relays.last_id
 
 
 @when('a caller at "{name}" sends "{line}"')
@@ -467,6 +469,14 @@
     assert context.relays.wait_end(f"node-{context.stopped}") == 0
 
 
+@then("every request that ran was answered")
+def ran_and_answered(context):
+    context.flow.stop()
+    runs = context.relays.all_runs()
+    cut = [one for one in context.flow.answers if one[1] != 200 and runs[one[2]]]
+    assert not cut, cut[:5]
+
+
 @when('the target of "{name}" is killed')
 def kill_target(context, name):
     context.relays.signal(f"target-{name}", signal.SIGKILL)
--- a/tests/standins/relays.py
+++ b/tests/standins/relays.py
@@ -3,6 +3,7 @@
 As on the platform, every host has an address of its own and all use the same ports.
 """
 
+import itertools
 import json
 import random
 import sys
@@ -41,7 +42,8 @@
         self._plans = {plan.name: plan for plan in plans}
         self._hosts = {plan.name: index + 2 for index, plan in enumerate(plans)}
         self.store = self.address("store", None)
-        self._request = 0
+        self._ids = itertools.count(1)
+        self.last_id = None
         try:
             command = [sys.executable, "-m", "standins.rowstore", self.store]
             self._start("store", command)
@@ -138,8 +140,8 @@
 
     def next_id(self):
         """Make the id of one more request."""
-        self._request += 1
-        return f"r{self._request}"
+        self.last_id = f"r{next(self._ids)}"
+        return self.last_id
 
     def runs(self, name):
         """What the target of a host ran."""
