--- a/packages/core/src/camphorshelf_core/intake.py
+++ b/packages/core/src/camphorshelf_core/intake.py
@@ -44,7 +44,8 @@
     :param goal_at: when its answer is due, seconds on the monotonic clock.
     :param expires_at: when nobody waits for it any more.
     :param work_s: how long such work runs where the slowness is 1.0.
-    :param patient: whether an answer after the goal is still wanted.
+    :param patience: 0 when an answer after the goal is of no use here, 1 when it is still wanted,
+        2 when its caller has been refused before.
     :param start: called when its slot is there.
     :param decline: called with the expected wait when it was let in and has to go after all.
     """
@@ -54,19 +55,19 @@
         "goal_at",
         "expires_at",
         "work_s",
-        "patient",
+        "patience",
         "start",
         "decline",
         "state",
         "late",
     )
 
-    def __init__(self, priority, goal_at, expires_at, work_s, patient, start, decline):
+    def __init__(self, priority, goal_at, expires_at, work_s, patience, start, decline):
         self.priority = priority
         self.goal_at = goal_at
         self.expires_at = expires_at
         self.work_s = work_s
-        self.patient = patient
+        self.patience = patience
         self.start = start
         self.decline = decline
         self.state = "new"
@@ -116,7 +117,7 @@
             return Verdict(True)
         wait = self.expected_wait(job)
         if self._is_late(job, now + wait):
-            if not job.patient or not self._has_late_room(job):
+            if not job.patience or not self._has_late_room(job):
                 return Verdict(False, wait)
             if now + wait + self._run_s(job) > job.expires_at:
                 return Verdict(False, wait)
@@ -237,7 +238,9 @@
 
     def _has_late_room(self, job):
         room = self.limit * _LATE_PER_SLOT * (self.work_s or job.work_s)
-        return self._late_work_s < room
+        # A caller that was refused once and came back gets a place where a new one does not: a
+        # second refusal is the end of its request.
+        return self._late_work_s < room * job.patience
 
     def _run_s(self, job):
         return job.work_s * self.slowness
@@ -248,7 +251,7 @@
     def _is_hopeless(self, job, now):
         if job.late:
             return now + self._run_s(job) * 0.5 > job.expires_at
-        return now + self._run_s(job) * 0.5 > job.goal_at and not job.patient
+        return now + self._run_s(job) * 0.5 > job.goal_at and not job.patience
 
     def _start(self, job):
         job.state = "running"
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -187,8 +187,8 @@
 class RelayMessage(NamedTuple):
     """Asks the node beside a target to run a request; ``call_id`` is never reused on its link.
 
-    Times are seconds from the moment at which it was sent. ``patient`` tells that an answer
-    after the goal is still wanted; ``work_s`` is how long such work usually runs.
+    Times are seconds from the moment at which it was sent. ``patience`` is that of
+    :class:`~camphorshelf_core.intake.Job`; ``work_s`` is how long such work usually runs.
     """
 
     call_id: int
@@ -199,7 +199,7 @@
     goal_s: float
     left_s: float
     work_s: float
-    patient: bool
+    patience: int
     request_id: str
     caller_service: str
     method: str
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -72,7 +72,7 @@
             self._arrived + message.goal_s,
             self._expires_at,
             message.work_s,
-            message.patient,
+            message.patience,
             self._start,
             self._on_turned_away,
         )
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -10,9 +10,11 @@
 
 # Targets' nodes that are asked in turn before the request is refused. Each "busy" costs two ways
 # between failure domains, some 4 ms; the third is seldom better than the second.
-_MAX_OFFERS = 4
+_MAX_OFFERS = 3
 _FAILED_STATUSES = frozenset({500, 502, 503, 504})
 _LEAST_SECONDS = 0.01
+# A caller that says a wait so much shorter than others of its route has been refused before.
+_RETURNED_SECONDS = 0.03
 
 
 class Relay:
@@ -31,10 +33,12 @@
         spent = 0.0 if terms.wait_s is None else self._facts.spent_before(terms.wait_s)
         self._expires_at = self._arrived + wait_s
         self._goal_at = self._arrived + route.goal_s - spent
+        self._patience = 2 if spent > _RETURNED_SECONDS else 1
         self._headers = strip_hop_by_hop(exchange.request.headers)
         self._tried = set()
         self._reached = 0
         self._offers = 0
+        self._late_offers = 0
         self._running = {}
         self._shortest_wait = None
         self._maybe_ran = False
@@ -65,13 +69,13 @@
             self._refuse(Code.NO_TARGET, "no target of the service takes work")
             return
         in_time = [one for one in fresh if now + one.expected_s <= self._goal_at]
-        if in_time and self._offers < _MAX_OFFERS - 1:
-            self._offer(in_time[0], patient=False)
-        elif self._offers < _MAX_OFFERS:
+        if in_time and self._offers < _MAX_OFFERS:
+            self._offer(in_time[0], patience=0)
+        elif self._late_offers < self._patience and (fresh or not self._late_offers):
             # None will be in time by what is known here; the best one's node knows better, and
             # has room for some late work.
-            self._offers = _MAX_OFFERS
-            self._offer((fresh or candidates)[0], patient=True)
+            self._late_offers += 1
+            self._offer((fresh or candidates)[0], self._patience)
         else:
             self._refuse(Code.QUEUE_FULL, "every target is busy beyond the request's time")
 
@@ -80,7 +84,7 @@
         goal_left = self._goal_at - now
         return rank(views, self._facts.work_s, now, self._router.domain, goal_left)
 
-    def _offer(self, candidate, patient):
+    def _offer(self, candidate, patience):
         now = self._loop.now()
         self._offers += 1
         self._tried.add(candidate.address)
@@ -98,7 +102,7 @@
             goal_s=self._goal_at - now,
             left_s=self._expires_at - now,
             work_s=self._facts.work_s,
-            patient=patient,
+            patience=patience,
             request_id=self._terms.request_id,
             caller_service=self._router.service,
             method=request.method,
@@ -147,7 +151,7 @@
             if self._running:
                 return
             if self._may_repeat(now):
-                self._offers = 0
+                self._offers = self._late_offers = 0
                 self._log_step("repeat", offer, status=message.status)
                 self._offer_next()
                 return
@@ -183,7 +187,7 @@
         elif not reached:
             self._offer_next()
         elif self._may_repeat(now):
-            self._offers = min(self._offers, _MAX_OFFERS - 1)
+            self._late_offers = 0
             self._offer_next()
         else:
             self._give_up(message)
@@ -210,7 +214,7 @@
         if free and self._router.spend_retry(self._service):
             (first,) = self._running
             self._log_step("second_try", first, to=free[0].address)
-            self._offer(free[0], patient=False)
+            self._offer(free[0], patience=0)
 
     def _answer(self, offer, message):
         self._end()
--- a/tests/features/steps/intake_steps.py
+++ b/tests/features/steps/intake_steps.py
@@ -25,13 +25,13 @@
         self.busy_s = 0.0
         self._ends = []
 
-    def offer(self, name, priority=2, goal=_GOAL, patient=False, work=_WORK):
+    def offer(self, name, priority=2, goal=_GOAL, patience=0, work=_WORK):
         job = Job(
             priority,
             self.now + goal,
             self.now + _DEADLINE,
             work,
-            patient,
+            patience,
             lambda: self._start(name, job),
             lambda wait: self.sent_away.append((name, wait)),
         )
@@ -91,13 +91,13 @@
 @when("{count:d} patient requests whose goal has passed come")
 def late_ones(context, count):
     for number in range(count):
-        context.play.offer(1000 + number, goal=0.0, patient=True)
+        context.play.offer(1000 + number, goal=0.0, patience=1)
 
 
 @when("{count:d} patient requests of 40 ms whose goal has passed come")
 def late_calls(context, count):
     for number in range(count):
-        context.play.offer(1000 + number, goal=0.0, patient=True, work=0.04)
+        context.play.offer(1000 + number, goal=0.0, patience=1, work=0.04)
 
 
 @when("the target's door is closed")
