Log events by a checked table, with the target's side of each request; explain from saved logs

A reader that stops midway through a line got the next line glued to it after a drop: found by the test of a pipe that nobody reads, mended.

--- a/packages/cli/src/camphorshelf_cli/commands.py
+++ b/packages/cli/src/camphorshelf_cli/commands.py
@@ -13,10 +13,12 @@
 from camphorshelf_core.settings import read_settings
 
 from .client import ask, find_node
+from .logs import find_hops, render_hops
 from .tables import render_explanation, render_history, render_plan, render_status
 
 EXIT_BAD_USAGE = 2
 EXIT_NO_CONNECTION = 3
+EXIT_NOT_FOUND = 4
 # Result codes of the administration API are 401 and up, exit codes end at 255: 401 gives 11.
 _EXIT_BASE = 390
 _TOKEN_BYTES = 32
@@ -78,13 +80,18 @@
         """
         _show("GET", f"/v1/history?limit={_quoted(limit)}", node, json, render_history)
 
-    def explain(self, call, node=None, json=False):
+    def explain(self, call, node=None, json=False, logs=None):
         """Show why a call went where it did.
 
-        :param call: the id from the header Camphorshelf-Call of its answer.
+        :param call: the id from the header Camphorshelf-Call of its answer, or with --logs the
+            caller's id of the request.
         :param node: the node that took the call.
         :param json: print JSON for programs.
+        :param logs: saved logs of the hosts, a path or a pattern; no node is asked then.
         """
+        if logs is not None:
+            _explain_from_logs(str(call), logs, json)
+            return
         _show("GET", f"/v1/explain/{_quoted(call)}", node, json, render_explanation)
 
     def check(self, path):
@@ -108,6 +115,13 @@
         print(read_version("camphorshelf-cli"))
 
 
+def _explain_from_logs(request, pattern, as_json):
+    hops = find_hops(request, pattern)
+    if not hops:
+        _end(EXIT_NOT_FOUND, f"no line of {request} in {pattern}")
+    print(json.dumps([hop._asdict() for hop in hops], indent=2) if as_json else render_hops(hops))
+
+
 def _show(method, path, node, as_json, render, document=None):
     result = ask(find_node(node), method, path, document)
     if not isinstance(result, Success):
--- a/packages/relay/src/camphorshelf_relay/eventlog.py
+++ b/packages/relay/src/camphorshelf_relay/eventlog.py
@@ -36,6 +36,11 @@
         self.counts = {"rate": 0, "unread": 0}
         self._dropped_said = 0
 
+    @property
+    def unwritten(self):
+        """How many bytes wait for a reader of standard output."""
+        return self._handler.unwritten
+
     def routine(self, event, **fields):
         """Note a decision that went well; may be left out under load.
 
@@ -104,6 +109,7 @@
         self._descriptor = descriptor
         self._waiting = bytearray()
         self._dropped = 0
+        self._is_in_line = False
         os.set_blocking(descriptor, False)
 
     @property
@@ -138,10 +144,14 @@
         except OSError:
             # The reader is gone for good; there is nowhere left to say so.
             written = len(self._waiting)
+        if written:
+            self._is_in_line = self._waiting[written - 1 : written] != b"\n"
         del self._waiting[:written]
 
     def _drop(self):
-        # The newest lines stay: they are the ones that somebody will ask for.
-        cut = self._waiting.find(b"\n", len(self._waiting) // 2) + 1
-        self._dropped += self._waiting.count(b"\n", 0, cut)
-        del self._waiting[:cut]
+        # The newest lines stay: they are the ones that somebody will ask for. So does the rest of
+        # a line that was written in part, or the next one would be glued to its beginning.
+        start = self._waiting.find(b"\n") + 1 if self._is_in_line else 0
+        cut = self._waiting.find(b"\n", max(start, len(self._waiting) // 2)) + 1
+        self._dropped += self._waiting.count(b"\n", start, cut)
+        del self._waiting[start:cut]
--- /dev/null
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -0,0 +1,90 @@
+"""The events that a node logs; docs/LOGS.md is their table."""
+
+from typing import NamedTuple
+
+
+class Event(NamedTuple):
+    """One kind of log line.
+
+    :param name: the line's ``event``.
+    :param meaning: what happened, in a sentence.
+    :param fields: its fields beside ``time``, ``host`` and ``event``.
+    """
+
+    name: str
+    meaning: str
+    fields: str
+
+
+_REQUEST = "request route ms config"
+EVENTS = (
+    Event(
+        "answered",
+        "A caller got a target's answer. `expected_ms` is what the choice foretold.",
+        f"{_REQUEST} status service target expected_ms waited_ms ran_ms slowness offers",
+    ),
+    Event(
+        "refused",
+        "A caller got a refusal of the node's own; `ran` tells what is known of the work.",
+        f"{_REQUEST} code ran reason retry_after_ms service offers held_ms",
+    ),
+    Event("caller_left", "A caller closed its connection first; its work is cancelled.", _REQUEST),
+    Event(
+        "declined",
+        "A target's node gave no answer to an offer; the request may go on elsewhere.",
+        "request route target expected_ms code wait_s",
+    ),
+    Event(
+        "repeat",
+        "An idempotent request failed at a target and goes to another one.",
+        "request route target expected_ms status",
+    ),
+    Event(
+        "second_try",
+        "An idempotent request takes long and is given to a second target, `to`, as well.",
+        "request route target expected_ms to",
+    ),
+    Event(
+        "turned_away",
+        "The target's node did not let a request in or sent it away from the queue: not run.",
+        "request code ran wait_ms running queued limit slowness instance held_ms",
+    ),
+    Event(
+        "run_failed",
+        "A request that was handed to the target got no answer from it.",
+        "request code ran wait_ms running queued limit slowness instance held_ms",
+    ),
+    Event(
+        "run_ended",
+        "The target answered a request.",
+        "request status waited_ms ran_ms slowness instance",
+    ),
+    Event(
+        "target",
+        "What the node believes of its target changed; `cause` tells what told it.",
+        "cause instance accepting leaving down",
+    ),
+    Event("heartbeat_refused", "A heartbeat was not understood or is not for this host.", "reason"),
+    Event("crash_blamed", "The target ended while it had this request.", "fingerprint refused"),
+    Event(
+        "config_in_force",
+        "Another version is in force; `source` is the store or a peer.",
+        "version before source routes",
+    ),
+    Event("config_refused", "A document could not be used; nothing changed.", "source reason"),
+    Event("store_lost", "The store does not answer as it should.", "trouble reason"),
+    Event("store_regained", "The store answers again.", "failures"),
+    Event("store_history_gone", "Changes since a version are gone: all is read anew.", "after"),
+    Event("host_found", "A host was found in the store's rows.", "address"),
+    Event("host_heard", "A host tells its status for the first time or again.", "name address"),
+    Event("host_silent", "A host has told nothing for three seconds.", "address"),
+    Event("host_rows_refused", "Rows of hosts that could not be read.", "count"),
+    Event("datagram_refused", "A datagram that is no status.", "bytes"),
+    Event("start", "The node has started.", "service domain"),
+    Event("reload", "The settings were read again.", "changed"),
+    Event("reload_failed", "The settings could not be read again; the old ones hold.", ""),
+    Event("stop", "The node was told to stop.", "running callers"),
+    Event("stopped", "The node ends; `idle` tells whether nothing was cut off.", "idle"),
+    Event("lines_dropped", "Lines left out so far, by reason.", "rate unread"),
+    Event("fault", "A fault in the node's own code.", "traceback"),
+)
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -98,8 +98,26 @@
             return
         self._release()
         self._gate.count(code.name.lower())
+        self._log_decline(code, ran, wait_s)
         reply(DeclinedMessage(0, int(code), reason, ran.value, wait_s, reached))
 
+    def _log_decline(self, code, ran, wait_s):
+        gate = self._gate
+        note = gate.log.routine if code is Code.TARGET_BUSY else gate.log.notable
+        note(
+            "turned_away" if self._started is None else "run_failed",
+            request=self._message.request_id,
+            code=code.name,
+            ran=ran.value,
+            wait_ms=round(wait_s * 1000, 1),
+            running=gate.intake.running,
+            queued=gate.intake.queued,
+            limit=gate.intake.limit,
+            slowness=gate.target.slowness,
+            instance=gate.target.record.instance,
+            held_ms=round((self._loop.now() - self._arrived) * 1000, 1),
+        )
+
     def _start(self):
         now = self._loop.now()
         left = self._expires_at - now
@@ -145,6 +163,15 @@
             slowness = max(0.1, (self._slowness + target.slowness) / 2)
             self._gate.intake.note_work(ran_s / slowness)
         waited_s = self._started - self._arrived
+        self._gate.log.routine(
+            "run_ended",
+            request=self._message.request_id,
+            status=response.status,
+            waited_ms=round(waited_s * 1000, 1),
+            ran_ms=round(ran_s * 1000, 1),
+            slowness=self._slowness,
+            instance=target.record.instance,
+        )
         reply, self._reply = self._reply, None
         self._release()
         self._gate.count("answered")
