--- a/packages/relay/src/camphorshelf_relay/eventlog.py
+++ b/packages/relay/src/camphorshelf_relay/eventlog.py
@@ -78,8 +78,11 @@
             self._append("lines_dropped", dict(self.counts))
             self._dropped_said = dropped
         lines, self._lines = self._lines, []
-        with self._handler.threadbound():
-            self._logger.info("\n".join(lines))
+        if lines:
+            with self._handler.threadbound():
+                self._logger.info("\n".join(lines))
+        else:
+            self._handler.go_on()
         self.counts["unread"] += self._handler.take_dropped()
         if self._handler.unwritten:
             self._arm()
@@ -136,6 +139,14 @@
         if len(self._waiting) > _MAX_UNWRITTEN:
             self._drop()
 
+    def go_on(self):
+        """Write what waits, as far as the reader takes it.
+
+        :return: None.
+        """
+        if self._waiting:
+            self._write()
+
     def _write(self):
         try:
             written = os.write(self._descriptor, self._waiting)
