--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -35,6 +35,8 @@
 # Ends itself so long before it would be killed, so that the last answers are out.
 _SPARE_GRACE_SECONDS = 0.4
 _STOP_POLL_SECONDS = 0.05
+# Reading the settings takes 0.1 ms; their bounds hold over windows of ten seconds and more.
+_RELOAD_SECONDS = 3.0
 # A node whose peers are all away is better than none.
 _ALONE_SECONDS = 2.0
 _YOUNG_OBJECTS = 10_000
@@ -155,6 +157,8 @@
         self._peers.start()
         self._config.start(self._ports.document_table, self._ports.document_key)
         self._discovery.start()
+        # The file may change without a signal.
+        self._loop.call_every(_RELOAD_SECONDS, lambda: self._reload(asked=False))
         self._log.notable("start", service=self._settings.service, domain=self._settings.domain)
         # What the libraries made at import lives as long as the process; looking through it at
         # each full collection would stop every request for some 20 ms.
@@ -243,14 +247,24 @@
     def _on_sighup(self, _number, _frame):
         self._loop.interrupt(self._reload)
 
-    def _reload(self):
-        # Addresses are those of listening sockets and of the target beside the node: a process
-        # keeps them for its life. What else may change is taken over.
+    def _reload(self, asked=True):
         settings = self._ports.read_settings()
         if settings is None:
             self._log.notable("reload_failed")
             return
-        self._log.notable("reload", changed=settings != self._settings)
+        before = self._settings
+        if not asked and settings == before:
+            return
+        self._log.notable("reload", changed=settings != before)
+        # A process keeps its sockets, its name and its target for its life; the bounds change.
+        self._settings = settings._replace(
+            name=before.name,
+            domain=before.domain,
+            service=before.service,
+            addresses=before.addresses,
+        )
+        self._router.take_settings(self._settings)
+        self._target.take_settings(self._settings)
 
     def _on_sigterm(self, _number, _frame):
         # circuits would raise SystemExit in a handler here, which leaves its loop spinning
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -34,6 +34,16 @@
         self.on_outcome = lambda route, outcome, seconds: None
         config.on_change(self._on_config)
 
+    def take_settings(self, settings):
+        """Take changed bounds; budgets start anew by them.
+
+        :param settings: the :class:`~camphorshelf_relay.settings.NodeSettings`.
+        :return: None.
+        """
+        if settings.retry != self._settings.retry:
+            self._budgets = {}
+        self._settings = settings
+
     def handle(self, exchange):
         """Take a caller's request.
 
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -79,6 +79,14 @@
         age = self._loop.now() - self._failing_at
         return self._failing * 0.5 ** (age / _FAILURE_HALF_LIFE)
 
+    def take_settings(self, settings):
+        """Take changed bounds.
+
+        :param settings: the :class:`~camphorshelf_relay.settings.NodeSettings`.
+        :return: None.
+        """
+        self._settings = settings
+
     def configure(self, terms):
         """Take what is configured for the target's service.
 
--- /dev/null
+++ b/tests/features/platform_formats.feature
@@ -0,0 +1,60 @@
+Feature: The platform's formats are read once and checked
+
+  Scenario: A field of the settings that is missing or wrong is named
+    Given good settings of the platform
+    Then they are read
+    And without "self.zone" the error names "self.zone"
+    And with "terms.bounds.retry_ratio=much" the error names "terms.bounds.retry_ratio"
+    And with "network.listen.inbound=nowhere" the error names "network.listen.inbound"
+    And with "a.new.field=1" they are read
+
+  Scenario Outline: A document that is not valid names no route
+    When the operators' document has <fault>
+    Then it is refused
+
+    Examples:
+      | fault                    |
+      | half of its bytes        |
+      | a route without a host   |
+      | a prefix without a slash |
+      | an unknown service       |
+      | a timeout of 0           |
+      | a text as version        |
+      | an empty split           |
+
+  Scenario: Parts of weight nothing get nothing
+    When the operators' document splits a route 90, 0 and 10
+    Then the route has 2 parts
+
+  Scenario Outline: A refusal says "not run" only when that is certain
+    Then a refusal <code> that <ran> is answered <status>
+
+    Examples:
+      | code              | ran             | status |
+      | TARGET_BUSY       | NOT_RUN         | 503    |
+      | QUARANTINED       | NOT_RUN         | 503    |
+      | UNKNOWN_ROUTE     | NOT_RUN         | 404    |
+      | TARGET_LOST       | OUTCOME_UNKNOWN | 502    |
+      | DEADLINE_EXCEEDED | OUTCOME_UNKNOWN | 504    |
+      | PEER_LOST         | OUTCOME_UNKNOWN | 502    |
+      | INTERNAL          | OUTCOME_UNKNOWN | 502    |
+      | QUEUE_FULL        | OUTCOME_UNKNOWN | 502    |
+
+  Scenario: A time to come back keeps its fractions
+    Then a refusal with 130 ms to come back says "0.130"
+
+  Scenario Outline: What a target tells of its load
+    When a target's load header is "<value>"
+    Then its slowness is <slowness> and it runs <running>
+
+    Examples:
+      | value      | slowness | running |
+      | 3,0,8,400  | 4.0      | 3       |
+      | 3,0,8      | None     | 3       |
+      | 3,0        | None     | None    |
+      | x,y,z      | None     | None    |
+      | -1,0,8,100 | None     | None    |
+      | 3,0,8,0    | None     | 3       |
+
+  Scenario: The standard library's module of the same name is not hidden
+    Then "platform" is the standard library's module
--- a/tests/features/relay_changes.feature
+++ b/tests/features/relay_changes.feature
@@ -84,3 +84,7 @@
     When the node of "a" is told to stop
     Then it has ended within 6 s
     And every request that ran was answered
+
+  Scenario: Settings that change without a signal are taken over
+    When the settings of "a" get "terms.bounds.retry_slack=90"
+    Then within 5 s the log of "a" says that they were read again
--- /dev/null
+++ b/tests/features/steps/platform_formats_steps.py
@@ -0,0 +1,138 @@
+"""Steps that hand the adapter good and bad texts of the platform."""
+
+import json
+import platform
+
+from behave import given, then, when
+
+from camphorshelf_core.errors import Code, ProtocolError, Ran, Refusal
+from camphorshelf_platform.documents import read_document
+from camphorshelf_platform.headers import read_target, write_refusal
+from camphorshelf_platform.settings import SettingsError, parse_settings
+from standins.relays import make_document
+
+_GOOD = """
+self.node=side-a-1
+self.ip=10.1.0.41
+self.zone=a
+self.service=counter
+self.app_addr=10.1.0.41:8628
+network.listen.inbound=10.1.0.41:8624
+network.listen.outbound=10.1.0.41:8629
+network.listen.ready=10.1.0.41:8625
+network.listen.control=10.1.0.41:8620
+network.port_range=7600,7615
+platform.platform.addr=10.200.1.7:8627
+terms.bounds.grace_s=6
+terms.bounds.retry_ratio=0.2
+terms.bounds.retry_window_s=10
+terms.bounds.retry_slack=60
+terms.bounds.probes_per_s=60
+"""
+
+
+@given("good settings of the platform")
+def good_settings(context):
+    context.settings = _GOOD
+
+
+@then("they are read")
+def are_read(context):
+    settings = parse_settings(context.settings)
+    assert settings.name == "side-a-1" and settings.addresses.target == ("10.1.0.41", 8628)
+    assert settings.addresses.datagrams == ("10.1.0.41", 7600)
+
+
+def _error(text):
+    try:
+        parse_settings(text)
+    except SettingsError as error:
+        return str(error)
+    raise AssertionError("no error")
+
+
+@then('without "{name}" the error names "{told}"')
+def without(context, name, told):
+    lines = [line for line in context.settings.splitlines() if not line.startswith(name)]
+    assert told in _error("\n".join(lines))
+
+
+@then('with "{line}" the error names "{told}"')
+def with_wrong(context, line, told):
+    assert told in _error(context.settings + line + "\n")
+
+
+@then('with "{line}" they are read')
+def with_more(context, line):
+    parse_settings(context.settings + line + "\n")
+
+
+def _route(**changes):
+    return make_document(9, {"/look/": {"service": "counter", "kind": "idempotent", **changes}})
+
+
+_FAULTS = {
+    "half of its bytes": lambda: json.dumps(_route())[:200],
+    "a route without a host": lambda: json.dumps(_route(host="")),
+    "a prefix without a slash": lambda: json.dumps(_route(prefix="look")),
+    "an unknown service": lambda: json.dumps(_route(service="nobody")),
+    "a timeout of 0": lambda: json.dumps(_route(timeout_s=0)),
+    "a text as version": lambda: json.dumps({**_route(), "version": "9"}),
+    "an empty split": lambda: json.dumps(_route(service=None, split=[])),
+}
+
+
+@when("the operators' document has {fault}")
+def faulty_document(context, fault):
+    context.document = _FAULTS[fault]().encode()
+
+
+@then("it is refused")
+def refused(context):
+    try:
+        read_document(context.document)
+    except ProtocolError:
+        return
+    raise AssertionError("it was taken")
+
+
+@when("the operators' document splits a route {weights}")
+def split(context, weights):
+    numbers = [int(part) for part in weights.replace(" and", ",").split(",")]
+    parts = [{"service": "counter", "weight": number} for number in numbers]
+    document = _route(service=None, split=parts)
+    context.routing = read_document(json.dumps(document).encode())
+
+
+@then("the route has {count:d} parts")
+def has_parts(context, count):
+    assert len(context.routing.routes[0].parts) == count
+
+
+@then("a refusal {code} that {ran} is answered {status:d}")
+def answered(context, code, ran, status):
+    refusal = Refusal(Code[code], "why", Ran[ran])
+    assert write_refusal(refusal, "r1")[0] == status, write_refusal(refusal, "r1")
+
+
+@then('a refusal with {milliseconds:d} ms to come back says "{text}"')
+def says(context, milliseconds, text):
+    refusal = Refusal(Code.TARGET_BUSY, "why", Ran.NOT_RUN, milliseconds)
+    headers = dict(write_refusal(refusal, "r1")[1])
+    assert headers[b"retry-after"] == text.encode(), headers
+
+
+@when('a target\'s load header is "{value}"')
+def load_header(context, value):
+    context.word = read_target(200, [(b"instance-load", value.encode())])
+
+
+@then("its slowness is {slowness} and it runs {running}")
+def told(context, slowness, running):
+    assert str(context.word.slowness) == slowness, context.word
+    assert str(context.word.running) == running, context.word
+
+
+@then('"platform" is the standard library\'s module')
+def standard_module(context):
+    assert platform.python_version().startswith("3.")
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -554,3 +554,17 @@
 def refused_after_second(context):
     assert context.statuses == [502, 502, 503, 503], context.statuses
     assert not context.relays.has_ended(f"target-{context.target}")
+
+
+@when('the settings of "{name}" get "{line}"')
+def change_settings(context, name, line):
+    path = context.relays.directory / f"{name}.conf"
+    path.write_text(path.read_text() + line + "\n")
+
+
+@then('within {seconds:d} s the log of "{name}" says that they were read again')
+def reloaded(context, seconds, name):
+    def said():
+        return [one for one in context.relays.events(name, "reload") if one["changed"]]
+
+    context.relays.wait_until(said, seconds + 2)
