Pass on a failure that all targets gave; never a status that promises what the target does not

Cause: an idempotent request that failed at each target was refused as not run when no target was left; a target's bare 503 of an order reached its caller, who takes it for not run. Both have tests that failed before.

--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -155,6 +155,12 @@
         if word.not_run:
             self._on_not_run(response, word)
             return
+        if word.misleading:
+            # Passed on, it would make its caller send an order again that may have run.
+            target.note_outcome(True)
+            reason = f"the target answered {response.status} without saying that it did not run"
+            self.decline(Code.TARGET_LOST, reason, Ran.OUTCOME_UNKNOWN, reached=True)
+            return
         now = self._loop.now()
         ran_s = now - self._started
         target.note_outcome(response.status in _FAILED_STATUSES)
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -42,6 +42,7 @@
         self._running = {}
         self._shortest_wait = None
         self._maybe_ran = False
+        self._failure = None
         self._finished = False
         self._overdue_timers = []
         self._timer = None
@@ -148,6 +149,8 @@
         if message.status < 300:
             self._facts.note_work(message.ran_s / max(0.1, message.slowness))
         if failed and self._route.idempotent:
+            # Kept: if no other target can be found, this is the truth, and "not run" is not.
+            self._failure = offer, message
             if self._running:
                 return
             if self._may_repeat(now):
@@ -244,6 +247,9 @@
         self._finish(Refusal(code, reason))
 
     def _finish(self, refusal):
+        if self._failure is not None:
+            self._answer(*self._failure)
+            return
         self._end()
         now = self._loop.now()
         if refusal.ran is Ran.NOT_RUN:
--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -77,6 +77,8 @@
 
     :param request_id: the request that it answers; empty when it does not say.
     :param not_run: whether it vouches that the request did not run.
+    :param misleading: whether its status would tell the caller that the request did not run,
+        which the target does not vouch for.
     :param instance: its id, where it says so.
     :param running: requests that run there; None when it does not tell its load.
     :param waiting: requests that wait inside it.
@@ -88,6 +90,7 @@
 
     request_id: str
     not_run: bool
+    misleading: bool
     instance: str
     running: int | None
     waiting: int | None
--- a/tests/features/relay_path.feature
+++ b/tests/features/relay_path.feature
@@ -69,3 +69,15 @@
   Scenario: Each decision about a request can be found in the logs by its id
     When a caller at "a" sends "POST /order/x?cut=1"
     Then the log of "a" says of it that it was refused with 502 and why
+
+  Scenario: A lookup that fails at each target gets the failure, not "not run"
+    # Both targets ran it and failed. "Not run" would be untrue, and there is no third target.
+    When a caller at "c" sends "GET /look/x?fail=500"
+    Then it is answered 500 without a time to come back
+    And it ran at two targets
+
+  Scenario: A target that says 503 of an order without vouching that it did not run
+    # A caller takes 503 for "did not run" and sends it again.
+    When a caller at "a" sends "POST /order/x?fail=503"
+    Then it is answered 502 without a time to come back
+    And it ran once
