--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -57,3 +57,23 @@
     And the serving side answers call 1 with 32 MB
     Then call 1 was refused with code 110
     And the link takes calls
+
+  Scenario: A link that fell silent is given up while its calls still have time
+    # The connection hangs without a reset. Each call would wait for its own deadline, and all that
+    # come after it too; the callers are told in time to go elsewhere where they may.
+    Given a link that bears 0.6 s of silence
+    When call 1 is sent over the link
+    And the connection falls silent
+    And call 2 is sent over the link
+    And 0.3 s pass
+    Then call 1 was refused with code 305
+    And call 2 was refused with code 305
+    And the link's connection is closed
+
+  Scenario: A link whose peer has long work is not given up
+    # Nothing comes for ten seconds but the answers to pings.
+    Given a link that bears 0.6 s of silence
+    When call 1 is sent over the link
+    And 10.0 s pass
+    Then call 1 got nothing
+    And the link takes calls
--- a/tests/features/steps/links_steps.py
+++ b/tests/features/steps/links_steps.py
@@ -22,8 +22,11 @@
         super().__init__()
         self._loop = loop
         self.other = None
+        self.silent = False
 
     def write(self, data):
+        if self.silent:
+            return
         self._loop.call_later(0, lambda: self.other.closed or self.other.on_data(data))
 
     def close(self):
@@ -46,7 +49,7 @@
         self.answers.append(lambda response: on_done(response, self.load))
 
 
-def join(context, fails=False):
+def join(context, fails=False, silence_s=None):
     context.loop, context.results, context.cancels = FakeLoop(), {}, {}
     near, far = JoinedStream(context.loop), JoinedStream(context.loop)
     near.other, far.other = far, near
@@ -54,8 +57,8 @@
     context.gatekeeper = FakeGatekeeper(fails)
     handlers = {CallMessage: make_call_handler(context.gatekeeper)}
     context.server = PeerServer(far, handlers)
-    with mock.patch.object(links, "dial", lambda _loop, _address: near):
-        context.link = PeerLink(context.loop, ("127.0.0.1", 1))
+    with mock.patch.object(links, "dial", lambda _loop, _address, _silence_s: near):
+        context.link = PeerLink(context.loop, ("127.0.0.1", 1), silence_s)
     near.on_connect()
     context.loop.advance(1)
 
@@ -65,6 +68,11 @@
     join(context)
 
 
+@given("a link that bears {seconds:f} s of silence")
+def give_watched_link(context, seconds):
+    join(context, silence_s=seconds)
+
+
 @given("a link to a node whose gatekeeper fails")
 def give_failing_link(context):
     join(context, fails=True)
@@ -79,6 +87,16 @@
     context.loop.advance(1)
 
 
+@when("the connection falls silent")
+def fall_silent(context):
+    context.stream.silent = context.stream.other.silent = True
+
+
+@when("{seconds:f} s pass")
+def time_passes(context, seconds):
+    context.loop.advance(seconds)
+
+
 @when("a call whose taker fails is sent over the link")
 def send_failing(context):
     def done(_message):
