--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -15,6 +15,9 @@
 _LEAST_SECONDS = 0.01
 # A caller that says a wait so much shorter than others of its route has been refused before.
 _RETURNED_SECONDS = 0.03
+# Up to an eighth of its goal a request may be held and refused all the same: its caller still has
+# most of the time to come back.
+_HELD_SHARE = 0.125
 
 
 class Relay:
@@ -182,6 +185,10 @@
             known = self._shortest_wait
             self._shortest_wait = wait_s if known is None else min(known, wait_s)
         self._log_step("declined", offer, code=Code(message.code).name, wait_s=round(wait_s, 4))
+        if now - self._arrived > _HELD_SHARE * self._route.goal_s:
+            # It has waited in a queue that became too long. A refusal now would come too late for
+            # its caller to do better elsewhere, so it is treated like one that came back.
+            self._patience = 2
         if self._running:
             return
         is_final = message.code == Code.QUARANTINED
