--- a/packages/core/src/camphorshelf_core/intake.py
+++ b/packages/core/src/camphorshelf_core/intake.py
@@ -45,7 +45,7 @@
     :param expires_at: when nobody waits for it any more.
     :param work_s: how long such work runs where the slowness is 1.0.
     :param patience: 0 when an answer after the goal is of no use here, 1 when it is still wanted,
-        2 when its caller has been refused before.
+        2 when it has been held for so long that a refusal would come too late.
     :param start: called when its slot is there.
     :param decline: called with the expected wait when it was let in and has to go after all.
     """
@@ -238,8 +238,7 @@
 
     def _has_late_room(self, job):
         room = self.limit * _LATE_PER_SLOT * (self.work_s or job.work_s)
-        # A caller that was refused once and came back gets a place where a new one does not: a
-        # second refusal is the end of its request.
+        # What has waited elsewhere already gets a place where a new request does not.
         return self._late_work_s < room * job.patience
 
     def _run_s(self, job):
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -13,8 +13,6 @@
 _MAX_OFFERS = 3
 _FAILED_STATUSES = frozenset({500, 502, 503, 504})
 _LEAST_SECONDS = 0.01
-# A caller that says a wait so much shorter than others of its route has been refused before.
-_RETURNED_SECONDS = 0.03
 # Up to an eighth of its goal a request may be held and refused all the same: its caller still has
 # most of the time to come back.
 _HELD_SHARE = 0.125
@@ -36,7 +34,7 @@
         spent = 0.0 if terms.wait_s is None else self._facts.spent_before(terms.wait_s)
         self._expires_at = self._arrived + wait_s
         self._goal_at = self._arrived + route.goal_s - spent
-        self._patience = 2 if spent > _RETURNED_SECONDS else 1
+        self._patience = 1
         self._headers = strip_hop_by_hop(exchange.request.headers)
         self._tried = set()
         self._reached = 0
