--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -85,7 +85,7 @@
 class HostView:
     """One other host as this node sees it."""
 
-    __slots__ = ("status", "heard_at", "unseen", "past", "round_trip_s")
+    __slots__ = ("status", "heard_at", "unseen", "past")
 
     def __init__(self):
         self.status = None
@@ -93,7 +93,6 @@
         # Own requests sent there since its last status, which cannot count them yet.
         self.unseen = 0
         self.past = []
-        self.round_trip_s = None
 
     def take(self, status, now):
         """Take in a status unless it is older than the one held.
@@ -117,17 +116,6 @@
         self.unseen = 0
         return True
 
-    def note_round_trip(self, seconds):
-        """Take in what a request spent beyond its time at the other host.
-
-        :param seconds: the time on the way there and back.
-        :return: None.
-        """
-        if self.round_trip_s is None:
-            self.round_trip_s = seconds
-        else:
-            self.round_trip_s += 0.2 * (seconds - self.round_trip_s)
-
 
 class HostDirectory:
     """All other hosts that this node knows, by their links' address."""
--- a/packages/core/src/camphorshelf_core/instances.py
+++ b/packages/core/src/camphorshelf_core/instances.py
@@ -171,13 +171,6 @@
         """
         self._down = True
 
-    def seen_up(self):
-        """Take in that the target takes connections.
-
-        :return: None.
-        """
-        self._down = False
-
     def _is_older(self, heartbeat):
         if heartbeat.instance in self._ended:
             return None in (heartbeat.started_ms, self._started_ms) or (
--- a/packages/core/src/camphorshelf_core/retrybudget.py
+++ b/packages/core/src/camphorshelf_core/retrybudget.py
@@ -43,7 +43,6 @@
         # those of any other. All nodes started anew at once are still within the allowance.
         self._from_time = terms.slack
         self._at = now
-        self.denied = 0
 
     def share_among(self, nodes):
         """Take the number of nodes that draw on the same allowance.
@@ -80,7 +79,6 @@
         self._from_requests = self._from_time = 0.0
         if self._random.random() < there:
             return True
-        self.denied += 1
         return False
 
     def _pass_time(self, now):
--- a/packages/core/src/camphorshelf_core/routes.py
+++ b/packages/core/src/camphorshelf_core/routes.py
@@ -46,11 +46,9 @@
     """What is configured for one service.
 
     :param health_path: the path that tells a target's health and load.
-    :param max_connections: connections that one target takes from all callers together.
     """
 
     health_path: str
-    max_connections: int
 
 
 class EdgeLimits(NamedTuple):
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+from typing import NamedTuple
 
 from circuits import Component, handler
 
@@ -27,6 +28,7 @@
 from .metrics import CONTENT_TYPE, Metrics
 from .peers import Peers
 from .router import Router
+from .settings import Dialect
 from .target import Target
 
 # Callers are told to go elsewhere by two failed questions, a second apart; until then they still
@@ -43,35 +45,26 @@
 _READY = (200, b'{"ready":true}')
 
 
-class Ports:
-    """What the adapter provides: the store and the formats; plain functions and one client.
+class Ports(NamedTuple):
+    """What the adapter provides: the store's client, and formats as plain functions.
 
-    :param store: the store's client for a loop and an address.
+    :param store: makes the store's client from a loop and its address.
     :param dialect: a :class:`~camphorshelf_relay.settings.Dialect`.
     :param read_document: takes the operators' document, gives the configuration.
     :param document_table: the store's table that the document lies in.
     :param document_key: its key there.
-    :param read_call: takes method, path and body of a target's call.
-    :param read_settings: reads the settings again, for their changes.
+    :param answer_target: takes a call of the target, the node's :class:`Target` and its log, and
+        gives status and body.
+    :param read_settings: reads the settings again; None when they are not good.
     """
 
-    def __init__(
-        self,
-        store,
-        dialect,
-        read_document,
-        document_table,
-        document_key,
-        answer_target,
-        read_settings,
-    ):
-        self.store = store
-        self.dialect = dialect
-        self.read_document = read_document
-        self.document_table = document_table
-        self.document_key = document_key
-        self.answer_target = answer_target
-        self.read_settings = read_settings
+    store: object
+    dialect: Dialect
+    read_document: object
+    document_table: str
+    document_key: str
+    answer_target: object
+    read_settings: object
 
 
 class Node(Component):
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -249,15 +249,6 @@
                 link.close()
 
 
-def _is_crash(value):
-    return (
-        isinstance(value, list | tuple)
-        and len(value) == 2
-        and isinstance(value[0], str)
-        and isinstance(value[1], int)
-    )
-
-
 def _standing(status):
     return (
         status.accepting,
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -90,7 +90,7 @@
         now = self._loop.now()
         self._offers += 1
         self._tried.add(candidate.address)
-        offer = _Offer(self, candidate, now)
+        offer = _Offer(self, candidate)
         self._running[offer] = None
         self._router.note_sent(candidate.address)
         exchange = self._exchange
@@ -145,7 +145,6 @@
             return
         self._reached += 1
         now = self._loop.now()
-        self._router.note_answer(offer.address, now - offer.sent_at, message)
         failed = message.status in _FAILED_STATUSES
         if message.status < 300:
             self._facts.note_work(message.ran_s / max(0.1, message.slowness))
@@ -310,11 +309,10 @@
 class _Offer:
     """One send of a request to one target's node."""
 
-    def __init__(self, relay, candidate, sent_at):
+    def __init__(self, relay, candidate):
         self._relay = relay
         self.address = candidate.address
         self.expected_s = candidate.expected_s
-        self.sent_at = sent_at
 
     def on_message(self, message):
         if isinstance(message, RelayedMessage):
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -140,18 +140,6 @@
         if view is not None:
             view.unseen += 1
 
-    def note_answer(self, address, seconds, message):
-        """Take in how long a request was on the way.
-
-        :param address: the target's node.
-        :param seconds: from sending it to its answer.
-        :param message: the :class:`~camphorshelf_core.messages.RelayedMessage`.
-        :return: None.
-        """
-        view = self._peers.directory.view(address)
-        if view is not None:
-            view.note_round_trip(max(0.0, seconds - message.waited_s - message.ran_s))
-
     def refuse(self, exchange, request_id, refusal, route, **fields):
         """Give a caller the final refusal of its request.
 
