--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SOURCES := packages platform deploy tests models bench demo
 
-.PHONY: setup demo test soak lint format bench bench-scenarios clean
+.PHONY: setup demo test soak faults lint format bench bench-scenarios clean
 
 setup: $(VENV)/.ready
 
@@ -26,6 +26,10 @@
 soak: setup
 	PYTHONPATH=tests $(BIN)/python -m soak.runs $(SECONDS) $(SEED)
 
+# Random faults on real processes for a time, e.g. make faults SECONDS=300 SEED=1000
+faults: setup
+	PYTHONPATH=tests $(BIN)/python -m soak.faults $(SECONDS) $(SEED)
+
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/ruff check --quiet $(SOURCES)
--- a/tests/standins/relays.py
+++ b/tests/standins/relays.py
@@ -33,7 +33,7 @@
 class RelayDeployment(Processes):
     """The processes of one small deployment on the platform."""
 
-    def __init__(self, plans, document=None):
+    def __init__(self, plans, document=None, between=None):
         super().__init__()
         numbers = random.SystemRandom()
         self._net = "127." + ".".join(str(numbers.randrange(1, 255)) for _ in range(2))
@@ -42,12 +42,16 @@
         self._plans = {plan.name: plan for plan in plans}
         self._hosts = {plan.name: index + 2 for index, plan in enumerate(plans)}
         self.store = self.address("store", None)
+        # Nodes may reach the store through something that disturbs the way.
+        self._way_to_store = f"{self._net}.250:{self._ports['store']}" if between else self.store
         self._ids = itertools.count(1)
         self.last_id = None
         try:
             command = [sys.executable, "-m", "standins.rowstore", self.store]
             self._start("store", command)
             self._wait(self.store)
+            if between is not None:
+                between(self._way_to_store, self.store)
             if document is not None:
                 self.configure(document)
             for plan in plans:
@@ -179,7 +183,7 @@
             "network.listen.ready": self.address("readiness", name),
             "network.listen.control": self.address("heartbeats", name),
             "network.port_range": f"{self._ports['datagrams']},{self._ports['datagrams']}",
-            "platform.platform.addr": self.store,
+            "platform.platform.addr": self._way_to_store,
             "terms.bounds.grace_s": _GRACE_SECONDS,
             "terms.bounds.retry_ratio": 0.2,
             "terms.bounds.retry_window_s": 10,
