--- a/packages/core/src/camphorshelf_core/intake.py
+++ b/packages/core/src/camphorshelf_core/intake.py
@@ -41,7 +41,7 @@
 
 
 class Job:
-    """One request at the door of the target.
+    """One request that is offered to the target.
 
     :param priority: 0 goes first.
     :param goal_at: when its answer is due, seconds on the monotonic clock.
@@ -78,7 +78,7 @@
 
 
 class Intake:
-    """The door of one target: exact counts of what runs, and the queue before it."""
+    """Admission at one target: exact counts of what runs, and the queue before it."""
 
     def __init__(self, slots=0):
         self._order = itertools.count()
--- a/packages/core/src/camphorshelf_core/retrybudget.py
+++ b/packages/core/src/camphorshelf_core/retrybudget.py
@@ -14,7 +14,7 @@
 # together with what is earned meanwhile is another fifth.
 _RATIO_SHARE = 0.4
 _SLACK_SHARE = 0.2
-# Retries that were not used must not pile up for a storm: they fade within some seconds.
+# Retries that were not used must not add up to a burst later: they fade within some seconds.
 _KEPT_SECONDS = 2.0
 
 
@@ -74,8 +74,8 @@
             self._from_requests -= taken
             self._from_time -= 1 - taken
             return True
-        # A node of a large system seldom holds a whole one. It stakes the part that it holds on a
-        # draw with that chance, so that all nodes together take as many as they hold.
+        # A node of a large system seldom holds a whole one. It draws with the part that it holds as
+        # the chance and gives that part up, so all nodes together take as many as they hold.
         self._from_requests = self._from_time = 0.0
         if self._random.random() < there:
             return True
--- a/packages/relay/src/camphorshelf_relay/__init__.py
+++ b/packages/relay/src/camphorshelf_relay/__init__.py
@@ -1,1 +1,1 @@
-"""The request path between nodes: entry, relay, the door of the target, and host statuses."""
+"""The request path between nodes: entry, relay, admission at the target, and host statuses."""
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -7,9 +7,10 @@
 
 from .storeport import StoreFailure, Trouble
 
-# A watch can be deaf for seconds: its connection went silent, or the store compacts its history
-# and says so only later. A change that all watchers missed would come into force when their calls
-# run out. So each is short and followed by a plain read, which is always up to date; with three
+# A watch may report nothing for seconds although there is a change: its connection hangs, or the
+# store compacts its history and says so only later. A change that all watchers miss would come
+# into force only when their calls time out, 2.1 s late in one played day where 2 s are allowed. So
+# each watch is short and followed by a plain read, which is always up to date; with three
 # watchers there is one read in 0.8 s, and 2.5 calls a second in the whole system.
 _WATCH_SECONDS = 2.4
 # Changes in quick succession are read together: ten calls a second at most.
--- a/packages/relay/src/camphorshelf_relay/eventlog.py
+++ b/packages/relay/src/camphorshelf_relay/eventlog.py
@@ -161,7 +161,7 @@
 
     def _drop(self):
         # The newest lines stay: they are the ones that somebody will ask for. So does the rest of
-        # a line that was written in part, or the next one would be glued to its beginning.
+        # a line that was written in part, or the next one would continue it.
         start = self._waiting.find(b"\n") + 1 if self._is_in_line else 0
         cut = self._waiting.find(b"\n", max(start, len(self._waiting) // 2)) + 1
         self._dropped += self._waiting.count(b"\n", start, cut)
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -11,7 +11,7 @@
 
 
 class Gate:
-    """The door of the target: all work for it passes here."""
+    """Admission at the target: all work for it passes here."""
 
     def __init__(self, loop, settings, dialect, intake, target, crashes, log):
         self._loop = loop
@@ -53,7 +53,7 @@
 
 
 class _Run:
-    """One request on its way through the door."""
+    """One request between its admission and its end."""
 
     def __init__(self, gate, loop, message, reply):
         self._gate = gate
--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -49,7 +49,7 @@
   Scenario: A leaving target turns away what waits and ends what runs
     Given a target with 9 slots
     When 20 requests come at once
-    And the target's door is closed
+    And admission is closed
     Then 7 run and 0 wait
     And every waiting request was sent away
     And no request that comes later is let in
--- a/tests/features/steps/intake_steps.py
+++ b/tests/features/steps/intake_steps.py
@@ -1,4 +1,4 @@
-"""Steps that offer work to a target's door on a clock of their own."""
+"""Steps that offer work to a target on a clock of their own."""
 
 import heapq
 
@@ -105,7 +105,7 @@
         context.play.offer(1000 + number, goal=0.0, patience=1, work=0.04)
 
 
-@when("the target's door is closed")
+@when("admission is closed")
 def close(context):
     context.play.intake.close(context.play.now)
 
