--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -172,7 +172,12 @@
         self._router.on_outcome = metrics.note_request
         self._gate.on_answer = metrics.note_run
         count, watch = metrics.count, metrics.watch
-        count("offers", "Requests offered to the target's node, by outcome.", self._gate.counts, "outcome")
+        count(
+            "offers",
+            "Requests offered to the target's node, by outcome.",
+            self._gate.counts,
+            "outcome",
+        )
         count("retries", "Retries by service and verdict.", self._router.retries, "service verdict")
         count("store.calls", "Calls to the store.", self._store.counts, "kind outcome")
         count("statuses", "Statuses of hosts.", self._peers.counts, "direction")
