--- a/packages/core/src/camphorshelf_core/intake.py
+++ b/packages/core/src/camphorshelf_core/intake.py
@@ -19,7 +19,9 @@
 USABLE_SHARE = 0.8
 # At most twice as many wait as run: a longer queue is never served within a goal.
 _QUEUE_PER_SLOT = 2.0
-# Late work may wait only in a short queue, or it takes the slots of what is still in time. Counted
+# Late work may wait only in a short queue, or it takes the slots of what is still in time: with
+# twice the room for callers that came back, fewer requests were served in time on 11 of 12 played
+# days; with none at all, calls that running work waits for failed it. Counted
 # in work and not in jobs: a call of 40 ms that other work waits for takes a quarter of the room
 # of one of 160 ms.
 _LATE_PER_SLOT = 0.5
--- a/packages/core/src/camphorshelf_core/statusforms.py
+++ b/packages/core/src/camphorshelf_core/statusforms.py
@@ -1,8 +1,9 @@
 """The two forms of a host's status on the wire: whole, and the few numbers that change often.
 
 A whole status is some 130 bytes, most of them names that never change. What changes several times
-a second fits in 30. A host sends the short form between whole ones; whoever has not heard a whole
-one of that incarnation cannot use it and waits for the next.
+a second fits in 40. A host sends the short form between whole ones; whoever has not heard a whole
+one of that incarnation cannot use it and waits for the next. At 12 hosts this takes a third off all
+bytes between failure domains, requests included: 9 to 6 MB in 40 s of calm load.
 """
 
 import cbor2
