Send large messages over links in pieces, with small ones between

Cause: a body above 32 MB broke its link with every call on it, though 64 MB are allowed; a large frame held up all others. Change: pieces of 64 kB, sent while little waits to go out; a cancelled one never arrives whole. A link that never opened is given up at once: nothing was sent over it.

--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -249,6 +249,20 @@
     document: bytes | None
 
 
+class PieceMessage(NamedTuple):
+    """Carries a part of a message that is too large for one frame."""
+
+    number: int
+    is_last: bool
+    data: bytes
+
+
+class DropMessage(NamedTuple):
+    """Says that the rest of a message in pieces will not come."""
+
+    number: int
+
+
 _KINDS = {
     1: CallMessage,
     2: AnswerMessage,
@@ -274,6 +288,8 @@
     52: DeclinedMessage,
     53: ConfigRequestMessage,
     54: ConfigReplyMessage,
+    60: PieceMessage,
+    61: DropMessage,
 }
 _NUMBERS = {cls: number for number, cls in _KINDS.items()}
 
--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -1,6 +1,7 @@
 """Links between nodes: WebSocket frames that carry CBOR messages."""
 
 import itertools
+from collections import deque
 from functools import partial
 
 from websockets.client import ClientProtocol
@@ -14,7 +15,9 @@
 from camphorshelf_core.messages import (
     AnswerMessage,
     CancelMessage,
+    DropMessage,
     GoodbyeMessage,
+    PieceMessage,
     RefusedMessage,
     decode,
     encode,
@@ -24,6 +27,11 @@
 
 _MAX_MESSAGE = 32 * 1024 * 1024
 _MAX_BODY = _MAX_MESSAGE - 1024 * 1024
+# A large body in one frame would hold up every other message of its link: 64 MB take 100 s on the
+# slowest links (5 Mbit/s), a piece 0.1 s. Pieces wait until what was sent before has gone out.
+_PIECE_BYTES = 64 * 1024
+_WINDOW_BYTES = 64 * 1024
+_MAX_ASSEMBLED = 96 * 1024 * 1024
 # Packets lost in a row can hold up a connection for a second or two; the kernel gives up later.
 KERNEL_SILENCE_SECONDS = 4.0
 _MAX_UNSENT = 128 * 1024 * 1024
@@ -38,11 +46,15 @@
         self._on_message = on_message
         self._on_close = on_close
         self._unsent = []
+        self._large = deque()
+        self._numbers = itertools.count(1)
+        self._incoming = {}
         self.heard = 0
         # Whether the handshake was ever over: until then no message has been sent.
         self.opened = False
         stream.on_data = self._on_data
         stream.on_close = on_close
+        stream.on_drain = self._pump
 
     @property
     def closed(self):
@@ -75,8 +87,27 @@
         if self._protocol.state is not OPEN:
             self._unsent.append(message)
             return
-        self._protocol.send_binary(encode(message))
-        self._flush()
+        data = encode(message)
+        if len(data) <= _PIECE_BYTES:
+            self._protocol.send_binary(data)
+            self._flush()
+        else:
+            call_id = getattr(message, "call_id", None)
+            self._large.append(_Large(next(self._numbers), call_id, data))
+            self._pump()
+
+    def drop(self, call_id):
+        """Send no more of a message that goes out in pieces.
+
+        :param call_id: its call.
+        :return: whether some of it had not been sent, so that the peer never gets it whole.
+        """
+        for large in self._large:
+            if large.call_id == call_id:
+                self._large.remove(large)
+                self.send(DropMessage(large.number))
+                return True
+        return False
 
     def close(self):
         """Close at once.
@@ -108,11 +139,37 @@
 
     def _on_frame(self, frame):
         try:
-            message = decode(bytes(frame.data))
+            message = self._assemble(decode(bytes(frame.data)))
         except ProtocolError:
             self._stream.close()
             return
-        self._on_message(message)
+        if message is not None:
+            self._on_message(message)
+
+    def _assemble(self, message):
+        if isinstance(message, DropMessage):
+            self._incoming.pop(message.number, None)
+            return None
+        if not isinstance(message, PieceMessage):
+            return message
+        parts = self._incoming.setdefault(message.number, bytearray())
+        parts += message.data
+        if len(parts) > _MAX_ASSEMBLED:
+            raise ProtocolError("a message in pieces is larger than allowed")
+        if not message.is_last:
+            return None
+        return decode(bytes(self._incoming.pop(message.number)))
+
+    def _pump(self):
+        # One piece of each large message in turn, and only while little waits to go out: what is
+        # sent meanwhile stands behind one piece, not behind the rest of a body.
+        while self._large and self._stream.unsent < _WINDOW_BYTES and not self._stream.closed:
+            large = self._large.popleft()
+            piece, is_last = large.take()
+            self._protocol.send_binary(encode(PieceMessage(large.number, is_last, piece)))
+            if not is_last:
+                self._large.append(large)
+            self._flush()
 
     def _flush(self):
         for data in self._protocol.data_to_send():
@@ -123,6 +180,20 @@
             self._stream.close()
 
 
+class _Large:
+    """A message on its way in pieces."""
+
+    def __init__(self, number, call_id, data):
+        self.number = number
+        self.call_id = call_id
+        self._data = memoryview(data)
+
+    def take(self):
+        """Take the next piece, and whether it is the last."""
+        piece, self._data = self._data[:_PIECE_BYTES], self._data[_PIECE_BYTES:]
+        return bytes(piece), not self._data
+
+
 class PeerLink:
     """The calling side of a link: pairs each answer with its call by an id never reused."""
 
@@ -164,7 +235,8 @@
 
         def cancel():
             if self._pending.pop(call_id, None) is not None and not self._channel.closed:
-                self._channel.send(CancelMessage(call_id))
+                if not self._channel.drop(call_id):
+                    self._channel.send(CancelMessage(call_id))
                 self._close_if_retired()
 
         return cancel
@@ -201,7 +273,7 @@
             self._watched = None
             if self._pending:
                 self._watch_silence()
-        elif self._is_heard is not None and self._is_heard():
+        elif self._channel.opened and self._is_heard is not None and self._is_heard():
             self._retired = True
             self._watch_silence()
         else:
--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -90,3 +90,23 @@
     When the connection delivers again
     And the serving side answers call 1 with "one"
     Then call 1 got "one"
+
+  Scenario: A small message does not wait for a large one
+    # A body of 3 MB goes over a link that takes 64 kB at a time. The lookup that is sent behind it
+    # is there after a piece or two.
+    Given a slow link between two nodes
+    When call 1 with a body of 3 MB is sent over the link
+    And call 2 is sent behind it
+    And the slow link has delivered 200 KB
+    Then the target's node got the bodies of calls 2
+    When the slow link has delivered 4000 KB
+    Then the target's node got the bodies of calls 2 and 1
+
+  Scenario: A large request that is cancelled on its way never reaches a target
+    Given a slow link between two nodes
+    When call 1 with a body of 3 MB is sent over the link
+    And the slow link has delivered 200 KB
+    And call 1 is cancelled
+    And the slow link has delivered 4000 KB
+    Then the target's node got nothing
+    And the link takes calls
--- a/tests/features/relay_path.feature
+++ b/tests/features/relay_path.feature
@@ -81,3 +81,7 @@
     When a caller at "a" sends "POST /order/x?fail=503"
     Then it is answered 502 without a time to come back
     And it ran once
+
+  Scenario: A large body goes to a target on another host and back unharmed
+    When a caller at "c" sends a body of 3 MB to "PUT /look/large?echo=1"
+    Then it gets the same body back
--- a/tests/features/steps/links_steps.py
+++ b/tests/features/steps/links_steps.py
@@ -23,10 +23,15 @@
         self._loop = loop
         self.other = None
         self.silent = False
+        self.held = None
 
     def write(self, data):
         if self.silent:
             return
+        if self.held is not None:
+            self.held.append(data)
+            self.unsent += len(data)
+            return
         self._loop.call_later(0, lambda: self.other.closed or self.other.on_data(data))
 
     def close(self):
@@ -42,8 +47,10 @@
         self._fails = fails
         self.load = LoadReport(0, 0, 1, 1.0)
         self.answers = []
+        self.bodies = []
 
-    def run(self, _message, on_done):
+    def run(self, message, on_done):
+        self.bodies.append(message.body)
         if self._fails:
             raise RuntimeError("a fault for this test")
         self.answers.append(lambda response: on_done(response, self.load))
@@ -83,6 +90,57 @@
     context.stream.silent = context.stream.other.silent = False
 
 
+@given("a slow link between two nodes")
+def give_slow_link(context):
+    join(context)
+    context.stream.held = []
+
+
+@when("call {number:d} with a body of {size:d} MB is sent over the link")
+def send_large(context, number, size):
+    def done(message):
+        context.results[number] = message
+
+    body = bytes([number]) * (size * _MB)
+    context.cancels[number] = context.link.call(_CALL._replace(body=body), done)
+
+
+@when("call {number:d} is sent behind it")
+def send_behind(context, number):
+    context.cancels[number] = context.link.call(_CALL._replace(body=b"small"), lambda one: None)
+
+
+@when("call {number:d} is cancelled")
+def cancel_call(context, number):
+    context.cancels[number]()
+
+
+@when("the slow link has delivered {count:d} KB")
+def deliver(context, count):
+    delivered = 0
+    while delivered < count * 1024 and context.stream.held:
+        data = context.stream.held.pop(0)
+        delivered += len(data)
+        context.stream.unsent -= len(data)
+        context.stream.other.on_data(data)
+        if not context.stream.unsent:
+            context.stream.on_drain()
+    context.loop.advance(0.1)
+
+
+@then("the target's node got the bodies of calls {numbers}")
+def got_bodies(context, numbers):
+    wanted = [int(number) for number in numbers.split(" and ")]
+    sizes = {1: 3 * _MB, 2: 5}
+    got = [len(body) for body in context.gatekeeper.bodies]
+    assert got == [sizes[number] for number in wanted], got
+
+
+@then("the target's node got nothing")
+def got_no_bodies(context):
+    assert not context.gatekeeper.bodies
+
+
 @given("a link to a node whose gatekeeper fails")
 def give_failing_link(context):
     join(context, fails=True)
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -192,6 +192,24 @@
     assert least <= context.seconds, context.seconds
 
 
+@when('a caller at "{name}" sends a body of {size:d} MB to "{line}"')
+def large_body(context, name, size, line):
+    context.body = bytes(range(256)) * (size * 4096)
+    method, path = _split(line)
+    limit = make_document(8, max_body_bytes=8 << 20)
+    context.relays.configure(limit)
+    context.relays.wait_until(
+        lambda: context.relays.send(name, method, path, body=context.body).status == 200
+    )
+    context.answer = context.relays.send(name, method, path, body=context.body)
+
+
+@then("it gets the same body back")
+def same_body(context):
+    assert context.answer.status == 200, context.answer.status
+    assert context.answer.body == context.body, len(context.answer.body)
+
+
 @when('{count:d} callers at "{name}" send "{line}" at once')
 def many_at_once(context, count, name, line):
     context.answers = []
--- a/tests/standins/relaytarget.py
+++ b/tests/standins/relaytarget.py
@@ -65,6 +65,8 @@
             return Reply(hang_up=True)
         if "mute" in query:
             await asyncio.Event().wait()
+        if "echo" in query:
+            return self._reply(200, received)._replace(body=received.body)
         if "extra" in query:
             return Reply(raw=self._with_extra(received), close=False)
         return self._reply(int(query.get("fail", 200)), received)
