--- a/packages/core/src/camphorshelf_core/watchers.py
+++ b/packages/core/src/camphorshelf_core/watchers.py
@@ -13,7 +13,7 @@
 WATCHERS = 3
 # A watcher that the store has not answered for so long is no watcher: its place is taken by the
 # next. The longest wait of a watch is shorter.
-STALE_SECONDS = 6.0
+STALE_SECONDS = 3.0
 
 
 def watches(name, others):
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -53,8 +53,14 @@
 
     @property
     def store_age_s(self):
-        """Seconds since the store last answered, -1 for never."""
-        return -1.0 if self._store_at is None else self._loop.now() - self._store_at
+        """Seconds since the store last answered; -1 for never, and while its calls fail.
+
+        The store may turn away just those nodes that watch it. Told only by a growing age, the
+        others would take their places seconds later, and a change would wait for that.
+        """
+        if self._store_at is None or self._failures:
+            return -1.0
+        return self._loop.now() - self._store_at
 
     def on_change(self, callback):
         """Say what to do when another version comes into force.
