One wait after failures of the store, one set of failure statuses

The wait stood in the configuration's and the discovery's controller, the statuses in the relay, in the gate and in core.retry. Behaviour is the same; lint and 19 scenarios of the path, the reads and the store's connections pass, the whole suite was not run again.

--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -5,7 +5,7 @@
 from camphorshelf_core.routes import RouteTable
 from camphorshelf_core.watchers import is_served, watches
 
-from .storeport import StoreFailure, Trouble
+from .storeport import StoreFailure, Trouble, wait_after
 
 # A watch may report nothing for seconds although there is a change: its connection hangs, or the
 # store compacts its history and says so only later. A change that all watchers miss would come
@@ -17,8 +17,6 @@
 _WATCH_SECONDS = 1.0
 # Changes in quick succession are read together: ten calls a second at most.
 _PAUSE_SECONDS = 0.1
-_FIRST_WAIT_SECONDS = 0.1
-_MAX_WAIT_SECONDS = 1.0
 _REVIEW_SECONDS = 0.5
 # A peer is asked again for what it announced when its answer does not come.
 _ASK_AGAIN_SECONDS = 0.25
@@ -174,10 +172,9 @@
         self._failures += 1
         if self._failures == 1:
             self._log.notable("store_lost", trouble=result.trouble.value, reason=result.reason)
-        longest = min(_MAX_WAIT_SECONDS, _FIRST_WAIT_SECONDS * 2**self._failures)
         # Marked as busy meanwhile, so that the review does not go round the wait.
         self._watching = True
-        self._loop.call_later(self._random.uniform(longest / 2, longest), self._again)
+        self._loop.call_later(wait_after(self._failures, self._random), self._again)
         return True
 
     def _again(self):
--- a/packages/relay/src/camphorshelf_relay/discovery.py
+++ b/packages/relay/src/camphorshelf_relay/discovery.py
@@ -7,11 +7,9 @@
 
 import cbor2
 
-from .storeport import StoreFailure
+from .storeport import StoreFailure, wait_after
 
 TABLE = "hosts"
-_FIRST_WAIT_SECONDS = 0.1
-_MAX_WAIT_SECONDS = 1.0
 
 
 class Discovery:
@@ -59,8 +57,7 @@
             self._failures = 0
             return False
         self._failures += 1
-        longest = min(_MAX_WAIT_SECONDS, _FIRST_WAIT_SECONDS * 2**self._failures)
-        self._loop.call_later(self._random.uniform(longest / 2, longest), again)
+        self._loop.call_later(wait_after(self._failures, self._random), again)
         return True
 
 
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -4,11 +4,10 @@
 from camphorshelf_core.errors import Code, Ran
 from camphorshelf_core.intake import Job
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage
+from camphorshelf_core.retry import FAILURE_STATUSES
 
 from .targetlink import Answered
 
-_FAILED_STATUSES = frozenset({500, 502, 503, 504})
-
 
 class Gate:
     """Admission at the target: all work for it passes here."""
@@ -163,7 +162,7 @@
             return
         now = self._loop.now()
         ran_s = now - self._started
-        target.note_outcome(response.status in _FAILED_STATUSES)
+        target.note_outcome(response.status in FAILURE_STATUSES)
         self._gate.crashes.note_answered(self.fingerprint, self._started)
         if response.status < 300:
             slowness = max(0.1, (self._slowness + target.slowness) / 2)
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -4,6 +4,7 @@
 from camphorshelf_core.errors import Code, Ran, Refusal
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage, RelayMessage
 from camphorshelf_core.placement import rank
+from camphorshelf_core.retry import FAILURE_STATUSES
 from camphorshelf_core.returns import retry_after
 from camphorshelf_core.secondtry import second_try_times
 from camphorshelf_node.headers import strip_hop_by_hop
@@ -11,7 +12,6 @@
 # Targets' nodes that are asked in turn before the request is refused. Each "busy" costs two ways
 # between failure domains, some 4 ms; the third is seldom better than the second.
 _MAX_OFFERS = 3
-_FAILED_STATUSES = frozenset({500, 502, 503, 504})
 _LEAST_SECONDS = 0.01
 # Up to an eighth of its goal a request may be held and refused all the same: its caller still has
 # most of the time to come back.
@@ -145,7 +145,7 @@
             return
         self._reached += 1
         now = self._loop.now()
-        failed = message.status in _FAILED_STATUSES
+        failed = message.status in FAILURE_STATUSES
         if message.status < 300:
             self._facts.note_work(message.ran_s / max(0.1, message.slowness))
         if failed and self._route.idempotent:
--- a/packages/relay/src/camphorshelf_relay/storeport.py
+++ b/packages/relay/src/camphorshelf_relay/storeport.py
@@ -3,6 +3,22 @@
 from enum import Enum
 from typing import NamedTuple
 
+_FIRST_WAIT_SECONDS = 0.1
+_MAX_WAIT_SECONDS = 1.0
+
+
+def wait_after(failures, random):
+    """Tell how long to wait before the store is asked again.
+
+    Doubled up to a second, and drawn below that, so that nodes do not come back together.
+
+    :param failures: how many calls have failed in a row.
+    :param random: the source of random numbers.
+    :return: seconds.
+    """
+    longest = min(_MAX_WAIT_SECONDS, _FIRST_WAIT_SECONDS * 2**failures)
+    return random.uniform(longest / 2, longest)
+
 
 class Trouble(Enum):
     """Why the store gave no result."""
