Ask a few hosts for their load at the choice in systems above 30 hosts

A host that does not answer comes last until it is heard. Watchers repeat themselves twice a second, since the others count on them.

Ruled out: fewer statuses alone; they would be a second old.

--- /dev/null
+++ b/packages/core/src/camphorshelf_core/asking.py
@@ -0,0 +1,52 @@
+"""Whom an entry node asks for the load of this moment before it sends a request.
+
+Load pattern: some 80 hosts or more that get a few requests a second each, and whose speed changes
+every 300 ms. Told of each change by all, a node takes in hundreds of statuses for a handful of
+choices; told less often, it sends one request in four to a host that has just slowed down. Asked at
+the moment of choice, three hosts answer within some 2 ms with what is true now, and a host that
+is frozen or cut off is found by its silence before a request is lost there.
+"""
+
+# A status is as good as new for so long: a host's speed holds for some 300 ms.
+FRESH_SECONDS = 0.04
+# The two that looked best when last heard, and one more drawn from the next few: asked by all
+# entry nodes, the best two alone would get the whole load of a moment. With a quarter of the hosts
+# slow, three are all slow once in 64 choices.
+_BEST_ASKED = 2
+_DRAWN_FROM = 6
+# When the first three are slow or full, three more; a third round finds seldom better.
+MAX_ROUNDS = 2
+# The answer of a near host takes 1 to 2 ms, that of one in another domain 4; a choice does not wait
+# longer than a hundredth of the usual work for the slowest of three.
+WAIT_SECONDS = 0.01
+
+
+def whom_to_ask(candidates, asked, random):
+    """Choose the hosts to ask before one of the candidates is taken.
+
+    :param candidates: a request's :class:`~camphorshelf_core.placement.Candidate`, the best first.
+    :param asked: addresses that were asked for this request already.
+    :param random: the source of random numbers.
+    :return: a list of addresses; empty when the best one is known well enough, or all were asked.
+    """
+    if not candidates or candidates[0].is_fresh:
+        return []
+    unknown = [
+        one.address
+        for one in candidates
+        if one.is_sound and not one.is_fresh and one.address not in asked
+    ]
+    chosen, others = unknown[:_BEST_ASKED], unknown[_BEST_ASKED:_DRAWN_FROM]
+    if others:
+        chosen.append(random.choice(others))
+    return chosen
+
+
+def put_silent_last(candidates, asked):
+    """Move those that have not answered behind all others.
+
+    :param candidates: candidates, the best first.
+    :param asked: addresses that were asked for this request.
+    :return: the candidates in their new order.
+    """
+    return sorted(candidates, key=lambda one: one.address in asked and not one.is_fresh)
--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -8,26 +8,46 @@
 
 from typing import NamedTuple
 
+# Up to so many others a host tells each change of its load to all of them. Beyond, the words that a
+# node takes in grow with the hosts and those that it uses don't: at 77 hosts a node with seven
+# requests a second took in 400 statuses and spent a tenth of a core. There it asks a few hosts at
+# the moment of choice (see asking.py), and statuses carry what seldom changes.
+_TOLD_HOSTS = 30
 # A host repeats its status at least this often, and in large systems less, so that repeats cost at
-# most 150 datagrams a second. Three silent periods in a row mean a frozen or cut-off host (or three
-# lost datagrams, which at 3 % loss happens once in 37,000).
+# most 150 datagrams a second, and 75 where their load is of no use. Three silent periods in a row
+# mean a frozen or cut-off host (or three lost datagrams, which at 3 % loss happens once in 37,000).
 _REPEAT_SECONDS = 0.2
 _REPEATS_PER_SECOND = 150
+_QUIET_REPEATS_PER_SECOND = 75
 _SILENT_PERIODS = 3.25
-# Past this a host counts as gone: it takes no part in the choice of store watchers and budgets.
+# Past this a host counts as gone: it takes no part in the choice of store watchers. In systems so
+# large that repeats are rarer, only watchers are held to it, which repeat more often.
 GONE_SECONDS = 3.0
+# A question is answered within a few milliseconds, 30 across regions. What has not answered by then
+# is frozen, cut off or overloaded, and comes last until it is heard again.
+_ANSWER_SECONDS = 0.1
 # Addresses of silent hosts are kept so long and tried at a low rate; a partition may heal.
 FORGOTTEN_SECONDS = 60.0
 _INCARNATIONS_KEPT = 8
 
 
+def tells_changes(hosts):
+    """Tell whether each host tells all others of each change of its load.
+
+    :param hosts: how many others there are.
+    :return: True or False; when it is false, who wants to know has to ask.
+    """
+    return hosts <= _TOLD_HOSTS
+
+
 def repeat_seconds(hosts):
     """Tell how often a host repeats its status.
 
     :param hosts: how many others it tells.
     :return: seconds.
     """
-    return max(_REPEAT_SECONDS, hosts / _REPEATS_PER_SECOND)
+    rate = _REPEATS_PER_SECOND if tells_changes(hosts) else _QUIET_REPEATS_PER_SECOND
+    return max(_REPEAT_SECONDS, hosts / rate)
 
 
 def silent_seconds(hosts):
@@ -39,6 +59,15 @@
     return repeat_seconds(hosts) * _SILENT_PERIODS
 
 
+def gone_seconds(hosts):
+    """Tell after which time without a status a host gets no requests at all.
+
+    :param hosts: how many others each host tells.
+    :return: seconds.
+    """
+    return max(GONE_SECONDS, silent_seconds(hosts))
+
+
 class HostStatus(NamedTuple):
     """One host's word on itself.
 
@@ -85,11 +114,13 @@
 class HostView:
     """One other host as this node sees it."""
 
-    __slots__ = ("status", "heard_at", "unseen", "past")
+    __slots__ = ("status", "heard_at", "asked_at", "unseen", "past")
 
     def __init__(self):
         self.status = None
         self.heard_at = None
+        # When the question that waits for an answer was sent; None when there is none.
+        self.asked_at = None
         # Own requests sent there since its last status, which cannot count them yet.
         self.unseen = 0
         self.past = []
@@ -113,9 +144,18 @@
                 self.past = [*self.past[1 - _INCARNATIONS_KEPT :], held.incarnation]
         self.status = status
         self.heard_at = now
+        self.asked_at = None
         self.unseen = 0
         return True
 
+    def is_overdue(self, now):
+        """Tell whether the host owes the answer to a question for too long.
+
+        :param now: seconds on the monotonic clock.
+        :return: True or False.
+        """
+        return self.asked_at is not None and now - self.asked_at > _ANSWER_SECONDS
+
 
 class HostDirectory:
     """All other hosts that this node knows, by their links' address."""
@@ -129,6 +169,11 @@
         """The addresses of all known hosts."""
         return list(self._known_at)
 
+    @property
+    def size(self):
+        """How many hosts are known."""
+        return len(self._known_at)
+
     def learn(self, address, now):
         """Take note of a host's address.
 
@@ -183,6 +228,15 @@
     def live(self, now):
         """List the hosts that are not gone.
 
+        :param now: seconds on the monotonic clock.
+        :return: their views.
+        """
+        longest = gone_seconds(self.size)
+        return [view for view in self._views.values() if now - view.heard_at <= longest]
+
+    def recent(self, now):
+        """List the hosts that were heard within the last moments.
+
         :param now: seconds on the monotonic clock.
         :return: their views.
         """
--- a/packages/core/src/camphorshelf_core/placement.py
+++ b/packages/core/src/camphorshelf_core/placement.py
@@ -34,14 +34,29 @@
     :param address: its node's address for links.
     :param expected_s: seconds to the answer, by what is known now.
     :param wait_s: the part of that which is spent waiting for a slot.
+    :param is_fresh: whether its load is known as of this moment.
+    :param is_sound: whether it was heard lately and does not fail most of its requests.
     """
 
     address: str
     expected_s: float
     wait_s: float
+    is_fresh: bool
+    is_sound: bool
 
 
-def rank(views, work_s, now, domain, goal_left_s, silent_s):
+class Freshness(NamedTuple):
+    """How long a status says something, seconds.
+
+    :param load_s: after this, its load may be any; infinite where each change of it is told.
+    :param host_s: after this, its host is the last resort.
+    """
+
+    load_s: float
+    host_s: float
+
+
+def rank(views, work_s, now, domain, goal_left_s, freshness):
     """Order the targets of a service by the time to the answer, near ones that are good first.
 
     :param views: the :class:`~camphorshelf_core.hosts.HostView` of the service's accepting hosts.
@@ -49,7 +64,7 @@
     :param now: seconds on the monotonic clock.
     :param domain: the own failure domain.
     :param goal_left_s: seconds until the answer is due.
-    :param silent_s: seconds without a status after which a host is the last resort.
+    :param freshness: the :class:`Freshness` of statuses.
     :return: a list of :class:`Candidate`, the best first.
     """
     usual = _usual_work(views)
@@ -62,8 +77,11 @@
         if not is_near:
             total = total * _FAR_FACTOR + _FAR_SECONDS
         total *= 1 + _FAILURE_WEIGHT * status.failing
-        candidate = Candidate(status.address, total, wait)
-        if now - view.heard_at > silent_s or status.failing >= BROKEN_SHARE:
+        age = now - view.heard_at
+        is_lost = age > freshness.host_s or view.is_overdue(now)
+        is_sound = not is_lost and status.failing < BROKEN_SHARE
+        candidate = Candidate(status.address, total, wait, age <= freshness.load_s, is_sound)
+        if not is_sound:
             doubtful.append(candidate)
         elif is_near and total <= _COMFORT * goal_left_s and _has_room(view):
             near.append(candidate)
@@ -71,8 +89,10 @@
             sound.append(candidate)
     # A silent or broken target may still answer, but a caller that is sent there while another
     # target is sound waits for its time-out.
-    for group in (near, sound, doubtful):
+    for group in (sound, doubtful):
         group.sort(key=_by_time)
+    # One that is known to be good now needs no question to another that may be better.
+    near.sort(key=_by_freshness)
     return near + sound + doubtful
 
 
@@ -114,3 +134,7 @@
 
 def _by_time(candidate):
     return candidate.expected_s
+
+
+def _by_freshness(candidate):
+    return not candidate.is_fresh, candidate.expected_s
--- a/packages/core/src/camphorshelf_core/statusforms.py
+++ b/packages/core/src/camphorshelf_core/statusforms.py
@@ -6,16 +6,36 @@
 bytes between failure domains, requests included: 9 to 6 MB in 40 s of calm load.
 """
 
+from typing import NamedTuple
+
 import cbor2
 
 from .hosts import HostStatus
 
-_WHOLE, _SHORT = 0, 1
+_WHOLE, _SHORT, _QUESTION = 0, 1, 2
 _HUNDREDTHS, _THOUSANDTHS, _TENTHS = 100, 1000, 10
 _SHORT_FIELDS = 11
 _MAX_CRASHES = 16
 
 
+class Question(NamedTuple):
+    """Asks a host for its status of this moment.
+
+    :param known: the incarnation that the asker knows, so that a short form will do; may be empty.
+    """
+
+    known: str
+
+
+def encode_question(known):
+    """Turn a question into bytes.
+
+    :param known: the incarnation that the asker knows of the host.
+    :return: the bytes of a datagram.
+    """
+    return cbor2.dumps((_QUESTION, known))
+
+
 def encode_whole(status):
     """Turn a status into bytes.
 
@@ -69,8 +89,8 @@
 
     :param data: its bytes.
     :param find: takes an incarnation and gives the last status held of it, or None.
-    :return: a :class:`~camphorshelf_core.hosts.HostStatus`; None when it is none, or a short form
-        of a host whose whole status is not known.
+    :return: a :class:`~camphorshelf_core.hosts.HostStatus` or a :class:`Question`; None when it is
+        neither, or a short form of a host whose whole status is not known.
     """
     try:
         kind, *fields = cbor2.loads(data)
@@ -79,6 +99,8 @@
         if kind == _SHORT and len(fields) == _SHORT_FIELDS and _are_numbers(fields[1:]):
             held = find(fields[0])
             return None if held is None else _fill_in(held, fields)
+        if kind == _QUESTION and len(fields) == 1 and isinstance(fields[0], str):
+            return Question(fields[0])
     except (cbor2.CBORDecodeError, TypeError, ValueError):
         return None
     return None
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -141,7 +141,7 @@
         now = self._loop.now()
         others = [
             (view.status.host, is_served(view.status.store_age_s))
-            for view in self._peers.directory.live(now)
+            for view in self._peers.directory.recent(now)
         ]
         return watches(self._settings.name, others)
 
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -4,11 +4,25 @@
 import socket
 
 from camphorshelf_core.budget import TokenBucket
-from camphorshelf_core.hosts import GONE_SECONDS, HostDirectory, repeat_seconds
-from camphorshelf_core.statusforms import decode, encode_short, encode_whole, has_same_names
+from camphorshelf_core.hosts import (
+    HostDirectory,
+    gone_seconds,
+    repeat_seconds,
+    tells_changes,
+)
+from camphorshelf_core.statusforms import (
+    Question,
+    decode,
+    encode_short,
+    encode_whole,
+    has_same_names,
+)
+from camphorshelf_core.watchers import is_served
 from camphorshelf_node.links import PeerLink
 from camphorshelf_node.loop import READABLE
 
+from .asking import Asker
+
 # Changes closer together than this go out as one: 40 statuses a second at most to each host. Told
 # ten times a second instead, other domains sent to hosts that had just slowed down: twice as many
 # late answers on calm days of 11 and 12 hosts.
@@ -19,6 +33,9 @@
 # hosts hear of load less often, and mostly near targets are chosen there.
 _NEAR_PER_SECOND = 300
 _FAR_PER_SECOND = 100
+# Whoever reads the store says so at least this often: the others count on it to hear of a new
+# configuration, and take its place when it falls silent.
+_WATCHER_REPEAT_SECONDS = 0.5
 # The names in a status are repeated so often, for whoever has missed them.
 _WHOLE_SECONDS = 3.0
 # Hosts that fell silent are still told now and then: a partition may heal, and a node that was
@@ -60,6 +77,7 @@
         self._own_address = settings.addresses.links.text
         self._datagram_port = settings.addresses.datagrams[1]
         self._socket = None
+        self._asker = Asker(loop, self._directory, self._send_to)
         self.counts = {"sent": 0, "received": 0, "unused": 0}
         # Told the view of each host that said something new.
         self.on_status = lambda view: None
@@ -69,6 +87,11 @@
         """The :class:`~camphorshelf_core.hosts.HostDirectory`."""
         return self._directory
 
+    @property
+    def asker(self):
+        """The :class:`~camphorshelf_relay.asking.Asker` of other hosts' statuses."""
+        return self._asker
+
     def start(self):
         """Begin to listen and to tell.
 
@@ -125,6 +148,8 @@
             return True
         if _standing(status) != _standing(told):
             return True
+        if not tells_changes(self._directory.size):
+            return False
         low, high = sorted((status.slowness, told.slowness))
         if high >= low * _SLOWNESS_STEP:
             return True
@@ -136,7 +161,9 @@
         self._send_all(must=False)
 
     def _repeat(self):
-        pause = repeat_seconds(len(self._directory.addresses))
+        pause = repeat_seconds(self._directory.size)
+        if is_served(self._describe().store_age_s):
+            pause = min(pause, _WATCHER_REPEAT_SECONDS)
         if self._loop.now() - self._all_told_at >= pause * 0.9:
             self._send_all(must=True)
         self._loop.call_later(pause, self._repeat)
@@ -158,8 +185,9 @@
 
     def _split_addresses(self, now):
         near, far = [], []
+        longest = gone_seconds(self._directory.size)
         for address in self._directory.addresses:
-            if self._directory.heard(address, now, GONE_SECONDS):
+            if self._directory.heard(address, now, longest):
                 (near if self._is_near(address) else far).append(address)
             elif self._is_due(address, now):
                 self._send_to(address, self._encode_whole())
@@ -195,7 +223,9 @@
         return encode_short(status)
 
     def _send_to(self, address, data):
-        ip = address.rpartition(":")[0]
+        self._send_to_ip(address.rpartition(":")[0], data)
+
+    def _send_to_ip(self, ip, data):
         try:
             self._socket.sendto(data, (ip, self._datagram_port))
             self.counts["sent"] += 1
@@ -206,14 +236,22 @@
     def _on_readable(self, _mask):
         for _ in range(_DATAGRAMS_PER_TURN):
             try:
-                data = self._socket.recv(_MAX_DATAGRAM)
+                data, (ip, _) = self._socket.recvfrom(_MAX_DATAGRAM)
             except OSError:
                 return
-            status = decode(data, self._find)
-            if status is None:
+            word = decode(data, self._find)
+            if word is None:
                 self.counts["unused"] += 1
-            elif status.address != self._own_address:
-                self._take(status)
+            elif isinstance(word, Question):
+                self._answer(word, ip)
+            elif word.address != self._own_address:
+                self._take(word)
+
+    def _answer(self, question, ip):
+        status = self._next_status()
+        is_known = question.known == self._incarnation and self._told is not None
+        short = is_known and has_same_names(status, self._told)
+        self._send_to_ip(ip, encode_short(status) if short else encode_whole(status))
 
     def _find(self, incarnation):
         view = self._directory.view(self._incarnations.get(incarnation))
@@ -231,6 +269,7 @@
         if is_new:
             # It cannot know yet that this host is here.
             self._send_to(status.address, self._encode_whole())
+        self._asker.note_heard(status.address)
         self._note_alive(status)
         self.on_status(self._directory.view(status.address))
 
@@ -242,7 +281,7 @@
     def _forget(self):
         now = self._loop.now()
         for address in list(self._lively):
-            if not self._directory.heard(address, now, GONE_SECONDS):
+            if not self._directory.heard(address, now, gone_seconds(self._directory.size)):
                 self._lively.discard(address)
                 self._log.notable("host_silent", address=address)
         held = {view.status.incarnation for view in self._directory.views()}
@@ -263,4 +302,5 @@
         status.config_version,
         status.limit,
         status.crashes,
+        is_served(status.store_age_s),
     )
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -1,5 +1,6 @@
 """One caller's request on its way: which targets it is offered to, and its one answer."""
 
+from camphorshelf_core.asking import MAX_ROUNDS, put_silent_last
 from camphorshelf_core.calls import Response
 from camphorshelf_core.errors import Code, Ran, Refusal
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage, RelayMessage
@@ -37,6 +38,8 @@
         self._patience = 1
         self._headers = strip_hop_by_hop(exchange.request.headers)
         self._tried = set()
+        self._asked = set()
+        self._rounds = 0
         self._reached = 0
         self._offers = 0
         self._late_offers = 0
@@ -64,27 +67,41 @@
         self._offer_next()
 
     def _offer_next(self):
-        now = self._loop.now()
-        candidates = self._rank(now)
-        fresh = [one for one in candidates if one.address not in self._tried]
+        candidates = self._rank(self._loop.now())
+        untried = [one for one in candidates if one.address not in self._tried]
         if not candidates:
             self._refuse(Code.NO_TARGET, "no target of the service takes work")
-            return
-        in_time = [one for one in fresh if now + one.expected_s <= self._goal_at]
+        elif not self._ask(untried):
+            self._offer_best(candidates, put_silent_last(untried, self._asked))
+
+    def _ask(self, untried):
+        if self._rounds >= MAX_ROUNDS:
+            return False
+        asks = self._router.ask(untried, self._asked, self._exchange.guard(self._on_asked))
+        self._rounds += asks
+        return asks
+
+    def _on_asked(self):
+        if not self._finished:
+            self._offer_next()
+
+    def _offer_best(self, candidates, untried):
+        now = self._loop.now()
+        in_time = [one for one in untried if now + one.expected_s <= self._goal_at]
         if in_time and self._offers < _MAX_OFFERS:
             self._offer(in_time[0], patience=0)
-        elif self._late_offers < self._patience and (fresh or not self._late_offers):
+        elif self._late_offers < self._patience and (untried or not self._late_offers):
             # None will be in time by what is known here; the best one's node knows better, and
             # has room for some late work.
             self._late_offers += 1
-            self._offer((fresh or candidates)[0], self._patience)
+            self._offer((untried or candidates)[0], self._patience)
         else:
             self._refuse(Code.QUEUE_FULL, "every target is busy beyond the request's time")
 
     def _rank(self, now):
         router = self._router
         views, goal_left = router.views(self._service), self._goal_at - now
-        return rank(views, self._facts.work_s, now, router.domain, goal_left, router.silent_s)
+        return rank(views, self._facts.work_s, now, router.domain, goal_left, router.freshness)
 
     def _offer(self, candidate, patience):
         now = self._loop.now()
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -1,8 +1,12 @@
 """The entry side of a node: finds a request's route and hands it to a :class:`Relay`."""
 
+import math
+
+from camphorshelf_core.asking import FRESH_SECONDS, whom_to_ask
 from camphorshelf_core.calls import Response, header
 from camphorshelf_core.errors import Code, Refusal
-from camphorshelf_core.hosts import silent_seconds
+from camphorshelf_core.hosts import silent_seconds, tells_changes
+from camphorshelf_core.placement import Freshness
 from camphorshelf_core.retrybudget import RetryBudget
 from camphorshelf_core.routes import PartPicker
 
@@ -36,9 +40,26 @@
         config.on_change(self._on_config)
 
     @property
-    def silent_s(self):
-        """Seconds without a status after which a host is the last resort."""
-        return silent_seconds(len(self._peers.directory.addresses))
+    def freshness(self):
+        """How long statuses say something, by the number of hosts."""
+        hosts = self._peers.directory.size
+        load_s = math.inf if tells_changes(hosts) else FRESH_SECONDS
+        return Freshness(load_s, silent_seconds(hosts))
+
+    def ask(self, candidates, asked, on_done):
+        """Ask some hosts for their status of this moment, if that is needed for a choice.
+
+        :param candidates: the request's candidates, the best first.
+        :param asked: addresses that were asked for this request; takes in the new ones.
+        :param on_done: called when they have answered or had the time to.
+        :return: whether any is asked; otherwise ``on_done`` is not called.
+        """
+        addresses = whom_to_ask(candidates, asked, self.random)
+        if not addresses:
+            return False
+        asked.update(addresses)
+        self._peers.asker.ask(addresses, on_done)
+        return True
 
     def take_settings(self, settings):
         """Take changed bounds; budgets start anew by them.
--- /dev/null
+++ b/tests/features/steps/asking_steps.py
@@ -0,0 +1,226 @@
+"""Steps that ask hosts which the test makes up, on a clock of its own."""
+
+import random
+
+from behave import given, then, when
+
+from camphorshelf_core.asking import FRESH_SECONDS, put_silent_last, whom_to_ask
+from camphorshelf_core.hosts import HostDirectory, silent_seconds
+from camphorshelf_core.placement import Freshness, rank
+from camphorshelf_relay.asking import Asker
+from standins.fakes import FakeLoop
+from standins.hosts import make_status, make_view
+
+_SLOW_SHARE = 0.25
+_SLOWNESS = 4.0
+_STATE_SECONDS = 0.3
+_WORK_SECONDS = 0.16
+_GOAL_SECONDS = 0.5
+_FRESHNESS = Freshness(FRESH_SECONDS, silent_seconds(77))
+
+
+class _NoisyHosts:
+    """Hosts whose speed changes every 300 ms on average."""
+
+    def __init__(self, count, seed):
+        self._random = random.Random(seed)
+        self.now = 0.0
+        self.slowness = [self._draw() for _ in range(count)]
+        self.views = [make_view(make_status(f"h{one}"), -random.random()) for one in range(count)]
+
+    def _draw(self):
+        return _SLOWNESS if self._random.random() < _SLOW_SHARE else 1.0
+
+    def advance(self, seconds):
+        self.now += seconds
+        for index, view in enumerate(self.views):
+            if self._random.random() < seconds / _STATE_SECONDS:
+                self.slowness[index] = self._draw()
+            if self.now - view.heard_at >= 1.0:
+                self.hear(index)
+
+    def hear(self, index):
+        view = self.views[index]
+        status = view.status._replace(
+            sequence=view.status.sequence + 1, slowness=self.slowness[index]
+        )
+        view.take(status, self.now)
+
+    def rank(self):
+        return rank(self.views, _WORK_SECONDS, self.now, "a", _GOAL_SECONDS, _FRESHNESS)
+
+    def is_slow(self, address):
+        return self.slowness[int(address[1:])] > 1.0
+
+
+def _choose(hosts, chance, asks):
+    candidates, asked = hosts.rank(), set()
+    while asks and (addresses := whom_to_ask(candidates, asked, chance)):
+        asked.update(addresses)
+        for address in addresses:
+            hosts.hear(int(address[1:]))
+        candidates = hosts.rank()
+        if len(asked) > 3:
+            break
+    return put_silent_last(candidates, asked)[0].address
+
+
+def _share_of_slow(hosts, count, asks):
+    chance, slow = random.Random(2), 0
+    for _ in range(count):
+        hosts.advance(0.01)
+        slow += hosts.is_slow(_choose(hosts, chance, asks))
+    return slow / count
+
+
+@given("{count:d} hosts of one service that slow down at random, heard once a second")
+def noisy_hosts(context, count):
+    context.make = lambda: _NoisyHosts(count, seed=1)
+
+
+@when("{count:d} requests are sent by what was heard last")
+def send_by_memory(context, count):
+    context.by_memory = _share_of_slow(context.make(), count, asks=False)
+
+
+@when("{count:d} requests are sent after asking")
+def send_after_asking(context, count):
+    context.by_asking = _share_of_slow(context.make(), count, asks=True)
+
+
+@then("more than {percent:d} of 100 went to a slow host by what was heard")
+def check_memory(context, percent):
+    assert context.by_memory > percent / 100, context.by_memory
+
+
+@then("fewer than {percent:d} of 100 went to a slow host after asking")
+def check_asking(context, percent):
+    assert context.by_asking < percent / 100, context.by_asking
+
+
+@given("{count:d} hosts of one service, all idle and heard {when}")
+def idle_hosts(context, count, when):
+    heard_at = 0.0 if when == "just now" else -1.0
+    views = [make_view(make_status(f"h{one}"), heard_at) for one in range(count)]
+    context.candidates = rank(views, _WORK_SECONDS, 0.0, "a", _GOAL_SECONDS, _FRESHNESS)
+
+
+@when("{count:d} entry nodes each choose whom to ask")
+def many_choose(context, count):
+    context.asked = set()
+    for seed in range(count):
+        context.asked.update(whom_to_ask(context.candidates, (), random.Random(seed)))
+
+
+@then("more than {count:d} hosts are asked")
+def check_spread(context, count):
+    assert len(context.asked) > count, context.asked
+
+
+@then("no host is asked")
+def check_none(context):
+    assert whom_to_ask(context.candidates, (), random.Random(1)) == []
+
+
+@given("three hosts that are asked")
+def three_asked(context):
+    context.loop = FakeLoop()
+    context.directory = HostDirectory()
+    context.names = ["h0", "h1", "h2"]
+    for name in context.names:
+        context.directory.take(make_status(name), context.loop.now() - 1.0)
+    context.sent = []
+    context.asker = Asker(
+        context.loop, context.directory, lambda address, data: context.sent.append(address)
+    )
+    context.started_at = context.loop.now()
+    context.done = []
+    _ask(context)
+
+
+def _ask(context):
+    context.asker.ask(context.names, lambda: context.done.append(context.loop.now()))
+
+
+def _answer(context, names):
+    for name in names:
+        status = context.directory.view(name).status
+        changed = status._replace(sequence=status.sequence + 1)
+        context.directory.take(changed, context.loop.now())
+        context.asker.note_heard(name)
+
+
+@when("all three answer after {milliseconds:d} ms")
+def all_answer(context, milliseconds):
+    context.loop.advance(milliseconds / 1000)
+    _answer(context, context.names)
+
+
+@when("all but one answer after {milliseconds:d} ms")
+def two_answer(context, milliseconds):
+    context.loop.advance(milliseconds / 1000)
+    _answer(context, context.names[1:])
+    context.loop.advance(0.05)
+
+
+@then("the choice went on after {milliseconds:d} ms")
+def went_on(context, milliseconds):
+    (done_at,) = context.done
+    assert abs(done_at - context.started_at - milliseconds / 1000) < 1e-6, done_at
+
+
+def _ranked(context):
+    now = context.loop.now()
+    views = list(context.directory.views())
+    ranked = rank(views, _WORK_SECONDS, now, "a", _GOAL_SECONDS, _FRESHNESS)
+    return [one.address for one in ranked]
+
+
+@then("{seconds:f} s later the silent host is ranked last")
+def silent_last(context, seconds):
+    context.loop.advance(seconds)
+    assert _ranked(context)[-1] == "h0", _ranked(context)
+
+
+@then("once it is heard it is not")
+def heard_again(context):
+    _answer(context, ["h0"])
+    assert _ranked(context)[0] == "h0", _ranked(context)
+
+
+@when("they are asked again within {milliseconds:d} ms")
+def asked_again(context, milliseconds):
+    context.loop.advance(milliseconds / 1000)
+    _ask(context)
+
+
+@then("{count:d} questions were sent")
+def sent_exactly(context, count):
+    assert len(context.sent) == count, context.sent
+
+
+@then("both choices go on when all three answer")
+def both_go_on(context):
+    _answer(context, context.names)
+    assert len(context.done) == 2
+
+
+@when("{count:d} further choices ask three hosts within a second, each answered at once")
+def many_choices(context, count):
+    _answer(context, context.names)
+    for _ in range(count):
+        context.loop.advance(1 / count)
+        _ask(context)
+        _answer(context, context.names)
+    context.loop.advance(0.1)
+    context.choices = count + 1
+
+
+@then("at most {count:d} questions were sent")
+def sent_at_most(context, count):
+    assert len(context.sent) <= count, len(context.sent)
+
+
+@then("every choice went on")
+def all_went_on(context):
+    assert len(context.done) == context.choices, len(context.done)
--- a/tests/features/steps/placement_steps.py
+++ b/tests/features/steps/placement_steps.py
@@ -1,9 +1,11 @@
 """Steps that make up hosts and read the order in which they would be asked."""
 
+import math
+
 from behave import given, then
 
 from camphorshelf_core.hosts import silent_seconds
-from camphorshelf_core.placement import rank
+from camphorshelf_core.placement import Freshness, rank
 from standins.hosts import make_status, make_view
 
 _NOW = 100.0
@@ -60,8 +62,8 @@
 
 def _order(context):
     views = list(context.views.values())
-    silent = silent_seconds(11)
-    ranked = rank(views, context.work_s, _NOW, context.domain, context.goal_s, silent)
+    freshness = Freshness(math.inf, silent_seconds(11))
+    ranked = rank(views, context.work_s, _NOW, context.domain, context.goal_s, freshness)
     return [one.address for one in ranked]
 
 
