Write a host's row only where it is missing, and let running nodes give the configuration

Change: a restart reads the rows once and writes none; only the first three of those that start together read the operators' row at once, the others after 0.3 s if nobody has told them; all nodes that are turned away ask three times a second together. A host that hears another's new process answers it, so that it knows the version. Test: finding_hosts (first start, two new hosts in one moment, restart, loss of power).

--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -19,8 +19,13 @@
 _OVERDUE_SECONDS = 0.4
 _REVIEW_SECONDS = 0.25
 # A node that has a configuration and that others can do without asks a store that turns it away
-# only so often: with all nodes asking every second, an outage of 8 s cost 800 calls at 77 hosts.
+# so seldom that all of them together ask three times a second: with each asking every second, an
+# outage of 8 s cost 800 calls at 77 hosts.
+_TRIES_PER_SECOND = 3.0
 _SELDOM_SECONDS = 4.0
+# A node that starts beside running ones has the configuration from them within 50 ms. Only the
+# first few by the common order read at once, in case that all have started together.
+_PEERS_FIRST_SECONDS = 0.3
 # A peer is asked again for what it announced when its answer does not come.
 _ASK_AGAIN_SECONDS = 0.25
 
@@ -39,6 +44,7 @@
         self._document = None
         self._store_at = None
         self._asked_store_at = None
+        self._begun = False
         self._failures = 0
         self._asked_at = {}
         self._on_change = []
@@ -74,14 +80,29 @@
         self._on_change.append(callback)
 
     def start(self, table_name, row_key):
-        """Begin to read.
+        """Begin to read, unless other nodes have the configuration.
 
         :param table_name: the store's table with the operators' document.
         :param row_key: the document's key there.
         :return: None.
         """
         self.table_name, self.row_key = table_name, row_key
-        self._read()
+        self._loop.call_later(_PEERS_FIRST_SECONDS, self._begin)
+
+    def begin_among(self, names):
+        """Read at once if this node is one of the first of those that may start together.
+
+        :param names: the names of all hosts that were ever there, the own one among them.
+        :return: None.
+        """
+        own = self._settings.name
+        if keeps_trying(own, [(name, -1.0) for name in names if name != own]):
+            self._begin()
+
+    def _begin(self):
+        if not self._begun:
+            self._begun = True
+            self._review()
 
     def hear(self, view):
         """Take in a peer's status; asks for its configuration when it is newer.
@@ -156,9 +177,14 @@
         if self._failures == 1:
             self._log.notable("store_lost", trouble=failure.trouble.value, reason=failure.reason)
             self._peers.tell()
-        is_needed = self.config is None or keeps_trying(self._settings.name, self._others())
-        longest = MAX_WAIT_SECONDS if is_needed else _SELDOM_SECONDS
-        self._loop.call_later(wait_after(self._failures, self._random, longest), self._review)
+        wait = wait_after(self._failures, self._random, self._longest_wait_s())
+        self._loop.call_later(wait, self._review)
+
+    def _longest_wait_s(self):
+        others = self._others()
+        if self.config is None or keeps_trying(self._settings.name, others):
+            return MAX_WAIT_SECONDS
+        return max(_SELDOM_SECONDS, len(others) / _TRIES_PER_SECOND)
 
     def _take_rows(self, rows):
         for row in rows:
--- a/packages/relay/src/camphorshelf_relay/discovery.py
+++ b/packages/relay/src/camphorshelf_relay/discovery.py
@@ -1,8 +1,8 @@
 """Nodes find each other by one row a host in the store; from then on by what they tell each other.
 
-A row is written at the node's start only, and read at the node's start only: a node that was there
-before hears of a new one by its greeting. So the store's calls grow with starts, not with hosts
-and time.
+A row is written when a host is there for the first time, and the rows are read at each start: a
+node that was there before hears of a new one by its greeting. So the store's calls grow with
+starts, not with hosts and time; a restart is one call.
 """
 
 import cbor2
@@ -15,7 +15,7 @@
 
 
 class Discovery:
-    """Writes the own row, then reads the others'."""
+    """Reads the hosts' rows, and writes the own one where it is missing."""
 
     def __init__(self, loop, settings, store, peers, random, log):
         self._loop = loop
@@ -25,21 +25,30 @@
         self._random = random
         self._log = log
         self._failures = 0
+        self._address = settings.addresses.links.text
         self.done = False
+        # Told the names of all hosts that have a row.
+        self.on_done = lambda names: None
 
     def start(self):
         """Begin; goes on until it has succeeded.
 
         :return: None.
         """
-        # Written before the others' rows are read: of two nodes that start together at least
-        # one then finds the other.
-        address = self._settings.addresses.links.text
-        self._store.put(TABLE, self._settings.name, cbor2.dumps(address), self._on_written)
+        if self._settings.is_first_start:
+            self._write()
+        else:
+            self._read()
+
+    def _write(self):
+        row = cbor2.dumps(self._address)
+        self._store.put(TABLE, self._settings.name, row, self._on_written)
 
     def _on_written(self, result):
-        if self._failed(result, self.start):
+        if self._failed(result, self._write):
             return
+        # Read once more: of two hosts that are new at the same time at least one then finds the
+        # other, for it reads after both have written.
         self._read()
 
     def _read(self):
@@ -48,11 +57,16 @@
     def _on_read(self, result):
         if self._failed(result, self._read):
             return
+        addresses = {row.key: _read_address(row.value) for row in result.rows}
+        if addresses.get(self._settings.name) != self._address:
+            self._write()
+            return
         self.done = True
-        addresses = [address for row in result.rows if (address := _read_address(row.value))]
-        if len(addresses) < len(result.rows):
-            self._log.notable("host_rows_refused", count=len(result.rows) - len(addresses))
-        self._peers.learn(addresses)
+        known = {name: address for name, address in addresses.items() if address}
+        if len(known) < len(addresses):
+            self._log.notable("host_rows_refused", count=len(addresses) - len(known))
+        self._peers.learn(known.values())
+        self.on_done(known.keys())
 
     def _failed(self, result, again):
         if not isinstance(result, StoreFailure):
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -96,6 +96,7 @@
             loop, settings, store, self._peers, ports.read_document, self._random, log
         )
         self._discovery = Discovery(loop, settings, store, self._peers, self._random, log)
+        self._discovery.on_done = self._config.begin_among
         self._router = Router(
             loop,
             settings,
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -43,6 +43,8 @@
 _SILENT_REPEAT_SECONDS = 0.5
 # A link without any sign of life for so long while an answer is due takes no new requests.
 LINK_SILENCE_SECONDS = 0.6
+# A node greets all others within this time of its start.
+_GREETING_SECONDS = 1.0
 _INCARNATION_BYTES = 6
 _MAX_DATAGRAM = 4_096
 _DATAGRAMS_PER_TURN = 64
@@ -64,6 +66,7 @@
         self._incarnation = os.urandom(_INCARNATION_BYTES).hex()
         self._sequence = 0
         self._links = {}
+        self._started_at = loop.now()
         self._told = None
         self._told_at = 0.0
         self._whole_at = 0.0
@@ -262,17 +265,26 @@
     def _take(self, status):
         now = self._loop.now()
         self.counts["received"] += 1
-        is_new = self._directory.view(status.address) is None
+        is_new = self._is_new(status, now)
         if not self._directory.take(status, now):
             return
         self._incarnations[status.incarnation] = status.address
         if is_new:
-            # It cannot know yet that this host is here.
+            # It cannot know yet that this host is here, nor which configuration is in force.
             self._send_to(status.address, self._encode_whole())
         self._asker.note_heard(status.address)
         self._note_alive(status)
         self.on_status(self._directory.view(status.address))
 
+    def _is_new(self, status, now):
+        view = self._directory.view(status.address)
+        if view is None:
+            return True
+        # Where all have started together each greets all others anyway.
+        return view.status.incarnation != status.incarnation and (
+            now - self._started_at > _GREETING_SECONDS
+        )
+
     def _note_alive(self, status):
         if status.address not in self._lively:
             self._lively.add(status.address)
--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -50,6 +50,7 @@
     :param retry: the :class:`~camphorshelf_core.retrybudget.RetryTerms` of every service.
     :param grace_s: seconds from SIGTERM until the process is killed.
     :param probes_per_s: the most health questions to the target, a second.
+    :param is_first_start: whether the whole system starts for the first time.
     """
 
     name: str
@@ -59,6 +60,7 @@
     retry: RetryTerms
     grace_s: float
     probes_per_s: float
+    is_first_start: bool = True
 
 
 class CallerTerms(NamedTuple):
--- /dev/null
+++ b/tests/features/steps/finding_hosts_steps.py
@@ -0,0 +1,165 @@
+"""Steps that start nodes' controllers of the store together, on a clock of the test's own."""
+
+import itertools
+import random
+from types import SimpleNamespace
+
+import cbor2
+from behave import given, then, when
+
+from camphorshelf_core.hosts import HostDirectory
+from camphorshelf_relay.configkeeper import ConfigKeeper
+from camphorshelf_relay.discovery import TABLE, Discovery
+from camphorshelf_relay.settings import Endpoint
+from camphorshelf_relay.storeport import StoredRow, StoreRows
+from standins.fakes import FakeLoop
+
+_ANSWER_SECONDS = 0.004
+
+
+class _Store:
+    """Rows of several tables; a call is carried out half way to its answer."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self.rows = {TABLE: {}, "op": {}}
+        self.calls = {TABLE: 0, "op": 0}
+
+    def _carry_out(self, table, action, on_done):
+        self.calls[table] += 1
+
+        def run():
+            result = action()
+            self._loop.call_later(_ANSWER_SECONDS / 2, lambda: on_done(result))
+
+        self._loop.call_later(_ANSWER_SECONDS / 2, run)
+
+    def read(self, table, on_done):
+        def action():
+            return StoreRows(tuple(StoredRow(*row) for row in sorted(self.rows[table].items())))
+
+        self._carry_out(table, action, on_done)
+
+    def put(self, table, key, value, on_done):
+        def action():
+            self.rows[table][key] = value
+            return StoreRows(())
+
+        self._carry_out(table, action, on_done)
+
+
+class _Peers:
+    def __init__(self):
+        self.directory = HostDirectory()
+        self.learned = set()
+
+    def learn(self, addresses):
+        self.learned.update(addresses)
+
+    def tell(self):
+        """Tell nobody."""
+
+
+class _Log:
+    def notable(self, event, **fields):
+        """Take no note."""
+
+
+class _Host:
+    def __init__(self, context, number, is_first_start, port=8624):
+        loop, store = context.loop, context.store
+        self.name = f"host-{number}"
+        self.address = f"10.0.0.{number + 1}:{port}"
+        settings = SimpleNamespace(
+            name=self.name,
+            is_first_start=is_first_start,
+            addresses=SimpleNamespace(links=Endpoint(f"10.0.0.{number + 1}", port)),
+        )
+        self.peers = _Peers()
+        chance = random.Random(number)
+        self.config = ConfigKeeper(loop, settings, store, self.peers, None, chance, _Log())
+        self.discovery = Discovery(loop, settings, store, self.peers, chance, _Log())
+
+    def start(self):
+        self.discovery.start()
+
+
+def _start(context, numbers, is_first_start, **options):
+    hosts = [_Host(context, number, is_first_start, **options) for number in numbers]
+    for host in hosts:
+        host.start()
+    context.hosts += hosts
+
+
+@given("{count:d} hosts that start together for the first time")
+def first_start(context, count):
+    context.loop, context.hosts = FakeLoop(), []
+    context.store = _Store(context.loop)
+    _start(context, range(count), is_first_start=True)
+
+
+@given("a running system of {count:d} hosts")
+def running_system(context, count):
+    first_start(context, count)
+    context.loop.advance(1.0)
+    context.store.calls[TABLE] = 0
+
+
+@when("{seconds:g} s passes")
+@when("{seconds:g} s pass")
+@when("nobody tells the others, and {seconds:g} s pass")
+def time_passes(context, seconds):
+    context.loop.advance(seconds)
+
+
+@when("{count:d} new hosts start together and {seconds:g} s passes")
+def new_hosts(context, count, seconds):
+    first = len(context.hosts)
+    _start(context, range(first, first + count), is_first_start=False)
+    context.loop.advance(seconds)
+
+
+@when("{count:d} of its hosts start again and {seconds:g} s passes")
+def start_again(context, count, seconds):
+    _start(context, range(count), is_first_start=False)
+    context.loop.advance(seconds)
+
+
+@when("a host starts again at another address and {seconds:g} s passes")
+def moved(context, seconds):
+    _start(context, [3], is_first_start=False, port=9999)
+    context.loop.advance(seconds)
+
+
+@then("its row holds the new address")
+def row_is_new(context):
+    host = context.hosts[-1]
+    assert cbor2.loads(context.store.rows[TABLE][host.name]) == host.address
+
+
+@then("of any two hosts at least one has found the other")
+def all_found(context):
+    for one, other in itertools.combinations(context.hosts, 2):
+        assert other.address in one.peers.learned or one.address in other.peers.learned
+
+
+@then("the store took {count:d} calls for the hosts' rows")
+def calls_for_rows(context, count):
+    assert context.store.calls[TABLE] == count, context.store.calls
+
+
+@given("{count:d} hosts of a system that lost power, with a configuration in the store")
+def lost_power(context, count):
+    running_system(context, count)
+    context.hosts = []
+    hosts = [_Host(context, number, is_first_start=False) for number in range(count)]
+    for host in hosts:
+        host.discovery.on_done = host.config.begin_among
+        host.config.start("op", "config")
+        host.start()
+    context.hosts = hosts
+
+
+@then("{count:d} of them have read the configuration")
+def have_read(context, count):
+    assert context.store.calls["op"] == count, context.store.calls
