--- a/packages/cli/src/camphorshelf_cli/logs.py
+++ b/packages/cli/src/camphorshelf_cli/logs.py
@@ -5,7 +5,14 @@
 from typing import NamedTuple
 
 # The order in which the hops of a request log; clocks of hosts differ by more than a hop takes.
-_STAGES = {"turned_away": 1, "run_failed": 1, "run_ended": 1, "declined": 2, "repeat": 2}
+_STAGES = {
+    "turned_away": 1,
+    "run_failed": 1,
+    "run_cancelled": 1,
+    "run_ended": 1,
+    "declined": 2,
+    "repeat": 2,
+}
 _SECOND_TRY, _LAST = 2, 3
 _SHOWN_APART = frozenset({"time", "host", "event", "request"})
 
--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -26,7 +26,7 @@
     Event(
         "refused",
         "A caller got a refusal of the node's own; `ran` tells what is known of the work.",
-        f"{_REQUEST} code ran reason retry_after_ms service offers held_ms",
+        f"{_REQUEST} code ran reason retry_after_ms service offers held_ms under_way",
     ),
     Event("caller_left", "A caller closed its connection first; its work is cancelled.", _REQUEST),
     Event(
@@ -54,6 +54,11 @@
         "A request that was handed to the target got no answer from it.",
         "request code ran wait_ms running queued limit slowness instance held_ms",
     ),
+    Event(
+        "run_cancelled",
+        "The entry node called a request off while the target had it, or while it waited there.",
+        "request waited_ms ran_ms slowness instance",
+    ),
     Event(
         "run_ended",
         "The target answered a request.",
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -88,6 +88,7 @@
         if self._reply is None:
             return
         self._reply = None
+        self._log_cancel()
         self._release()
         self._gate.count("cancelled")
 
@@ -117,6 +118,21 @@
             held_ms=round((self._loop.now() - self._arrived) * 1000, 1),
         )
 
+    def _log_cancel(self):
+        # Without it a request that its entry node gave up at the deadline leaves no trace here, and
+        # nobody can tell which target had it.
+        now = self._loop.now()
+        started = now if self._started is None else self._started
+        target = self._gate.target
+        self._gate.log.notable(
+            "run_cancelled",
+            request=self._message.request_id,
+            waited_ms=round((started - self._arrived) * 1000, 1),
+            ran_ms=round((now - started) * 1000, 1),
+            slowness=target.slowness,
+            instance=target.record.instance,
+        )
+
     def _start(self):
         now = self._loop.now()
         left = self._expires_at - now
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -271,6 +271,8 @@
         if self._failure is not None:
             self._answer(*self._failure)
             return
+        # Who had it when it was given up: that node's log tells the rest.
+        under_way = [offer.address for offer in self._running]
         self._end()
         now = self._loop.now()
         if refusal.ran is Ran.NOT_RUN:
@@ -287,6 +289,7 @@
             service=self._service,
             offers=len(self._tried),
             held_ms=round((now - self._arrived) * 1000, 1),
+            under_way=under_way,
         )
 
     def _on_expiry(self):
