--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -31,6 +31,18 @@
 _INCARNATIONS_KEPT = 8
 
 
+def is_address(text):
+    """Tell whether a text is an address as hosts tell theirs.
+
+    :param text: what was read.
+    :return: whether it is a text of the form ``ip:port``.
+    """
+    if not isinstance(text, str):
+        return False
+    ip, _, port = text.rpartition(":")
+    return bool(ip) and port.isdigit()
+
+
 def tells_changes(hosts):
     """Tell whether each host tells all others of each change of its load.
 
--- a/packages/core/src/camphorshelf_core/statusforms.py
+++ b/packages/core/src/camphorshelf_core/statusforms.py
@@ -10,7 +10,7 @@
 
 import cbor2
 
-from .hosts import HostStatus
+from .hosts import HostStatus, is_address
 
 _WHOLE, _SHORT, _QUESTION = 0, 1, 2
 _HUNDREDTHS, _THOUSANDTHS, _TENTHS = 100, 1000, 10
@@ -130,8 +130,7 @@
         return None
     if len(status.crashes) > _MAX_CRASHES or not all(map(_is_crash, status.crashes)):
         return None
-    ip, _, port = status.address.rpartition(":")
-    if not ip or not port.isdigit():
+    if not is_address(status.address):
         return None
     return status._replace(crashes=tuple((name, count) for name, count in status.crashes))
 
--- a/packages/relay/src/camphorshelf_relay/discovery.py
+++ b/packages/relay/src/camphorshelf_relay/discovery.py
@@ -7,6 +7,8 @@
 
 import cbor2
 
+from camphorshelf_core.hosts import is_address
+
 from .storeport import MAX_WAIT_SECONDS, StoreFailure, wait_after
 
 TABLE = "hosts"
@@ -84,7 +86,4 @@
         address = cbor2.loads(value or b"")
     except (cbor2.CBORDecodeError, ValueError):
         return None
-    if not isinstance(address, str):
-        return None
-    ip, _, port = address.rpartition(":")
-    return address if ip and port.isdigit() else None
+    return address if is_address(address) else None
--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -56,17 +56,11 @@
         self._address = address
         self._dialect = dialect
         self._idle = []
-        self._open = 0
         self.idle_s = _DEFAULT_IDLE_SECONDS
         # Told of each connection that is opened.
         self.on_dial = _do_nothing
         loop.call_every(_SWEEP_SECONDS, self._sweep)
 
-    @property
-    def open(self):
-        """How many connections there are."""
-        return self._open
-
     def send(self, request, request_id, idempotent, on_done):
         """Send a request.
 
@@ -113,7 +107,6 @@
             stream = dial(self._loop, self._address)
         except OSError:
             return None
-        self._open += 1
         self.on_dial()
         return _Connection(self, stream, self._dialect)
 
@@ -122,7 +115,6 @@
         self._idle.append(connection)
 
     def _forget(self, connection):
-        self._open -= 1
         if connection in self._idle:
             self._idle.remove(connection)
 
