--- a/packages/relay/src/camphorshelf_relay/storeport.py
+++ b/packages/relay/src/camphorshelf_relay/storeport.py
@@ -58,6 +58,8 @@
     """Rows as of one moment.
 
     :param rows: a tuple of :class:`StoredRow`.
+    :param is_whole: whether these are all rows that were asked for.
     """
 
     rows: tuple
+    is_whole: bool = True
--- a/tests/features/steps/store_connections_steps.py
+++ b/tests/features/steps/store_connections_steps.py
@@ -1,6 +1,9 @@
 """Steps that play the store's connections on fake streams."""
 
+import base64
+import json
 from unittest import mock
+from urllib.parse import parse_qs, urlsplit
 
 from behave import given, then, when
 
@@ -48,3 +51,41 @@
     assert all(stream.closed for stream in context.streams)
     context.store.read("op", lambda result: None)
     assert len(context.streams) == 4
+
+
+@given("a table of {count:d} rows, of which the store gives {page:d} at once")
+def table(context, count, page):
+    context.keys = [f"host-{number:04}" for number in range(count)]
+    context.page = page
+
+
+def _answer_page(context, stream):
+    line = stream.sent.split(b"\r\n\r\n")[-2].split(b"\r\n")[0].split()[1].decode()
+    first = parse_qs(urlsplit(line).query).get("from", [""])[0]
+    keys = [key for key in context.keys if key >= first]
+    rows = [
+        {"key": key, "value": base64.b64encode(key.encode()).decode(), "ver": 1}
+        for key in keys[: context.page]
+    ]
+    body = json.dumps({"rows": rows, "truncated": len(keys) > context.page, "ver": 9}).encode()
+    stream.on_data(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+
+@when("the table is read")
+def read_table(context):
+    context.results, context.calls = [], 0
+    context.store.read("hosts", context.results.append)
+    while not context.results and context.calls < 10:
+        context.calls += 1
+        sent = [stream for stream in context.streams if not stream.closed]
+        asked = max(sent, key=lambda stream: stream.sent.count(b"table=hosts"))
+        _answer_page(context, asked)
+        context.loop.advance(0.01)
+
+
+@then("all {count:d} rows come in order, by {calls:d} calls")
+def whole_table(context, count, calls):
+    (result,) = context.results
+    assert [row.key for row in result.rows] == context.keys
+    assert all(row.value == row.key.encode() for row in result.rows)
+    assert context.calls == calls, context.calls
