--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -182,6 +182,12 @@
         count("retries", "Retries by service and verdict.", self._router.retries, "service verdict")
         count("store.calls", "Calls to the store.", self._store.counts, "kind outcome")
         count("statuses", "Statuses of hosts.", self._peers.counts, "direction")
+        count(
+            "questions",
+            "Questions for the load of other hosts.",
+            self._peers.asker.counts,
+            "outcome",
+        )
         count("target.contacts", "Probes and connections.", target.counts, "kind")
         count("log.dropped", "Log lines left out.", self._log.counts, "reason")
         watch("target.running", "Requests that run at the target.", lambda: intake.running)
