--- a/packages/core/src/camphorshelf_core/asking.py
+++ b/packages/core/src/camphorshelf_core/asking.py
@@ -2,10 +2,10 @@
 
 Load pattern: some 80 hosts or more that get a few requests a second each, and whose speed changes
 every 300 ms. Told of each change by all, a node takes in hundreds of statuses for a handful of
-choices; told once a second, it sends one request in ten to a host that has slowed down since. Asked
-at the moment of choice, three hosts answer within 2 to 10 ms with what is true now, two in a hundred
-go to a slow host, and one that is frozen or cut off is found by its silence before a request is lost
-there (25 hosts of which a quarter is slow, played without a network).
+choices; told once a second, it sends one request in ten to a host that has slowed down since.
+Asked at the moment of choice, three hosts answer within 2 to 10 ms with what is true now, two
+requests in a hundred go to a slow host, and one that is frozen or cut off is found by its silence
+before a request is lost there (25 hosts of which a quarter is slow, played without a network).
 """
 
 from .placement import BROKEN_SHARE, has_room
@@ -19,8 +19,8 @@
 _DRAWN_FROM = 6
 # When the first three are slow or full, three more; a third round finds seldom better.
 MAX_ROUNDS = 2
-# The answer of a near host takes 1 to 2 ms, that of one in another domain 4, and 5 to 10 where a host
-# has half a core. For the slowest of three a choice waits a sixteenth of the work of 160 ms at most.
+# The answer of a near host takes 1 to 2 ms, that of one in another domain 4, and 5 to 10 where a
+# host has half a core. The longest wait for the slowest of three is a sixteenth of 160 ms of work.
 WAIT_SECONDS = 0.01
 # As fast as a host is when no neighbour takes its processor, with room for the grain of its figure.
 _FAST = 1.1
