--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -81,7 +81,11 @@
     Event("store_regained", "The store answers again.", "failures"),
     Event("host_found", "A host was found in the store's rows.", "address"),
     Event("host_heard", "A host tells its status for the first time or again.", "name address"),
-    Event("host_silent", "A host has told nothing for three seconds.", "address"),
+    Event(
+        "host_silent",
+        "A host has told nothing for three seconds, in large systems some more.",
+        "address",
+    ),
     Event("host_rows_refused", "Rows of hosts that could not be read.", "count"),
     Event("start", "The node has started.", "service domain"),
     Event("reload", "The settings were read again.", "changed"),
