Keep half of the retries for requests that certainly did not run

Runs that failed for their calls are those with two calls, not the mean of 1.4, and the requests that a repeated run makes do not count for the allowance: together 0.2 and more.

Change: a second run, which makes its calls again, draws on half of the allowance as well; what was turned away unrun still may have all of it.

Ruled out: retries kept too long (they fade in 2 s) and other nodes than counted (12 of 12 draw).

--- a/packages/core/src/camphorshelf_core/retrybudget.py
+++ b/packages/core/src/camphorshelf_core/retrybudget.py
@@ -9,11 +9,14 @@
 import math
 from typing import NamedTuple
 
-# Of what operators allow. A repeated run repeats its own calls, which count at the service that
-# is called, so with one level of calls half is the most; what is kept for a moment and spent
-# together with what is earned meanwhile is another fifth.
+# Of what operators allow: some is left for what is kept for a moment and spent together with
+# what is earned meanwhile, and for the repeated calls of other services' second runs.
 _RATIO_SHARE = 0.4
 _SLACK_SHARE = 0.2
+# A request that was turned away unrun costs its service one arrival more. A second run makes its
+# calls again, and each of those counts as a repeat at the service that is called. Runs that failed
+# for their calls are those that make the most: where half of all calls are shed, two for each.
+_RERUN_SHARE = 0.5
 # Retries that were not used must not add up to a burst later: they fade within some seconds.
 _KEPT_SECONDS = 2.0
 
@@ -38,11 +41,8 @@
         self._terms = terms
         self._random = random
         self._nodes = 1
-        self._from_requests = 0.0
-        # A node that was just started has its whole part: callers retried by it are as few as
-        # those of any other. All nodes started anew at once are still within the allowance.
-        self._from_time = terms.slack
-        self._at = now
+        self._all = _Pool(terms, 1.0, now)
+        self._reruns = _Pool(terms, _RERUN_SHARE, now)
 
     def share_among(self, nodes):
         """Take the number of nodes that draw on the same allowance.
@@ -58,16 +58,43 @@
         :param now: seconds on the monotonic clock.
         :return: None.
         """
-        self._pass_time(now)
-        self._from_requests += self._terms.ratio * _RATIO_SHARE
+        for pool in (self._all, self._reruns):
+            pool.pass_time(now, self._nodes)
+            pool.note_request()
 
-    def spend(self, now):
+    def spend(self, now, is_rerun=False):
         """Take one retry if there is one.
 
         :param now: seconds on the monotonic clock.
+        :param is_rerun: whether the request may have run before, and would make its calls again.
         :return: whether there was one.
         """
-        self._pass_time(now)
+        pools = (self._reruns, self._all) if is_rerun else (self._all,)
+        for pool in pools:
+            pool.pass_time(now, self._nodes)
+        return all(pool.draw(self._random) for pool in pools)
+
+
+class _Pool:
+    """Retries that were earned and not yet spent.
+
+    :param share: of what a retry of any kind may take.
+    """
+
+    def __init__(self, terms, share, now):
+        self._ratio = terms.ratio * _RATIO_SHARE * share
+        self._slack = terms.slack * _SLACK_SHARE * share
+        self._window_s = terms.window_s
+        self._from_requests = 0.0
+        # A node that was just started has its whole part: callers retried by it are as few as
+        # those of any other. All nodes started anew at once are still within the allowance.
+        self._from_time = self._slack
+        self._at = now
+
+    def note_request(self):
+        self._from_requests += self._ratio
+
+    def draw(self, random):
         there = self._from_requests + self._from_time
         if there >= 1:
             taken = min(1.0, self._from_requests)
@@ -77,13 +104,11 @@
         # A node of a large system seldom holds a whole one. It draws with the part that it holds as
         # the chance and gives that part up, so all nodes together take as many as they hold.
         self._from_requests = self._from_time = 0.0
-        if self._random.random() < there:
-            return True
-        return False
+        return random.random() < there
 
-    def _pass_time(self, now):
+    def pass_time(self, now, nodes):
         passed = now - self._at
         self._at = now
         self._from_requests *= math.exp(-passed / _KEPT_SECONDS)
-        part = self._terms.slack * _SLACK_SHARE / self._nodes
-        self._from_time = min(part, self._from_time + part * passed / self._terms.window_s)
+        part = self._slack / nodes
+        self._from_time = min(part, self._from_time + part * passed / self._window_s)
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -170,7 +170,7 @@
             self._failure = offer, message
             if self._running:
                 return
-            if self._may_repeat(now):
+            if self._may_repeat(now, is_rerun=True):
                 self._offers = self._late_offers = 0
                 self._log_step("repeat", offer, status=message.status)
                 self._offer_next()
@@ -210,18 +210,18 @@
             self._give_up(message)
         elif not reached:
             self._offer_next()
-        elif self._may_repeat(now):
+        elif self._may_repeat(now, is_rerun=not not_run):
             self._late_offers = 0
             self._offer_next()
         else:
             self._give_up(message)
 
-    def _may_repeat(self, now):
+    def _may_repeat(self, now, is_rerun):
         if self._reached >= self._route.attempts:
             return False
         if now + self._facts.work_s > self._expires_at:
             return False
-        return self._router.spend_retry(self._service)
+        return self._router.spend_retry(self._service, is_rerun)
 
     def _on_overdue(self):
         if self._finished or len(self._running) != 1:
@@ -235,7 +235,7 @@
             for one in self._rank(now)
             if one.address not in self._tried and one.wait_s == 0.0 and now + one.expected_s <= due
         ]
-        if free and self._router.spend_retry(self._service):
+        if free and self._router.spend_retry(self._service, is_rerun=True):
             (first,) = self._running
             self._log_step("second_try", first, to=free[0].address)
             self._offer(free[0], patience=0)
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -155,16 +155,17 @@
         """
         self._budget(service).note_request(self.loop.now())
 
-    def spend_retry(self, service):
+    def spend_retry(self, service, is_rerun):
         """Take one from the budget of retries.
 
         :param service: the service's name.
+        :param is_rerun: whether the request may have run before.
         :return: whether there was one.
         """
         budget = self._budget(service)
         now = self.loop.now()
         budget.share_among(len(self._peers.directory.live(now)) + 1)
-        granted = budget.spend(now)
+        granted = budget.spend(now, is_rerun)
         key = service, "granted" if granted else "denied"
         self.retries[key] = self.retries.get(key, 0) + 1
         return granted
--- a/tests/features/retry_budget.feature
+++ b/tests/features/retry_budget.feature
@@ -28,3 +28,24 @@
     Given 12 nodes that each take 50 requests a second for 40 s
     When every request asks for a retry after 30 s
     Then twice the retries of any 10 s stay within 0.2 of the requests and 60 more
+
+  Scenario Outline: Lookups that fail for their calls are not run again without end
+    # Every target of the called service sheds half of what it gets, so most lookups with calls fail
+    # at every target. Callers get the failure. Each second run would make both its calls again, and
+    # both count as repeats at the called service, beside the calls that are sent there once more.
+    # The mean is of all requests, of which three in ten are refused before they make a call.
+    Given <nodes> nodes that each take <rate> requests a second for 40 s
+    When every request asks for a second run, which makes 2 calls where the mean is 1.0
+    And every call asks for a retry
+    Then the repeats of any 10 s stay within 0.2 of the calls and 60 more
+
+    Examples:
+      | nodes | rate |
+      | 12    | 3    |
+      | 12    | 25   |
+      | 79    | 4    |
+
+  Scenario: A request that was turned away unrun takes nothing from those that ran
+    Given 12 nodes that each take 20 requests a second for 40 s
+    When every request asks for a retry
+    Then at least 0.07 of the requests are granted one
--- a/tests/features/steps/retry_budget_steps.py
+++ b/tests/features/steps/retry_budget_steps.py
@@ -55,6 +55,42 @@
         assert 2 * len(inside) <= allowed, (start, len(inside), allowed)
 
 
+@when("every request asks for a second run, which makes {calls:d} calls where the mean is {mean:f}")
+def all_ask_for_second_runs(context, calls, mean):
+    context.second_runs = []
+    context.calls_of_second_run = calls
+    context.calls_of_request = mean
+    for step in range(_SECONDS * context.rate):
+        now = step / context.rate
+        for budget in context.budgets:
+            budget.note_request(now)
+            if budget.spend(now, is_rerun=True):
+                context.second_runs.append(now)
+
+
+@when("every call asks for a retry")
+def all_calls_ask(context):
+    nodes = len(context.budgets)
+    nodes_and_rate(context, nodes, round(context.rate * context.calls_of_request))
+    _play(context, lambda now: True)
+
+
+@then("the repeats of any 10 s stay within 0.2 of the calls and 60 more")
+def repeats_within_allowance(context):
+    for start in range(_SECONDS - 10 + 1):
+        runs, retries, calls = (
+            sum(start <= at < start + 10 for at in times)
+            for times in (context.second_runs, context.granted, context.requests)
+        )
+        repeats = runs * context.calls_of_second_run + retries
+        assert repeats <= 0.2 * calls + 60, (start, repeats, calls)
+
+
+@then("at least {share:f} of the requests are granted one")
+def granted_share(context, share):
+    assert len(context.granted) >= share * len(context.requests)
+
+
 @then("it is granted")
 def granted(context):
     assert context.granted == [True]
