Find each target's limit from how long requests run there

Cause: the limit was a constant 0.8 of the slots.

Change: the limit starts at 0.8 and moves by what is seen. Times of the last five seconds are compared by how many ran at once; a slot that costs more than it gives is given up, and while requests wait one more is tried for some 30 requests, ended at once when work takes 1.35 times as long and repeated after twice the time. Compared is a point below the middle, for work that waits for calls to a busy service takes longer without any bend at its own target.

Tried and withdrawn: means in place of a low quantile (one slow call moves them), up trials alone (beyond the bend all slots look alike: the limit climbed to all 8), less than 1.35 as a reason to give up a slot (16 slots fell to 9 by chance).

--- a/packages/core/src/camphorshelf_core/intake.py
+++ b/packages/core/src/camphorshelf_core/intake.py
@@ -16,9 +16,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-# Full servers slow down: the last fifth of the slots costs all requests more time than it gives.
-# (With 9 slots and a slow-down of 1.7 beyond 80 %, 7 at once finish 1.3 times as many as 9.)
-USABLE_SHARE = 0.8
+from .slotlimit import SlotLimit
+
 # At most twice as many wait as run: a longer queue is never served within a goal.
 _QUEUE_PER_SLOT = 2.0
 # Late work may wait only in a short queue, or it takes the slots of what is still in time: with
@@ -82,6 +81,7 @@
         "state",
         "line",
         "due_at",
+        "begun_with",
     )
 
     def __init__(self, priority, goal_at, expires_at, work_s, patience, start, decline):
@@ -96,6 +96,8 @@
         self.line = Line.USUAL
         # Until when its answer is wanted here.
         self.due_at = goal_at
+        # How many ran when it started, itself included.
+        self.begun_with = 0
 
 
 class Intake:
@@ -111,7 +113,17 @@
         self.slowness = 1.0
         self.work_s = 0.0
         self.closed = False
-        self.resize(slots)
+        self._limit = SlotLimit(slots)
+
+    @property
+    def slots(self):
+        """How many requests the target says it works on at once."""
+        return self._limit.slots
+
+    @property
+    def limit(self):
+        """How many may run at once, apart from trials of one more."""
+        return self._limit.settled
 
     @property
     def queued(self):
@@ -124,8 +136,7 @@
         :param slots: how many requests the target says it works on at once.
         :return: None.
         """
-        self.slots = slots
-        self.limit = max(1, int(slots * USABLE_SHARE)) if slots else 0
+        self._limit.resize(slots)
 
     def offer(self, job, now):
         """Let a job start, wait, or go elsewhere.
@@ -139,13 +150,15 @@
         if now + self._run_s(job) * _LEAST_RUN > job.expires_at:
             # It would take a slot and be broken off: better its caller knows now.
             return Verdict(False, self.expected_wait(job))
-        if self.running < self.limit and not self.queued:
+        if self.running < self._limit.value and not self.queued:
             self._start(job)
             return Verdict(True)
         wait = self.expected_wait(job)
         if not self._may_wait(job, now + wait):
             return Verdict(False, wait)
         self._push(job)
+        if self._limit.consider_trial(now):
+            self.pump(now)
         return Verdict(True)
 
     def expected_wait(self, job):
@@ -194,13 +207,26 @@
         self.work_s += weight * (seconds - self.work_s)
         self._work_square += weight * (seconds * seconds - self._work_square)
 
+    def note_run(self, job, seconds, now):
+        """Take in how long a job ran at the target, before it is finished.
+
+        :param job: the :class:`Job`.
+        :param seconds: its time, as if the slowness had been 1.0.
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        self.note_work(seconds)
+        at_once = round((job.begun_with + self.running) / 2)
+        if job.work_s > 0:
+            self._limit.note(at_once, seconds / job.work_s, now)
+
     def pump(self, now):
         """Start waiting jobs while there are slots, and turn away those that came too late.
 
         :param now: seconds on the monotonic clock.
         :return: None.
         """
-        while self._queue and self.running < self.limit and not self.closed:
+        while self._queue and self.running < self._limit.value and not self.closed:
             job = heapq.heappop(self._queue)[2]
             if job.state != "queued":
                 continue
@@ -288,6 +314,7 @@
     def _start(self, job):
         job.state = "running"
         self.running += 1
+        job.begun_with = self.running
         job.start()
 
     def _push(self, job):
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -182,7 +182,7 @@
         self._gate.crashes.note_answered(self.fingerprint, self._started)
         if response.status < 300:
             slowness = max(0.1, (self._slowness + target.slowness) / 2)
-            self._gate.intake.note_work(ran_s / slowness)
+            self._gate.intake.note_run(self._job, ran_s / slowness, now)
         waited_s = self._started - self._arrived
         self._gate.log.routine(
             "run_ended",
--- /dev/null
+++ b/tests/features/slot_limit.feature
@@ -0,0 +1,46 @@
+Feature: How many requests run at once at a target is found from how long they run
+
+  Load pattern: saturation of a target whose last slots slow all work down, at a point that differs
+  from service to service. Work of 60 ms, load that swings by half every five seconds.
+
+  Scenario Outline: The limit stands where one slot more would cost more than it gives
+    # With a limit beyond the bend each request takes 1.7 times as long, and a quarter fewer are
+    # finished; far below it, callers are refused while slots are free.
+    Given a target with <slots> slots that slows down by 1.7 beyond <bend>
+    When <rate> requests a second come for 40 s
+    Then its limit is <limit>
+
+    Examples:
+      | slots | bend | rate | limit |
+      | 8     | 6    | 110  | 6     |
+      | 8     | 7    | 120  | 7     |
+      | 8     | 8    | 140  | 8     |
+      | 8     | 5    | 90   | 5     |
+      | 9     | 7    | 120  | 7     |
+      | 5     | 4    | 70   | 4     |
+      | 4     | 3    | 50   | 3     |
+      | 16    | 16   | 280  | 16    |
+
+  Scenario Outline: Finding it costs little where the starting point is right
+    # One slot more is tried for a few requests, seldom, and the trial ends at the first clear signs.
+    Given a target with <slots> slots that slows down by 1.7 beyond <bend>
+    When <rate> requests a second come for 40 s
+    Then at most 4 in 100 requests ran beyond the limit
+    And it answers in time at least 0.97 of what a fixed limit of 0.8 does
+
+    Examples:
+      | slots | bend | rate |
+      | 8     | 6    | 110  |
+      | 9     | 7    | 120  |
+      | 5     | 4    | 70   |
+
+  Scenario: Where the last slots work at full speed, they are used
+    Given a target with 8 slots that slows down by 1.7 beyond 8
+    When 140 requests a second come for 40 s
+    Then it answers in time at least 1.15 of what a fixed limit of 0.8 does
+
+  Scenario: A calm target is left alone
+    # No request waits, so no slot more is of use.
+    Given a target with 8 slots that slows down by 1.7 beyond 6
+    When 20 requests a second come for 40 s
+    Then at most 0 in 100 requests ran beyond the limit
