--- /dev/null
+++ b/bench/mechanisms.py
@@ -0,0 +1,155 @@
+"""Switches mechanisms of a node off, one at a time, to measure what each is worth.
+
+Loaded only by scratch copies that ``ablation.py`` makes; nothing that is shipped imports it. Each
+switch replaces attributes of the modules that decide, before the node is put together.
+"""
+
+from collections.abc import Callable
+
+from camphorshelf_core import hosts, intake, placement, slotlimit
+from camphorshelf_relay import crashes, peers, relay, router
+
+
+def _hold_limit(share):
+    def switch():
+        slotlimit._STARTING_SHARE = share
+        slotlimit.SlotLimit.consider_trial = lambda self, now: False
+        slotlimit.SlotLimit.note = lambda self, at_once, ratio, now: None
+
+    return switch
+
+
+def _no_queue():
+    intake._QUEUE_PER_SLOT = 0.0
+    intake._LATE_PER_SLOT = 0.0
+    intake.Intake._is_short = lambda self, job: False
+
+
+def _no_late_room():
+    intake._LATE_PER_SLOT = 0.0
+
+
+def _no_short_line():
+    intake.Intake._is_short = lambda self, job: False
+
+
+def _no_priority():
+    intake._key = lambda job: (job.line is intake.Line.LATE, 0, job.goal_at)
+
+
+def _no_review():
+    intake.Intake.review = lambda self, now: None
+
+
+def _no_near_first():
+    placement._COMFORT = 0.0
+    placement._FAR_FACTOR = 1.0
+    placement._FAR_SECONDS = 0.0
+
+
+def _no_slowness_in_choice():
+    estimate = placement.estimate
+
+    def ignore_slowness(view, work_s, usual_work_s):
+        status, view.status = view.status, view.status._replace(slowness=1.0)
+        try:
+            return estimate(view, work_s, usual_work_s)
+        finally:
+            view.status = status
+
+    placement.estimate = ignore_slowness
+
+
+def _no_pace_in_choice():
+    placement._PACE_BOUNDS = (1.0, 1.0)
+
+
+def _no_failing_in_choice():
+    placement._FAILURE_WEIGHT = 0.0
+    placement.BROKEN_SHARE = 2.0
+
+
+def _no_warming_in_choice():
+    placement._WARMING = 1.0
+
+
+def _no_crowding_in_choice():
+    placement._CROWDING = 0.0
+
+
+def _no_spare_slots():
+    router._SPARE_SLOTS = 0
+
+
+def _no_second_try():
+    relay.second_try_times = lambda *terms: ()
+
+
+def _no_retries():
+    router.Router.spend_retry = lambda self, service, is_rerun: False
+
+
+def _no_rerun_pool():
+    from camphorshelf_core import retrybudget
+
+    retrybudget._RERUN_SHARE = 1.0
+
+
+def _no_spread():
+    relay.retry_after = lambda wait_s, goal_left_s, work_s, random: 0.1
+
+
+def _no_overlap():
+    router.Router.may_overlap = lambda self, request: False
+
+
+def _no_quarantine():
+    crashes.CrashWatch.is_refused = lambda self, name: False
+
+
+def _no_short_statuses():
+    peers.encode_short = peers.encode_whole
+
+
+def _ask_always():
+    hosts._TOLD_HOSTS = 0
+
+
+def _tell_always():
+    hosts._TOLD_HOSTS = 10_000
+
+
+MECHANISMS: dict[str, Callable[[], None]] = {
+    "all-slots": _hold_limit(1.0),
+    "fixed-limit": _hold_limit(0.8),
+    "no-queue": _no_queue,
+    "no-late-room": _no_late_room,
+    "no-short-line": _no_short_line,
+    "no-priority": _no_priority,
+    "no-review": _no_review,
+    "no-near-first": _no_near_first,
+    "no-slowness": _no_slowness_in_choice,
+    "no-pace": _no_pace_in_choice,
+    "no-failing": _no_failing_in_choice,
+    "no-warming": _no_warming_in_choice,
+    "no-crowding": _no_crowding_in_choice,
+    "no-spare-slots": _no_spare_slots,
+    "no-second-try": _no_second_try,
+    "no-retries": _no_retries,
+    "no-rerun-pool": _no_rerun_pool,
+    "no-spread": _no_spread,
+    "no-overlap": _no_overlap,
+    "no-quarantine": _no_quarantine,
+    "whole-statuses": _no_short_statuses,
+    "ask-always": _ask_always,
+    "tell-always": _tell_always,
+}
+
+
+def switch_off(name):
+    """Switch one mechanism off.
+
+    :param name: a key of ``MECHANISMS``.
+    :return: None.
+    """
+    MECHANISMS[name]()
