--- a/packages/core/src/camphorshelf_core/returns.py
+++ b/packages/core/src/camphorshelf_core/returns.py
@@ -11,6 +11,21 @@
 # node a caller that asks in a loop, and costs the caller little.
 _NO_TARGET_SECONDS = 0.25
 _MOST_SECONDS = 1.0
+# A target that turns requests away at random, and not for want of a slot, may take the same one a
+# moment later: a caller with a goal of 100 ms then has two more chances in time.
+_SHED_SECONDS = 0.01
+
+
+def retry_after_shed(random):
+    """Tell a caller whose request the target itself turned away when to come back.
+
+    Load pattern: a service whose targets all shed a part of what they get, whatever their load.
+    Retries between nodes are bounded for all services together; what a caller sends again isn't.
+
+    :param random: the source of random numbers.
+    :return: seconds.
+    """
+    return random.uniform(0.5, 1.5) * _SHED_SECONDS
 
 
 def retry_after(wait_s, goal_left_s, work_s, random):
--- a/packages/core/src/camphorshelf_core/slotlimit.py
+++ b/packages/core/src/camphorshelf_core/slotlimit.py
@@ -17,18 +17,21 @@
 # A slot pays when work takes less longer with it than there are more slots. The times of single
 # requests differ by a third and more, so some are needed to tell, and less than this says nothing.
 _CLEAR_RATIO = 1.35
-_SAMPLES_TO_FAIL = 6
+_SAMPLES_TO_FAIL = 4
 _SAMPLES_TO_JUDGE = 28
 _SAMPLES_KEPT = 40
-# A slot is given up only for more than it could cost by itself: one that is missing costs as much.
-_GIVE_UP_MARGIN = 1.08
+# So many with one slot less show that the last one pays; otherwise it is done without for a moment.
+_SAMPLES_BELOW = 14
+# A slot is given up only for clearly more than it gives: one that is missing costs as much.
+_GIVE_UP_MARGIN = 1.2
 # Work that waits for calls to a busy service takes several times as long, whatever its own target
 # does. A bend slows down all work, so a point below the middle tells the one from the other.
 _QUANTILE = 0.4
 # Compared are times of the same few seconds, for work of another mix takes another time.
 _FRESH_SECONDS = 5.0
-# A trial that failed is repeated after twice the time, for a server's bend seldom moves.
-_FIRST_PAUSE_SECONDS = 3.0
+# A trial that failed is repeated after four times as long, for a server's bend seldom moves.
+_FIRST_PAUSE_SECONDS = 5.0
+_PAUSE_GROWTH = 4
 _LONGEST_PAUSE_SECONDS = 60.0
 # Where too few requests come for a verdict, the trial is given up.
 _LONGEST_TRIAL_SECONDS = 2.0
@@ -125,7 +128,8 @@
     def _choose_step(self, now):
         # Whether the last slot pays has to be known before one more is worth a trial: beyond the
         # bend all further slots look alike.
-        if self.settled > self._least and not self._is_known(self.settled - 1, now):
+        below = self._paces[self.settled - 1].count(now)
+        if self.settled > self._least and below < _SAMPLES_BELOW:
             return -1
         return 1 if self.settled < self.slots else 0
 
@@ -160,7 +164,7 @@
     def _end_trial(self, now):
         self._step = 0
         self._trial_at = now
-        self._pause_s = min(_LONGEST_PAUSE_SECONDS, self._pause_s * 2)
+        self._pause_s = min(_LONGEST_PAUSE_SECONDS, self._pause_s * _PAUSE_GROWTH)
 
     def _find_better(self, at_once, margin, now):
         ratio = self._paces[at_once].ratio
--- a/tests/features/returns.feature
+++ b/tests/features/returns.feature
@@ -14,3 +14,10 @@
   Scenario: Nobody asks in a loop for a service without a target
     Given 200 callers refused for want of a target
     Then all come back between 125 and 250 ms
+
+  Scenario: A caller whose request a target turned away at random comes back at once
+    # All targets of a service shed half of what they get. A caller with a goal of 100 ms has time for
+    # two more tries, each as good as the first; told to wait 150 ms, it has none.
+    Given 200 callers whose requests were turned away by their targets
+    Then all come back between 5 and 15 ms
+    And no tenth of the time holds more than a fifth of their returns
