Ask a host for a word before the calls of a silent link are given up

Cause: a link without any sign of life for 0.6 s was closed unless its host had been heard within 0.6 s on another way. In a system of 79 hosts each repeats its status every 1.05 s, so the host of a link that only carries packets late (a full link of 5 Mbit/s) counts as silent four times in ten.

Change: with the ping on the link goes a question in a datagram, and the host counts as heard for a period and a half of its repeats.

Ruled out: longer silence for all links (a frozen host would hold its idempotent calls as long).

--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -20,6 +20,8 @@
 _REPEATS_PER_SECOND = 150
 _QUIET_REPEATS_PER_SECOND = 75
 _SILENT_PERIODS = 3.25
+# Within a period and a half each host is heard that is there, unless a datagram of it was lost.
+_HEARD_PERIODS = 1.5
 # Past this a host counts as gone: it takes no part in the choice of store watchers. In systems so
 # large that repeats are rarer, only watchers are held to it, which repeat more often.
 GONE_SECONDS = 3.0
@@ -71,6 +73,15 @@
     return repeat_seconds(hosts) * _SILENT_PERIODS
 
 
+def heard_seconds(hosts):
+    """Tell within which time a host that is there has been heard, as a rule.
+
+    :param hosts: how many others each host tells.
+    :return: seconds.
+    """
+    return repeat_seconds(hosts) * _HEARD_PERIODS
+
+
 def gone_seconds(hosts):
     """Tell after which time without a status a host gets no requests at all.
 
--- a/packages/core/src/camphorshelf_core/placement.py
+++ b/packages/core/src/camphorshelf_core/placement.py
@@ -32,6 +32,8 @@
 
     :param address: its node's address for links.
     :param expected_s: seconds to the answer, by what is known now.
+    :param cost_s: the same with what else speaks against the target: the seconds that its failures
+        and a distance that is paid for are worth.
     :param wait_s: the part of that which is spent waiting for a slot.
     :param is_fresh: whether its load is known as of this moment.
     :param is_sound: whether it was heard lately and does not fail most of its requests.
@@ -39,6 +41,7 @@
 
     address: str
     expected_s: float
+    cost_s: float
     wait_s: float
     is_fresh: bool
     is_sound: bool
@@ -74,25 +77,28 @@
     for view in views:
         status = view.status
         wait, run = estimate(view, work_s, usual)
-        total = wait + run
         is_near = status.domain == domain
-        if not is_near:
-            total = total * _FAR_FACTOR + _FAR_SECONDS
-        total *= 1 + _FAILURE_WEIGHT * status.failing
+        expected = wait + run if is_near else wait + run + _FAR_SECONDS
+        # A failing target still answers as fast as it ever does: what fails there must not make a
+        # request look late everywhere when all targets of its service fail a part.
+        cost = (expected if is_near else expected * _FAR_FACTOR) * (
+            1 + _FAILURE_WEIGHT * status.failing
+        )
         age = now - view.heard_at
         is_lost = age > freshness.host_s or view.is_overdue(now)
         is_sound = not is_lost and status.failing < BROKEN_SHARE
-        candidate = Candidate(status.address, total, wait, age <= freshness.load_s, is_sound)
+        is_fresh = age <= freshness.load_s
+        candidate = Candidate(status.address, expected, cost, wait, is_fresh, is_sound)
         if not is_sound:
             doubtful.append(candidate)
-        elif is_near and total <= _COMFORT * goal_left_s and has_room(view, freshness):
+        elif is_near and cost <= _COMFORT * goal_left_s and has_room(view, freshness):
             near.append(candidate)
         else:
             sound.append(candidate)
     # A silent or broken target may still answer, but a caller that is sent there while another
     # target is sound waits for its time-out.
     for group in (sound, doubtful):
-        group.sort(key=_by_time)
+        group.sort(key=_by_cost)
     # One that is known to be good now needs no question to another that may be better.
     near.sort(key=_by_freshness)
     return near + sound + doubtful
@@ -141,9 +147,9 @@
     return known[len(known) // 2] if known else 0.0
 
 
-def _by_time(candidate):
-    return candidate.expected_s
+def _by_cost(candidate):
+    return candidate.cost_s
 
 
 def _by_freshness(candidate):
-    return not candidate.is_fresh, candidate.expected_s
+    return not candidate.is_fresh, candidate.cost_s
--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -195,13 +195,20 @@
 
 
 class PeerLink:
-    """The calling side of a link: pairs each answer with its call by an id never reused."""
+    """The calling side of a link: pairs each answer with its call by an id never reused.
 
-    def __init__(self, loop, address, silence_s=None, is_heard=None):
+    :param silence_s: after so long without any sign of life a link takes no new calls; None where
+        that is not watched.
+    :param is_heard: tells whether the host is heard otherwise; None for never.
+    :param ask: asks the host for a word on another way; None where there is none.
+    """
+
+    def __init__(self, loop, address, silence_s=None, is_heard=None, ask=None):
         host, port = address
         self._loop = loop
         self._silence_s = silence_s
         self._is_heard = is_heard
+        self._ask = ask
         self._watched = None
         self._ids = itertools.count(1)
         self._pending = {}
@@ -264,6 +271,8 @@
             self._watch_silence()
         else:
             self._channel.ping()
+            if self._ask is not None:
+                self._ask()
             self._loop.call_later(self._silence_s / 2, self._judge_silence)
 
     def _judge_silence(self):
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -7,12 +7,14 @@
 from camphorshelf_core.hosts import (
     HostDirectory,
     gone_seconds,
+    heard_seconds,
     repeat_seconds,
     tells_changes,
 )
 from camphorshelf_core.statusforms import (
     Question,
     decode,
+    encode_question,
     encode_short,
     encode_whole,
     has_same_names,
@@ -140,11 +142,22 @@
                 self._loop,
                 (ip, int(port)),
                 LINK_SILENCE_SECONDS,
-                lambda: self._directory.heard(address, self._loop.now(), LINK_SILENCE_SECONDS),
+                lambda: self._is_lately_heard(address),
+                lambda: self._ask(address),
             )
             self._links[address] = link
         return link
 
+    def _is_lately_heard(self, address):
+        # Where hosts repeat their statuses seldom, a shorter silence says nothing of them.
+        longest = max(LINK_SILENCE_SECONDS, heard_seconds(self._directory.size))
+        return self._directory.heard(address, self._loop.now(), longest)
+
+    def _ask(self, address):
+        view = self._directory.view(address)
+        if view is not None:
+            self._send_to(address, encode_question(view.status.incarnation))
+
     def _has_changed(self, status):
         told = self._told
         if told is None:
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -6,7 +6,7 @@
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage, RelayMessage
 from camphorshelf_core.placement import rank
 from camphorshelf_core.retry import FAILURE_STATUSES
-from camphorshelf_core.returns import retry_after
+from camphorshelf_core.returns import retry_after, retry_after_shed
 from camphorshelf_core.secondtry import second_try_times
 from camphorshelf_node.headers import strip_hop_by_hop
 
@@ -276,10 +276,7 @@
         self._end()
         now = self._loop.now()
         if refusal.ran is Ran.NOT_RUN:
-            goal_left = self._goal_at - now
-            seconds = retry_after(
-                self._shortest_wait, goal_left, self._facts.work_s, self._router.random
-            )
+            seconds = self._retry_after(refusal, now)
             refusal = refusal._replace(retry_after_ms=max(1, round(seconds * 1000)))
         self._router.refuse(
             self._exchange,
@@ -292,6 +289,12 @@
             under_way=under_way,
         )
 
+    def _retry_after(self, refusal, now):
+        random = self._router.random
+        if refusal.code is Code.TARGET_SHED:
+            return retry_after_shed(random)
+        return retry_after(self._shortest_wait, self._goal_at - now, self._facts.work_s, random)
+
     def _on_expiry(self):
         self._timer = None
         self._maybe_ran = self._maybe_ran or bool(self._running)
--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -91,6 +91,18 @@
     And the serving side answers call 1 with "one"
     Then call 1 got "one"
 
+  Scenario: A host is asked on another way before its calls are given up
+    # Packets of a full link come late, and in large systems a host repeats its status only once a
+    # second. Taken for gone, it would run an order whose caller has been told that it failed.
+    Given a link that bears 0.6 s of silence, to a host that is heard when it is asked
+    When call 1 is sent over the link
+    And the connection falls silent
+    And 1.5 s pass
+    Then call 1 got nothing
+    When the connection delivers again
+    And the serving side answers call 1 with "one"
+    Then call 1 got "one"
+
   Scenario: A small message does not wait for a large one
     # A body of 3 MB goes over a link that takes 64 kB at a time. The lookup that is sent behind it
     # is there after a piece or two.
--- a/tests/features/placement.feature
+++ b/tests/features/placement.feature
@@ -68,3 +68,12 @@
     And target "warm" in domain "b" with 4 of 7 running and slowness 1.0
     And "cold" is warming for 2 s
     Then the order is "warm, cold"
+
+  Scenario: A service whose targets all fail a part is not taken for one that is slow
+    # All targets shed half of what they get. A failure is worth several answers in the choice, but
+    # an answer takes as long as ever: held to be late, a lookup with 100 ms left is refused unsent.
+    Given target "one" in domain "a" with 1 of 7 running and slowness 1.0
+    And target "two" in domain "b" with 1 of 7 running and slowness 1.0
+    And "one" failed 0.55 of its requests
+    And "two" failed 0.55 of its requests
+    Then each is expected to answer within 130 ms
--- a/tests/features/statuses.feature
+++ b/tests/features/statuses.feature
@@ -35,3 +35,16 @@
       | a list of texts    |
       | a bad address      |
       | bad crash counts   |
+
+  Scenario Outline: A host that repeats its status is heard between two repeats
+    # Held to a shorter time than its repeats take, a host that is well is taken for silent, and what
+    # runs there is given up.
+    Given <hosts> others are told
+    Then a host that repeats its status counts as heard until the next one
+
+    Examples:
+      | hosts |
+      | 11    |
+      | 31    |
+      | 78    |
+      | 300   |
--- a/tests/features/steps/links_steps.py
+++ b/tests/features/steps/links_steps.py
@@ -56,7 +56,7 @@
         self.answers.append(lambda response: on_done(response, self.load))
 
 
-def join(context, fails=False, silence_s=None, is_heard=None):
+def join(context, fails=False, silence_s=None, is_heard=None, ask=None):
     context.loop, context.results, context.cancels = FakeLoop(), {}, {}
     near, far = JoinedStream(context.loop), JoinedStream(context.loop)
     near.other, far.other = far, near
@@ -65,7 +65,7 @@
     handlers = {CallMessage: make_call_handler(context.gatekeeper)}
     context.server = PeerServer(far, handlers)
     with mock.patch.object(links, "dial", lambda _loop, _address, _silence_s: near):
-        context.link = PeerLink(context.loop, ("127.0.0.1", 1), silence_s, is_heard)
+        context.link = PeerLink(context.loop, ("127.0.0.1", 1), silence_s, is_heard, ask)
     near.on_connect()
     context.loop.advance(1)
 
@@ -85,6 +85,19 @@
     join(context, silence_s=seconds, is_heard=lambda: True)
 
 
+@given("a link that bears {seconds:f} s of silence, to a host that is heard when it is asked")
+def give_link_to_asked(context, seconds):
+    answers = []
+
+    def ask():
+        answers.append(context.loop.now())
+
+    def is_heard():
+        return bool(answers) and context.loop.now() - answers[-1] <= seconds
+
+    join(context, silence_s=seconds, is_heard=is_heard, ask=ask)
+
+
 @when("the connection delivers again")
 def deliver_again(context):
     context.stream.silent = context.stream.other.silent = False
--- a/tests/features/steps/placement_steps.py
+++ b/tests/features/steps/placement_steps.py
@@ -60,11 +60,14 @@
     _change(context, name, warming_s=float(seconds))
 
 
-def _order(context):
+def _rank(context):
     views = list(context.views.values())
     freshness = Freshness(math.inf, silent_seconds(11), spare_slots=1)
-    ranked = rank(views, context.work_s, _NOW, context.domain, context.goal_s, freshness)
-    return [one.address for one in ranked]
+    return rank(views, context.work_s, _NOW, context.domain, context.goal_s, freshness)
+
+
+def _order(context):
+    return [one.address for one in _rank(context)]
 
 
 @then('the order is "{names}"')
@@ -75,3 +78,9 @@
 @then('the first is not "{name}"')
 def first_is_not(context, name):
     assert _order(context)[0] != name, _order(context)
+
+
+@then("each is expected to answer within {milliseconds:d} ms")
+def each_within(context, milliseconds):
+    candidates = _rank(context)
+    assert all(one.expected_s * 1000 <= milliseconds for one in candidates), candidates
--- a/tests/features/steps/statuses_steps.py
+++ b/tests/features/steps/statuses_steps.py
@@ -3,7 +3,7 @@
 import cbor2
 from behave import given, then, when
 
-from camphorshelf_core.hosts import HostDirectory
+from camphorshelf_core.hosts import HostDirectory, heard_seconds, repeat_seconds
 from camphorshelf_core.statusforms import decode, encode_short, encode_whole
 from standins.hosts import make_status
 
@@ -100,3 +100,13 @@
 @then("the next process is held")
 def next_held(context):
     assert _held(context).incarnation == "ffffffffffff"
+
+
+@given("{hosts:d} others are told")
+def others(context, hosts):
+    context.others = hosts
+
+
+@then("a host that repeats its status counts as heard until the next one")
+def heard_between(context):
+    assert heard_seconds(context.others) > repeat_seconds(context.others) * 1.25
