Hold short calls to their goal again

Cause: calls of at most 0.6 of what stands in the slots waited until their caller's time was up, ahead of everything with a later goal.

Change: the line of short calls is gone.

--- a/packages/core/src/camphorshelf_core/intake.py
+++ b/packages/core/src/camphorshelf_core/intake.py
@@ -18,20 +18,13 @@
 
 from .slotlimit import SlotLimit
 
-# At most twice as many wait as run: a longer queue is never served within a goal.
+# The wait that is foretold for work with a late goal grows with each more urgent request that comes
+# after it and goes ahead. In a long queue all of it starts too late; where few wait, few overtake.
 _QUEUE_PER_SLOT = 2.0
-# Late work may wait only in a short queue, or it takes the slots of what is still in time: with
-# twice the room for callers that came back, fewer requests were served in time on 11 of 12 played
-# days; with none at all, calls that running work waits for failed it. Counted
-# in work and not in jobs: a call of 40 ms that other work waits for takes a quarter of the room
-# of one of 160 ms.
+# Late work may wait only in a short queue, or it takes the slots of what is still in time; with
+# none at all, calls that running work waits for would fail it. Counted in work and not in jobs: a
+# call of 40 ms that other work waits for takes a quarter of the room of one of 160 ms.
 _LATE_PER_SLOT = 0.5
-# Long work among short: what is much shorter than the work that stands in the slots may wait until
-# its caller's time is up, not just until its goal, and in no place of the longer kind. Put ahead, a
-# call of 40 ms delays seven slots of 210 ms by 6 ms; turned away, it fails the request behind it,
-# which has a slot elsewhere and has nearly been done. With a service down to one of three targets
-# and these calls held to their goal of 150 ms, two of three lookups that ran ended in a failure.
-_SHORT_SHARE = 0.6
 # Work takes less than 0.7 of its mean in one case of six, with a spread of 0.3: what has less time
 # left than that is as good as lost.
 _LEAST_RUN = 0.7
@@ -54,7 +47,6 @@
 
     USUAL = "usual"
     LATE = "late"
-    SHORT = "short"
 
 
 class Job:
@@ -108,7 +100,6 @@
         self._queue = []
         self._waiting = Counter()
         self._late_work_s = 0.0
-        self._work_square = 0.0
         self.running = 0
         self.slowness = 1.0
         self.work_s = 0.0
@@ -205,7 +196,6 @@
         """
         weight = _WORK_SMOOTHING if self.work_s else 1.0
         self.work_s += weight * (seconds - self.work_s)
-        self._work_square += weight * (seconds * seconds - self._work_square)
 
     def note_run(self, job, seconds, now):
         """Take in how long a job ran at the target, before it is finished.
@@ -283,19 +273,11 @@
         return (work_ahead_s + first) / max(1, self.limit) * self.slowness
 
     def _may_wait(self, job, start_at):
-        if self._is_short(job):
-            job.line, job.due_at = Line.SHORT, job.expires_at
-            return not self._is_late(job, start_at)
         if not self._is_late(job, start_at):
             return self._waiting[Line.USUAL] < self.limit * _QUEUE_PER_SLOT
         job.line, job.due_at = Line.LATE, job.expires_at
         return job.patience and self._has_late_room(job) and not self._is_late(job, start_at)
 
-    def _is_short(self, job):
-        # The mean of the work that a slot is busy with at a random moment, in which long work
-        # counts by its length.
-        return self.work_s > 0 and job.work_s <= _SHORT_SHARE * self._work_square / self.work_s
-
     def _has_late_room(self, job):
         room = self.limit * _LATE_PER_SLOT * (self.work_s or job.work_s)
         # What has waited elsewhere already gets a place where a new request does not.
