--- a/deploy/node.py
+++ b/deploy/node.py
@@ -12,8 +12,8 @@
 ]
 
 # circuits declares a namespace by pkg_resources where that can be imported, and by pkgutil
-# otherwise. The import takes 0.1 s of processor time, a third of a start, and 5 MB, a sixth of the
-# node's memory (measured alone, Python 3.11). Nothing else here uses it.
+# otherwise. The import takes a third of a start and a sixth of the node's memory, and nothing else
+# here uses it.
 sys.modules["pkg_resources"] = None
 
 from camphorshelf_platform.main import main  # noqa: E402
--- a/packages/core/src/camphorshelf_core/asking.py
+++ b/packages/core/src/camphorshelf_core/asking.py
@@ -5,7 +5,7 @@
 choices; told once a second, it sends one request in ten to a host that has slowed down since.
 Asked at the moment of choice, three hosts answer within 2 to 10 ms with what is true now, two
 requests in a hundred go to a slow host, and one that is frozen or cut off is found by its silence
-before a request is lost there (25 hosts of which a quarter is slow, played without a network).
+before a request is lost there.
 """
 
 from .placement import BROKEN_SHARE, has_room
--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -9,9 +9,8 @@
 from typing import NamedTuple
 
 # Up to so many others a host tells each change of its load to all of them. Beyond, the words that a
-# node takes in grow with the hosts and those that it uses don't: at 77 hosts a node with seven
-# requests a second took in 400 statuses and spent a tenth of a core. There it asks a few hosts at
-# the moment of choice (see asking.py), and statuses carry what seldom changes.
+# node takes in grow with the hosts and those that it uses don't. There it asks a few hosts at the
+# moment of choice (see asking.py), and statuses carry what seldom changes.
 _TOLD_HOSTS = 30
 # A host repeats its status at least this often, and in large systems less, so that repeats cost at
 # most 150 datagrams a second, and 75 where their load is of no use. Three silent periods in a row
--- a/packages/core/src/camphorshelf_core/placement.py
+++ b/packages/core/src/camphorshelf_core/placement.py
@@ -19,8 +19,7 @@
 BROKEN_SHARE = 0.5
 # Traffic between failure domains is paid for, some 4 kB for a request with its answer. Where a
 # near target has a free slot and answers in half of the goal, a faster one elsewhere is of no use
-# to the caller; otherwise the near one is preferred between equals. On calm days of 11 and 12 hosts
-# this takes a tenth off all bytes between domains, with no more late answers.
+# to the caller; otherwise the near one is preferred between equals.
 _COMFORT = 0.5
 _FAR_FACTOR = 1.08
 _FAR_SECONDS = 0.002
--- a/packages/core/src/camphorshelf_core/secondtry.py
+++ b/packages/core/src/camphorshelf_core/secondtry.py
@@ -6,9 +6,7 @@
 budget of retries, so it is asked for when it is most likely to help: at the last moment at which
 another target can still answer within the goal, and again when the answer is long overdue.
 
-Against a second try only after three times the expected time: on days of high load one more lookup
-in a hundred was answered within its goal, on calm days no difference was seen (played days of 11
-and 12 hosts). What it protects is the lookup at a target that never answers.
+What it protects most is the lookup at a target that never answers.
 """
 
 # The other target's time is a mean; with a third more, four of five requests are in time.
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -10,11 +10,9 @@
 from .storeport import MAX_WAIT_SECONDS, StoreFailure, wait_after
 
 # A read is always up to date. A watch may report nothing for seconds although there is a change:
-# its connection hangs, or the store compacts its history and says so only later; a change that all
-# watchers missed came into force 2.1 s late in one played day where 2 s are allowed. So three nodes
-# read once a second, at unlike moments, and nobody watches: three calls a second for the whole
-# system, where a watch with a read behind it took seven, and the same bound on a change. One that
-# comes just after a read is read within 1 s and told within 0.1 s.
+# its connection hangs, or the store compacts its history and says so only later, and the change
+# comes into force too late. So three nodes read once a second, at unlike moments, and nobody
+# watches. A change that comes just after a read is read within 1 s and told within 0.1 s.
 _READ_SECONDS = 1.0
 # A read without an answer for so long speaks against the store, for this node: it says so, and
 # others read in its place. The store answers in 4 ms, and in 85 times that when it is slow.
--- a/packages/relay/src/camphorshelf_relay/metrics.py
+++ b/packages/relay/src/camphorshelf_relay/metrics.py
@@ -1,9 +1,8 @@
 """Counters, gauges and latency histograms, read by OpenTelemetry when somebody pulls them.
 
 Counts stand in plain numbers where they arise and are observed at each pull; only latencies are
-recorded one by one, 18 us each, at some 50 a second on a busy node. OpenTelemetry is imported at
-the first pull: the import takes 0.1 s of processor time, which a node that is started in the middle
-of the load needs for callers, and 6 MB (measured alone, Python 3.11).
+recorded one by one. OpenTelemetry is imported at the first pull: the import takes a tenth of a
+second of processor time, which a node that is started in the middle of the load needs for callers.
 """
 
 from collections import deque
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -26,8 +26,7 @@
 from .asking import Asker
 
 # Changes closer together than this go out as one: 40 statuses a second at most to each host. Told
-# ten times a second instead, other domains sent to hosts that had just slowed down: twice as many
-# late answers on calm days of 11 and 12 hosts.
+# much later, a host that has just slowed down still gets requests of other domains.
 _LEAST_GAP_SECONDS = 0.025
 # Statuses a second that one node sends at most. To its own domain: 300 of 60 bytes with their
 # headers are 18 kB/s, 3 % of the slowest link these hosts have (5 Mbit/s). To other domains traffic
