--- a/tests/features/relay_path.feature
+++ b/tests/features/relay_path.feature
@@ -85,3 +85,9 @@
   Scenario: A large body goes to a target on another host and back unharmed
     When a caller at "c" sends a body of 3 MB to "PUT /look/large?echo=1"
     Then it gets the same body back
+
+  Scenario: Requests sent ahead on one connection are each answered, in order
+    # The second lookup is done long before the first, and the order stands between two others. An
+    # answer out of turn would be taken for another request's.
+    When a caller at "c" sends "GET /look/1?work_ms=300, GET /look/2?work_ms=1, POST /order/3, GET /look/4" ahead
+    Then it gets the answers to "/look/1, /look/2, /order/3, /look/4" in this order
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -162,17 +162,37 @@
         assert answer.status == 200 and path.encode() in answer.body, (path, answer)
 
 
-@when('after {seconds:f} s a caller at "{name}" leaves its "{line}"')
-def sends_and_leaves(context, name, line, seconds):
-    caller = context.relays.connect(name)
-    context.request_id = context.relays.next_id()
+def _render(line, request_id):
     lines = (
         f"{line} HTTP/1.1",
         "Host: shop.example",
-        f"Request-Id: {context.request_id}",
+        f"Request-Id: {request_id}",
         "Deadline-Ms: 2000",
+        "Content-Length: 0",
     )
-    caller.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+@when('a caller at "{name}" sends "{lines}" ahead')
+def sends_ahead(context, name, lines):
+    caller = context.relays.connect(name)
+    requests = [_render(line, context.relays.next_id()) for line in lines.split(", ")]
+    caller.send(b"".join(requests))
+    context.answers = [caller.read() for _ in requests]
+    caller.close()
+
+
+@then('it gets the answers to "{paths}" in this order')
+def answers_in_order(context, paths):
+    for path, answer in zip(paths.split(", "), context.answers, strict=True):
+        assert answer.status == 200 and path.encode() in answer.body, (path, answer)
+
+
+@when('after {seconds:f} s a caller at "{name}" leaves its "{line}"')
+def sends_and_leaves(context, name, line, seconds):
+    caller = context.relays.connect(name)
+    context.request_id = context.relays.next_id()
+    caller.send(_render(line, context.request_id))
     time.sleep(seconds)
     caller.close()
 
