Log when a target's limit moves; list the new field of answered lines

An on-call engineer who sees more refusals at a target finds the moment at which its limit moved. Tested through the gate on a fake clock.

--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -16,7 +16,7 @@
     fields: str
 
 
-_REQUEST = "request route ms config"
+_REQUEST = "request route ms goal_ms config"
 EVENTS = (
     Event(
         "answered",
@@ -64,6 +64,11 @@
         "The target answered a request.",
         "request status waited_ms ran_ms slowness instance",
     ),
+    Event(
+        "limit_moved",
+        "Another number of requests is let in at once, by how long they ran with one more or less.",
+        "before limit slots instance",
+    ),
     Event(
         "target",
         "What the node believes of its target changed; `cause` tells what told it.",
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -182,7 +182,7 @@
         self._gate.crashes.note_answered(self.fingerprint, self._started)
         if response.status < 300:
             slowness = max(0.1, (self._slowness + target.slowness) / 2)
-            self._gate.intake.note_run(self._job, ran_s / slowness, now)
+            self._note_run(ran_s / slowness, now)
         waited_s = self._started - self._arrived
         self._gate.log.routine(
             "run_ended",
@@ -209,6 +209,19 @@
             )
         )
 
+    def _note_run(self, seconds, now):
+        intake = self._gate.intake
+        before = intake.limit
+        intake.note_run(self._job, seconds, now)
+        if intake.limit != before:
+            self._gate.log.notable(
+                "limit_moved",
+                before=before,
+                limit=intake.limit,
+                slots=intake.slots,
+                instance=self._gate.target.record.instance,
+            )
+
     def _on_not_run(self, response, word):
         target = self._gate.target
         if response.status == 421:
