--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from camphorshelf_core import hosts, intake, placement, slotlimit
+from camphorshelf_core import hosts, intake, placement, retrybudget, slotlimit
 from camphorshelf_relay import crashes, peers, relay, router
 
 
@@ -22,17 +22,12 @@
 def _no_queue():
     intake._QUEUE_PER_SLOT = 0.0
     intake._LATE_PER_SLOT = 0.0
-    intake.Intake._is_short = lambda self, job: False
 
 
 def _no_late_room():
     intake._LATE_PER_SLOT = 0.0
 
 
-def _no_short_line():
-    intake.Intake._is_short = lambda self, job: False
-
-
 def _no_priority():
     intake._key = lambda job: (job.line is intake.Line.LATE, 0, job.goal_at)
 
@@ -90,8 +85,6 @@
 
 
 def _no_rerun_pool():
-    from camphorshelf_core import retrybudget
-
     retrybudget._RERUN_SHARE = 1.0
 
 
@@ -124,7 +117,6 @@
     "fixed-limit": _hold_limit(0.8),
     "no-queue": _no_queue,
     "no-late-room": _no_late_room,
-    "no-short-line": _no_short_line,
     "no-priority": _no_priority,
     "no-review": _no_review,
     "no-near-first": _no_near_first,
