Name the choice of store readers after what they do, one filter of heard hosts

Nobody watches the store any more, so core/watchers.py, its feature and its names said the opposite of what they do; HostDirectory had the same filter twice with two times. No behaviour changes.

--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -21,8 +21,8 @@
 _SILENT_PERIODS = 3.25
 # Within a period and a half each host is heard that is there, unless a datagram of it was lost.
 _HEARD_PERIODS = 1.5
-# Past this a host counts as gone: it takes no part in the choice of store watchers. In systems so
-# large that repeats are rarer, only watchers are held to it, which repeat more often.
+# Past this a host counts as gone: it takes no part in the choice of store readers. In systems so
+# large that repeats are rarer, only readers are held to it, which repeat more often.
 GONE_SECONDS = 3.0
 # A question is answered within a few milliseconds, 30 across regions. What has not answered by then
 # is frozen, cut off or overloaded, and comes last until it is heard again.
@@ -253,8 +253,7 @@
         :param now: seconds on the monotonic clock.
         :return: their views.
         """
-        longest = gone_seconds(self.size)
-        return [view for view in self._views.values() if now - view.heard_at <= longest]
+        return self._heard_within(gone_seconds(self.size), now)
 
     def recent(self, now):
         """List the hosts that were heard within the last moments.
@@ -262,7 +261,7 @@
         :param now: seconds on the monotonic clock.
         :return: their views.
         """
-        return [view for view in self._views.values() if now - view.heard_at <= GONE_SECONDS]
+        return self._heard_within(GONE_SECONDS, now)
 
     def forget_silent(self, now):
         """Drop hosts that were silent for long.
@@ -275,3 +274,6 @@
             del self._known_at[address]
             self._views.pop(address, None)
         return old
+
+    def _heard_within(self, seconds, now):
+        return [view for view in self._views.values() if now - view.heard_at <= seconds]
--- a/packages/core/src/camphorshelf_core/watchers.py
+++ b/packages/core/src/camphorshelf_core/storereaders.py
@@ -10,13 +10,13 @@
 from hashlib import blake2b
 
 # Three: one may be gone and one turned away by the store, and a change still comes at once.
-WATCHERS = 3
+READERS = 3
 # A node that the store has not answered for so long does not read it at present; it takes its turn
 # when too few others do. The longest pause between two reads is shorter.
 STALE_SECONDS = 3.0
 
 
-def watches(name, others):
+def reads_store(name, others):
     """Tell whether a node should read the store.
 
     The first by an order that all agree on, of those that the store has not just turned away. When
@@ -28,7 +28,7 @@
         for never, and where it turns the node away.
     :return: True or False.
     """
-    return _count_before(name, (other for other, age in others if age >= 0)) < WATCHERS
+    return _count_before(name, (other for other, age in others if age >= 0)) < READERS
 
 
 def keeps_trying(name, others):
@@ -38,10 +38,10 @@
     hear of it from them.
 
     :param name: the node's own name.
-    :param others: as for :func:`watches`.
+    :param others: as for :func:`reads_store`.
     :return: True or False.
     """
-    return _count_before(name, (other for other, _ in others)) < WATCHERS
+    return _count_before(name, (other for other, _ in others)) < READERS
 
 
 def is_served(store_age_s):
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -5,7 +5,7 @@
 from camphorshelf_core.errors import ProtocolError
 from camphorshelf_core.messages import ConfigReplyMessage, ConfigRequestMessage
 from camphorshelf_core.routes import RouteTable
-from camphorshelf_core.watchers import keeps_trying, watches
+from camphorshelf_core.storereaders import keeps_trying, reads_store
 
 from .storeport import MAX_WAIT_SECONDS, StoreFailure, wait_after
 
@@ -179,7 +179,7 @@
         self._loop.call_later(_READ_SECONDS * self._random.uniform(0.75, 1.0), self._review)
 
     def _review(self):
-        if self.config is None or watches(self._settings.name, self._others()):
+        if self.config is None or reads_store(self._settings.name, self._others()):
             self._read()
         else:
             self._loop.call_later(_REVIEW_SECONDS, self._review)
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -19,7 +19,7 @@
     encode_whole,
     has_same_names,
 )
-from camphorshelf_core.watchers import is_served
+from camphorshelf_core.storereaders import is_served
 from camphorshelf_node.links import PeerLink
 from camphorshelf_node.loop import READABLE
 
@@ -36,7 +36,7 @@
 _FAR_PER_SECOND = 100
 # Whoever reads the store says so at least this often: the others count on it to hear of a new
 # configuration, and take its place when it falls silent.
-_WATCHER_REPEAT_SECONDS = 0.5
+_READER_REPEAT_SECONDS = 0.5
 # The names in a status are repeated so often, for whoever has missed them.
 _WHOLE_SECONDS = 3.0
 # Hosts that fell silent are still told now and then: a partition may heal, and a node that was
@@ -178,7 +178,7 @@
     def _repeat(self):
         pause = repeat_seconds(self._directory.size)
         if is_served(self._describe().store_age_s):
-            pause = min(pause, _WATCHER_REPEAT_SECONDS)
+            pause = min(pause, _READER_REPEAT_SECONDS)
         if self._loop.now() - self._all_told_at >= pause * 0.9:
             self._send_all(must=True)
         self._loop.call_later(pause, self._repeat)
--- a/tests/features/steps/config_reads_steps.py
+++ b/tests/features/steps/config_reads_steps.py
@@ -8,7 +8,7 @@
 from camphorshelf_core.hosts import HostDirectory
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_core.routes import RoutingConfig
-from camphorshelf_core.watchers import is_served
+from camphorshelf_core.storereaders import is_served
 from camphorshelf_platform.documents import read_document
 from camphorshelf_relay.configkeeper import ConfigKeeper
 from camphorshelf_relay.storeport import StoredRow, StoreFailure, StoreRows, Trouble
--- a/tests/features/steps/watchers_steps.py
+++ b/tests/features/steps/store_readers_steps.py
@@ -1,8 +1,8 @@
-"""Steps that ask each node whether it would watch the store."""
+"""Steps that ask each node whether it would read the store."""
 
 from behave import given, then, when
 
-from camphorshelf_core.watchers import keeps_trying, watches
+from camphorshelf_core.storereaders import keeps_trying, reads_store
 
 _SERVED_SECONDS = 0.5
 _REFUSED_SECONDS = -1.0
@@ -16,8 +16,8 @@
     ]
 
 
-def _watching(names, refused):
-    return {name for name in names if watches(name, _others(name, names, refused))}
+def _reading(names, refused):
+    return {name for name in names if reads_store(name, _others(name, names, refused))}
 
 
 @given("{count:d} nodes that the store answers")
@@ -26,9 +26,9 @@
     context.refused = set()
 
 
-@when("the store answers none of those that watch")
+@when("the store answers none of those that read")
 def turned_away(context):
-    context.before = _watching(context.names, context.refused)
+    context.before = _reading(context.names, context.refused)
     context.refused |= context.before
 
 
@@ -38,27 +38,27 @@
     context.halves = context.names[:middle], context.names[middle:]
 
 
-@then("{count:d} of them watch")
-def some_watch(context, count):
-    assert len(_watching(context.names, context.refused)) == count
+@then("{count:d} of them read")
+def some_read(context, count):
+    assert len(_reading(context.names, context.refused)) == count
 
 
-@then("{count:d} others watch as well")
-def others_watch(context, count):
-    now = _watching(context.names, context.refused)
+@then("{count:d} others read as well")
+def others_read(context, count):
+    now = _reading(context.names, context.refused)
     assert len(now - context.refused) == count, now
 
 
-@then("{count:d} watch on each side")
+@then("{count:d} read on each side")
 def each_side(context, count):
     for half in context.halves:
-        assert len(_watching(half, context.refused)) == count
+        assert len(_reading(half, context.refused)) == count
 
 
 @when("it turns away each node that tries")
 def turn_all_away(context):
     context.waves = []
-    while new := _watching(context.names, context.refused) - context.refused:
+    while new := _reading(context.names, context.refused) - context.refused:
         context.waves.append(len(new))
         context.refused |= new
 
--- a/tests/features/watchers.feature
+++ b/tests/features/store_readers.feature
@@ -1,8 +1,8 @@
-Feature: Few nodes watch the store, and no change is missed
+Feature: Few nodes read the store, and no change is missed
 
-  Scenario Outline: A handful of nodes watch, whatever the system's size
+  Scenario Outline: A handful of nodes read, whatever the system's size
     Given <nodes> nodes that the store answers
-    Then 3 of them watch
+    Then 3 of them read
 
     Examples:
       | nodes |
@@ -10,20 +10,20 @@
       | 77    |
       | 2100  |
 
-  Scenario: A node that is alone watches
+  Scenario: A node that is alone reads
     Given 1 nodes that the store answers
-    Then 1 of them watch
+    Then 1 of them read
 
-  Scenario: The places of watchers that the store turns away are taken
+  Scenario: The places of readers that the store turns away are taken
     # The store serves some hosts and refuses others; a change must still come at once.
     Given 12 nodes that the store answers
-    When the store answers none of those that watch
-    Then 3 others watch as well
+    When the store answers none of those that read
+    Then 3 others read as well
 
-  Scenario: Each side of a partition has watchers of its own
+  Scenario: Each side of a partition has readers of its own
     Given 12 nodes that the store answers
     When they are cut into halves that do not hear each other
-    Then 3 watch on each side
+    Then 3 read on each side
 
   Scenario: In an outage for all, the nodes try in turn and not all at once
     # The store is down. Readers are turned away, the next three try, and so on; 77 calls in the
