--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -192,10 +192,15 @@
     ]
     for thread in context.threads:
         thread.start()
-    context.deployment.wait_until(
-        lambda: sum(seen_at(context, name) - before[name] for name in _NAMES)
-        >= len(context.innocent)
-    )
+
+    def seen():
+        return {name: seen_at(context, name) - before[name] for name in _NAMES}
+
+    try:
+        context.deployment.wait_until(lambda: sum(seen().values()) >= len(context.innocent))
+    except TimeoutError as error:
+        # One that was answered without having reached a target tells why.
+        raise AssertionError(f"{seen()} reached a target; {context.first_answers}") from error
 
 
 @when("a lookup that crashes its target is sent again and again through all nodes")
