Let the next request in at once when a trial of one slot less ends for want of requests

Found in reading the change: a trial that few requests reach ends only when another one waits for a slot, and that one was not told that a slot is free again; it waited until the next request ended. The new scenario fails without the change.

--- a/packages/core/src/camphorshelf_core/slotlimit.py
+++ b/packages/core/src/camphorshelf_core/slotlimit.py
@@ -98,18 +98,15 @@
         :param now: seconds on the monotonic clock.
         :return: whether more may run now.
         """
+        before = self.value
         if self._trial_at is None:
             self._trial_at = now
         if self._step and now - self._trial_at > _LONGEST_TRIAL_SECONDS:
             self._end_trial(now)
         is_due = now - self._trial_at >= self._pause_s
-        if self._step or not is_due or not self._is_known(self.settled, now):
-            return False
-        self._step = self._choose_step(now)
-        if self._step:
-            self._trial_at = now
-            self._paces[self.value].forget()
-        return self._step > 0
+        if is_due and not self._step and self._is_known(self.settled, now):
+            self._begin_trial(now)
+        return self.value > before
 
     def note(self, at_once, ratio, now):
         """Take in how long a request ran.
@@ -125,6 +122,12 @@
         else:
             self._judge_last_slot(now)
 
+    def _begin_trial(self, now):
+        self._step = self._choose_step(now)
+        if self._step:
+            self._trial_at = now
+            self._paces[self.value].forget()
+
     def _choose_step(self, now):
         # Whether the last slot pays has to be known before one more is worth a trial: beyond the
         # bend all further slots look alike.
--- a/tests/features/slot_limit.feature
+++ b/tests/features/slot_limit.feature
@@ -44,3 +44,12 @@
     Given a target with 8 slots that slows down by 1.7 beyond 6
     When 20 requests a second come for 40 s
     Then at most 0 in 100 requests ran beyond the limit
+
+  Scenario: A trial of one slot less ends by itself where too few requests come for a verdict
+    # After a burst hardly any request comes. The next one that finds no slot is let in at once, and
+    # does not wait until one of those that run has ended.
+    Given a limit for 8 slots that has only seen 6 requests at once
+    When a request waits for a slot
+    Then 5 may run at once
+    When 3 s later another one waits for a slot
+    Then 6 may run at once, and it is told that more may run
--- a/tests/features/steps/slot_limit_steps.py
+++ b/tests/features/steps/slot_limit_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from camphorshelf_core.slotlimit import SlotLimit
 from standins.bending import BendingTarget
 
 _SEEDS = range(10)
@@ -40,3 +41,34 @@
     adaptive = sum(target.in_time for target in context.adaptive)
     fixed = sum(target.in_time for target in context.fixed)
     assert adaptive >= factor * fixed, (adaptive, fixed, adaptive / fixed)
+
+
+@given("a limit for {slots:d} slots that has only seen {at_once:d} requests at once")
+def seen_limit(context, slots, at_once):
+    context.limit, context.now = SlotLimit(slots), 0.0
+    context.limit.consider_trial(context.now)
+    for _ in range(600):
+        context.now += 0.01
+        context.limit.note(at_once, 1.0, context.now)
+
+
+@when("a request waits for a slot")
+def one_waits(context):
+    context.grown = context.limit.consider_trial(context.now)
+
+
+@when("{seconds:d} s later another one waits for a slot")
+def another_waits(context, seconds):
+    context.now += seconds
+    one_waits(context)
+
+
+@then("{count:d} may run at once")
+def may_run(context, count):
+    assert context.limit.value == count, context.limit.value
+
+
+@then("{count:d} may run at once, and it is told that more may run")
+def may_run_and_told(context, count):
+    may_run(context, count)
+    assert context.grown
