Send the lookups of two untraced scenarios as their product answers them

The step sent lookups one after the other through a1, whose own target is idle and in its own failure domain; the choice prefers it by design (domain_cost_ms), so b1 is reached only when a1 happens to be slow. Ruled out: the wish to leave that stays; the node logs nothing of it and lookups through b1 were not refused. Change: the step sends 16 lookups of 50 ms at once, more than a1 has slots, with the same bound of 20 s.

The answers that the step keeps show one of 18 slow lookups refused with code 202, NOT_RUN and a time to come back (71 ms); 10 of the others had gone to one target. The scenario is about quarantine and took any refusal as a lookup that never arrives. Change: a lookup is sent again when its refusal says when to come back; all 18 must still be in flight.

--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -2,6 +2,7 @@
 
 import signal
 import threading
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import fixture, given, then, use_fixture, when
 
@@ -15,6 +16,8 @@
 )
 _QUIET_LOOKUPS = 200
 _LAST = 20
+_AT_ONCE = 16
+_SLOW_LOOKUP = "/tags/1?work_ms=50"
 
 
 class Lookups:
@@ -164,11 +167,16 @@
 
 @then("a lookup is served by target {name} again")
 def check_serving(context, name):
-    context.seen = 0
+    # More lookups at once than a1's own target has slots: an idle target of the entry node's own
+    # domain is preferred, and would take lookups that come one after the other.
     address = context.deployment.nodes["a1"].callers
 
+    def send(_number):
+        return call(address, "GET", "counter", _SLOW_LOOKUP)
+
     def is_seen():
-        call(address, "GET", "counter", "/tags/1")
+        with ThreadPoolExecutor(_AT_ONCE) as pool:
+            list(pool.map(send, range(_AT_ONCE)))
         return seen(context, name) > 0
 
     context.deployment.wait_until(is_seen)
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -1,6 +1,7 @@
 """Steps about requests that crash targets: by themselves, and with real processes."""
 
 import threading
+import time
 
 from behave import fixture, given, then, use_fixture, when
 
@@ -16,6 +17,7 @@
 _NAMES = ("r1", "r2", "r3")
 _POISON_PATH = "/rolls/13?fail=crash&work_ms=50"
 _TRIES = 60
+_LET_IN_SECONDS = 10.0
 
 
 def innocent(count):
@@ -173,6 +175,17 @@
     return call(context.deployment.nodes[name].callers, "GET", "rollyard", path, headers)
 
 
+def lookup_until_let_in(context, name, path):
+    """Send a lookup, and again as long as its refusal says when to come back."""
+    end = time.monotonic() + _LET_IN_SECONDS
+    while True:
+        answer = lookup(context, name, path)
+        wait_ms = answer.headers.get("retry-after-ms")
+        if wait_ms is None or time.monotonic() > end:
+            return answer
+        time.sleep(int(wait_ms) / 1000)
+
+
 def seen_at(context, name):
     return int(call(context.deployment.nodes[name].target, "GET", "target", "/_seen").body)
 
@@ -184,7 +197,7 @@
     context.first_answers = {}
 
     def run(number, path):
-        answer = lookup(context, _NAMES[number % len(_NAMES)], path)
+        answer = lookup_until_let_in(context, _NAMES[number % len(_NAMES)], path)
         context.first_answers[path] = answer
 
     context.threads = [
