Stop trying the store in turn once it has turned away a dozen nodes

Cause: in an outage for all, each node tried the store once in its turn, three after three, and then some six times more while its waits doubled: with 195 hosts over 1,000 paid calls. A node that restarts meanwhile also asked for its row about every five seconds, though others had told it all addresses.

Change: after twelve refusals the nodes that have not tried yet do so at random, together three times a second; a node that knows all addresses asks for its row twice a minute.

Result: in the scenario 100 nodes make at most 25 calls in 5 s where they made one or more each.

--- a/packages/core/src/camphorshelf_core/storereaders.py
+++ b/packages/core/src/camphorshelf_core/storereaders.py
@@ -11,6 +11,10 @@
 
 # Three: one may be gone and one turned away by the store, and a change still comes at once.
 READERS = 3
+# When the store turns away so many nodes one after the other, it most likely turns away all: the
+# others no longer try in turn but at random, together a few times a second.
+_DENIED_IN_TURN = 12
+TRIES_PER_SECOND = 3.0
 
 
 def reads_store(name, others):
@@ -27,6 +31,18 @@
     return _count_before(name, (other for other, is_denied in others if not is_denied)) < READERS
 
 
+def try_share(others, seconds):
+    """Tell how likely a node that should read, and has not begun to, should try the store now.
+
+    :param others: as for :func:`reads_store`.
+    :param seconds: how long it is until this is asked again.
+    :return: a share between 0 and 1.
+    """
+    if sum(is_denied for _, is_denied in others) < _DENIED_IN_TURN:
+        return 1.0
+    return min(1.0, TRIES_PER_SECOND * seconds / (len(others) + 1))
+
+
 def keeps_trying(name, others):
     """Tell whether a node that the store turns away should go on trying every second.
 
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -5,7 +5,12 @@
 from camphorshelf_core.errors import ProtocolError
 from camphorshelf_core.messages import ConfigReplyMessage, ConfigRequestMessage
 from camphorshelf_core.routes import RouteTable
-from camphorshelf_core.storereaders import keeps_trying, reads_store
+from camphorshelf_core.storereaders import (
+    TRIES_PER_SECOND,
+    keeps_trying,
+    reads_store,
+    try_share,
+)
 
 from .announcer import Reach
 from .storeport import MAX_WAIT_SECONDS, StoreFailure, wait_after
@@ -22,7 +27,6 @@
 # A node that has a configuration and that others can do without asks a store that turns it away
 # so seldom that all of them together ask three times a second: with each asking every second, an
 # outage of 8 s cost 800 calls at 77 hosts.
-_TRIES_PER_SECOND = 3.0
 _SELDOM_SECONDS = 4.0
 # A node that starts beside running ones has the configuration from them within 50 ms. Only the
 # first few by the common order read at once, in case that all have started together.
@@ -209,11 +213,18 @@
 
     def _review(self):
         # Without a configuration too: the first ones read it for all that started together.
-        if reads_store(self._settings.name, self._others()):
+        others = self._others()
+        if reads_store(self._settings.name, others) and self._takes_turn(others):
             self._read()
         else:
             self._loop.call_later(_REVIEW_SECONDS, self._review)
 
+    def _takes_turn(self, others):
+        has_begun = self._store_at is not None or self._failures
+        if has_begun or keeps_trying(self._settings.name, others):
+            return True
+        return self._random.random() < try_share(others, _REVIEW_SECONDS)
+
     def _others(self):
         live = self._peers.directory.live(self._loop.now())
         return [(view.status.host, view.status.store_denied) for view in live]
@@ -230,7 +241,7 @@
         others = self._others()
         if self.config is None or keeps_trying(self._settings.name, others):
             return MAX_WAIT_SECONDS
-        return max(_SELDOM_SECONDS, len(others) / _TRIES_PER_SECOND)
+        return max(_SELDOM_SECONDS, len(others) / TRIES_PER_SECOND)
 
     def _take_rows(self, rows):
         for row in rows:
--- a/packages/relay/src/camphorshelf_relay/discovery.py
+++ b/packages/relay/src/camphorshelf_relay/discovery.py
@@ -15,8 +15,10 @@
 # When a whole system starts for the first time, its nodes read at random moments within this time:
 # most are greeted meanwhile by one that has read, and learn the others from it.
 _FIRST_READ_SECONDS = 0.8
-# While other hosts are heard, this one is known to them: nothing waits for its row.
+# While other hosts are heard, this one is known to them: nothing waits for its row. Once they have
+# told all addresses, the row only matters to hosts that start later.
 _SELDOM_SECONDS = 5.0
+_KNOWN_SECONDS = 30.0
 
 
 class Discovery:
@@ -90,8 +92,12 @@
             return False
         self._failures += 1
         is_heard = bool(self._peers.directory.live(self._loop.now()))
-        longest = _SELDOM_SECONDS if is_heard else MAX_WAIT_SECONDS
-        self._loop.call_later(wait_after(self._failures, self._random, longest), again)
+        if self._peers.has_roster:
+            wait = self._random.uniform(_KNOWN_SECONDS / 2, _KNOWN_SECONDS)
+        else:
+            longest = _SELDOM_SECONDS if is_heard else MAX_WAIT_SECONDS
+            wait = wait_after(self._failures, self._random, longest)
+        self._loop.call_later(wait, again)
         return True
 
 
--- a/tests/features/config_reads.feature
+++ b/tests/features/config_reads.feature
@@ -60,3 +60,9 @@
       | another domain | others hand on                | 0       | 1     |
       | another domain | it hands on itself            | 1       | 1     |
       | its own domain | others hand on                | 1       | 1     |
+
+  Scenario: In an outage for all, the nodes of a large fleet stop trying in turn
+    # Guards against an outage that costs one paid call of each node, whatever the fleet's size.
+    Given 100 nodes of a fleet of 195 in which the store has turned away 12
+    When the store refuses every read of theirs for 5 s
+    Then they have read at most 25 times and at least once
--- a/tests/features/steps/config_reads_steps.py
+++ b/tests/features/steps/config_reads_steps.py
@@ -9,6 +9,7 @@
 from camphorshelf_core.hosts import HostDirectory
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_core.routes import RoutingConfig
+from camphorshelf_core.storereaders import READERS, reads_store
 from camphorshelf_platform.documents import read_document
 from camphorshelf_relay.announcer import Reach
 from camphorshelf_relay.configkeeper import ConfigKeeper
@@ -232,3 +233,51 @@
 def refused(context):
     assert context.other.config is None
     assert context.log.events == ["config_refused"], context.log.events
+
+
+@given("{count:d} nodes of a fleet of {size:d} in which the store has turned away {denied:d}")
+def fleet_in_outage(context, count, size, denied):
+    context.fleet = []
+    names = [f"h{number}" for number in range(size)]
+    ranked = sorted(names, key=_count_lower(names))
+    for number, name in enumerate(ranked[denied : denied + count]):
+        loop = FakeLoop()
+        store, peers = _SilentStore(loop), _Peers()
+        store.answers = False
+        settings = SimpleNamespace(name=name, domain="d0")
+        chance = random.Random(number)
+        keeper = ConfigKeeper(loop, settings, store, peers, None, chance, _Log())
+        keeper.config = RoutingConfig(1, (), {}, None)
+        for other in names:
+            if other != name:
+                status = make_status(other, store_denied=other in ranked[:denied], repeat_s=0.0)
+                peers.directory.take(status, loop.now())
+        keeper.start("op", "config")
+        context.fleet.append((loop, store))
+
+
+def _count_lower(names):
+    """Order names as the readers of the store are chosen."""
+
+    def count(name):
+        others = [(other, False) for other in names if other != name]
+        # A name has as many before it as can be left in until it no longer reads.
+        return sum(not reads_store(name, [other] * READERS) for other in others)
+
+    return count
+
+
+@when("the store refuses every read of theirs for {seconds:d} s")
+def refuse_fleet(context, seconds):
+    for loop, store in context.fleet:
+        for _ in range(seconds * 100):
+            loop.advance(0.01)
+            on_done, store.waiting = store.waiting, None
+            if on_done is not None:
+                on_done(StoreFailure(Trouble.UNAVAILABLE, "refused"))
+
+
+@then("they have read at most {most:d} times and at least once")
+def check_fleet_reads(context, most):
+    reads = sum(len(store.reads) for _, store in context.fleet)
+    assert 1 <= reads <= most, reads
