--- a/packages/relay/src/camphorshelf_relay/announcer.py
+++ b/packages/relay/src/camphorshelf_relay/announcer.py
@@ -28,8 +28,8 @@
 _GREETING_TURN_SECONDS = 0.01
 # A host that was taken for dead tells all that it lives, at most this often.
 _REFUTE_PAUSE_SECONDS = 2.0
-# An announcement is sent once more, to other forwarding members, in case datagrams were lost.
-_AGAIN_SECONDS = 1.0
+# An announcement is sent again, to other forwarding members, in case datagrams were lost.
+_AGAIN_SECONDS = (0.3, 1.0)
 _FORWARDING_MEMBERS = 2
 _ITEMS_PER_DATAGRAM = 7
 _INCARNATION_BYTES = 6
@@ -224,7 +224,8 @@
     def _announce_own(self, reach):
         self._told = self._describe()
         self._add_own(reach)
-        self._loop.call_later(_AGAIN_SECONDS, lambda: self._add_own(reach))
+        for wait in _AGAIN_SECONDS:
+            self._loop.call_later(wait, lambda: self._add_own(reach))
 
     def _add_own(self, reach):
         if self._own_reach is not Reach.ALL:
