--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -186,7 +186,8 @@
         )
         count("retries", "Retries by service and verdict.", self._router.retries, "service verdict")
         count("store.calls", "Calls to the store.", self._store.counts, "kind outcome")
-        count("statuses", "Statuses of hosts.", self._peers.counts, "direction")
+        count("statuses", "Statuses of hosts.", self._peers.counts, "outcome")
+        count("datagrams", "Datagrams to other hosts.", self._peers.datagram_counts, "outcome")
         count(
             "load.probes",
             "Probes of the load of other hosts.",
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -1,16 +1,16 @@
 """What hosts tell each other: datagrams about statuses and failures, and links for requests."""
 
 import random
-import socket
 
 from camphorshelf_core.budget import TokenBucket
+from camphorshelf_core.directory import HostDirectory
 from camphorshelf_core.failuredetector import (
     FailureDetector,
     IndirectProbe,
     Probe,
     Suspicion,
 )
-from camphorshelf_core.hosts import HostDirectory, HostStatus
+from camphorshelf_core.hosts import HostStatus
 from camphorshelf_core.statusforms import (
     Addresses,
     AddressesRequest,
@@ -24,9 +24,9 @@
     encode_short,
     split_addresses,
 )
-from camphorshelf_node.loop import READABLE
 
 from .announcer import Announcer, Reach
+from .datagrams import DatagramSocket
 from .linkpool import LINK_SILENCE_SECONDS, LinkPool
 from .prober import Prober
 
@@ -42,8 +42,6 @@
 _GREETING_ANSWERS_PER_SECOND = 500
 # A node that knows no other hosts asks those that it hears for addresses so often.
 _ADDRESSES_PAUSE_SECONDS = 0.3
-_MAX_DATAGRAM = 8_192
-_DATAGRAMS_PER_TURN = 64
 _FORGET_SECONDS = 5.0
 
 
@@ -64,8 +62,7 @@
         self._ticks = 0
         self._addresses_asked_at = 0.0
         self._own_address = settings.addresses.links.text
-        self._datagram_port = settings.addresses.datagrams[1]
-        self._socket = None
+        self._datagrams = DatagramSocket(loop, settings.addresses.datagrams, self.receive)
         self._answer_budget = TokenBucket(
             _GREETING_ANSWERS_PER_SECOND, _GREETING_ANSWERS_PER_SECOND, loop.now()
         )
@@ -85,14 +82,14 @@
             AddressesRequest: self._on_addresses_request,
             Addresses: lambda message, ip: self._on_addresses(message),
         }
-        self.counts = {"sent": 0, "received": 0, "unused": 0, "suspected": 0}
+        self.counts = {"received": 0, "unused": 0, "suspected": 0}
         # Told the view of each host that said something new, and whether this node hands that on
         # in its failure domain.
         self.on_status = lambda view, is_forwarded: None
 
     @property
     def directory(self):
-        """The :class:`~camphorshelf_core.hosts.HostDirectory`."""
+        """The :class:`~camphorshelf_core.directory.HostDirectory`."""
         return self._directory
 
     @property
@@ -105,15 +102,17 @@
         """The :class:`~camphorshelf_relay.prober.Prober` of other hosts' statuses."""
         return self._prober
 
+    @property
+    def datagram_counts(self):
+        """Datagrams to other hosts, by outcome."""
+        return self._datagrams.counts
+
     def start(self):
         """Begin to listen and to tell.
 
         :return: None.
         """
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind(self._settings.addresses.datagrams)
-        self._socket.setblocking(False)
-        self._loop.watch(self._socket.fileno(), READABLE, self._on_readable)
+        self._datagrams.start()
         self.start_ticking()
 
     def start_ticking(self):
@@ -229,23 +228,7 @@
         self._log.notable("host_silent", address=suspicion.address, source=source)
 
     def _send_to(self, address, data):
-        self._send_to_ip(address.rpartition(":")[0], data)
-
-    def _send_to_ip(self, ip, data):
-        try:
-            self._socket.sendto(data, (ip, self._datagram_port))
-            self.counts["sent"] += 1
-        except OSError:
-            # Full buffers and unreachable hosts look alike; the next status makes up for it.
-            return
-
-    def _on_readable(self, _mask):
-        for _ in range(_DATAGRAMS_PER_TURN):
-            try:
-                data, (ip, _) = self._socket.recvfrom(_MAX_DATAGRAM)
-            except OSError:
-                return
-            self.receive(data, ip)
+        self._datagrams.send(address.rpartition(":")[0], data)
 
     def _on_status(self, status):
         is_new = self._is_new(status, self._loop.now())
@@ -258,18 +241,18 @@
         # Where all have started together each greets all others anyway.
         is_greeted = self._announcer.has_greeted(greeting.status.address)
         if not is_greeted and self._answer_budget.spend(1, self._loop.now()):
-            self._send_to_ip(ip, encode(self._announcer.next_status()))
+            self._datagrams.send(ip, encode(self._announcer.next_status()))
 
     def _on_status_request(self, question, ip):
         status = self._announcer.next_status()
         is_known = question.incarnation == status.incarnation
         short = is_known and question.revision == status.revision
-        self._send_to_ip(ip, encode_short(status) if short else encode(status))
+        self._datagrams.send(ip, encode_short(status) if short else encode(status))
         if question.is_suspected and is_known:
             self._announcer.refute()
 
     def _on_unknown_short(self, _message, ip):
-        self._send_to_ip(ip, encode(StatusRequest("", 0, False)))
+        self._datagrams.send(ip, encode(StatusRequest("", 0, False)))
 
     def _on_news(self, news, _ip):
         for item in news.items:
@@ -296,7 +279,7 @@
 
     def _on_addresses_request(self, _request, ip):
         for message in split_addresses([self._own_address, *self._directory.addresses]):
-            self._send_to_ip(ip, encode(message))
+            self._datagrams.send(ip, encode(message))
 
     def _on_addresses(self, message):
         self._greet_new(message.addresses)
@@ -320,7 +303,7 @@
         self._detector.note_heard(status.address)
         self._prober.note_heard(status.address)
         for ip in self._vouches.pop(status.address, ()):
-            self._send_to_ip(ip, encode(status))
+            self._datagrams.send(ip, encode(status))
         self._note_alive(status)
         self._ask_for_addresses(status.address, now)
         self.on_status(self._directory.view(status.address), is_forwarded)
--- a/tests/features/steps/config_reads_steps.py
+++ b/tests/features/steps/config_reads_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from camphorshelf_core.hosts import HostDirectory
+from camphorshelf_core.directory import HostDirectory
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_core.routes import RoutingConfig
 from camphorshelf_core.storereaders import READERS, reads_store
--- a/tests/features/steps/finding_hosts_steps.py
+++ b/tests/features/steps/finding_hosts_steps.py
@@ -7,7 +7,7 @@
 import cbor2
 from behave import given, then, when
 
-from camphorshelf_core.hosts import HostDirectory
+from camphorshelf_core.directory import HostDirectory
 from camphorshelf_relay.configkeeper import ConfigKeeper
 from camphorshelf_relay.discovery import TABLE, Discovery
 from camphorshelf_relay.settings import Endpoint
--- a/tests/features/steps/load_probes_steps.py
+++ b/tests/features/steps/load_probes_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from camphorshelf_core.hosts import HostDirectory
+from camphorshelf_core.directory import HostDirectory
 from camphorshelf_core.loadprobes import choose_probes, is_sufficient, put_unanswered_last
 from camphorshelf_core.placement import rank
 from camphorshelf_relay.prober import Prober
--- a/tests/features/steps/statuses_steps.py
+++ b/tests/features/steps/statuses_steps.py
@@ -3,8 +3,9 @@
 import cbor2
 from behave import given, then, when
 
+from camphorshelf_core.directory import HostDirectory
 from camphorshelf_core.failuredetector import Suspicion
-from camphorshelf_core.hosts import HostDirectory, HostStatus, HostView, repeat_seconds
+from camphorshelf_core.hosts import HostStatus, HostView, repeat_seconds
 from camphorshelf_core.statusforms import (
     Addresses,
     AddressesRequest,
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -58,7 +58,7 @@
         self.settings = settings
         self.chance = chance = random.Random(f"{fleet.seed}-{number}-{fleet.loop.now()}")
         self.peers = Peers(fleet.loop, settings, lambda: self.status, _Log(), chance)
-        self.peers._socket = SimpleNamespace(sendto=lambda data, to: fleet.send(self, data, to[0]))
+        self.peers._datagrams = SimpleNamespace(send=lambda ip, data: fleet.send(self, data, ip))
 
 
 class Fleet:
