--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -4,10 +4,10 @@
 from collections import Counter
 from types import SimpleNamespace
 
-from camphorshelf_core.hosts import HostStatus
 from camphorshelf_relay.peers import Peers
 from camphorshelf_relay.settings import Endpoint
 from standins.fakes import FakeLoop
+from standins.hosts import make_status
 
 _ONE_WAY_SECONDS = 0.0014
 _DATAGRAM_HEADER_BYTES = 28
@@ -34,24 +34,14 @@
                 links=Endpoint(self.ip, 8600), datagrams=Endpoint(self.ip, 8600)
             ),
         )
-        self.status = HostStatus(
-            host=f"h{number}",
+        self.status = make_status(
+            f"h{number}",
             incarnation="",
             sequence=0,
             domain=self.domain,
             address=self.address,
             service=f"s{number % 3}",
-            instance=f"i{number}",
-            accepting=True,
-            warming_s=0.0,
             limit=3,
-            running=0,
-            queued=0,
-            slowness=1.0,
-            work_s=0.1,
-            failing=0.0,
-            config_version=1,
-            store_denied=False,
             revision=0,
             repeat_s=0.0,
         )
