--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -32,15 +32,15 @@
 
 _TICK_SECONDS = 0.1
 _TICKS_PER_ANNOUNCER_TICK = 2
-# A link that is silent is given up unless its host was heard this lately: it has just been probed.
+# A silent link is kept while its host, which has just been probed, was heard within this time.
 _ALIVE_SECONDS = LINK_SILENCE_SECONDS * 1.5
-# A node greets all others within this time of its start.
+# All others are greeted within this time of the start.
 _GREETING_SECONDS = 1.0
 # A suspicion is announced again after these times.
 _AGAIN_SECONDS = (0.5, 1.5)
 # Answers to greetings that a node sends at most, however many hosts start in the same moment.
 _GREETING_ANSWERS_PER_SECOND = 500
-# A node that knows no other hosts asks those that it hears for addresses so often.
+# A node without the roster asks the hosts that it hears for addresses, this often at most.
 _ADDRESSES_PAUSE_SECONDS = 0.3
 _FORGET_SECONDS = 5.0
 
@@ -56,8 +56,9 @@
         self._directory = HostDirectory()
         self._started_at = loop.now()
         self._incarnations = {}
-        self._lively = set()
-        self._vouches = {}
+        self._alive = set()
+        # Who asked this node to probe a host and waits for its status, by that host.
+        self._indirect_probes = {}
         self._has_roster = False
         self._ticks = 0
         self._addresses_asked_at = 0.0
@@ -187,16 +188,16 @@
 
     def _probe(self, address):
         view, now = self._directory.view(address), self._loop.now()
-        question = StatusRequest("", 0, False)
+        request = StatusRequest("", 0, False)
         if view is not None:
             status = view.status
             is_suspected = view.suspected_at is not None
-            question = StatusRequest(status.incarnation, status.revision, is_suspected)
+            request = StatusRequest(status.incarnation, status.revision, is_suspected)
             if view.probed_at is None:
                 view.probed_at = now
             if not view.pushes:
                 self._detector.note_probe(address, now)
-        self._send_to(address, encode(question))
+        self._send_to(address, encode(request))
 
     def _tick(self):
         for action in self._detector.tick(self._loop.now()):
@@ -213,7 +214,7 @@
 
     def _announce_suspicion(self, suspicion):
         self._announcer.forward(suspicion, Reach.ALL)
-        # The members that hand it on may be dead themselves, and not yet known to be.
+        # The members that forward it may be dead themselves, and not yet known to be.
         for wait in _AGAIN_SECONDS:
             self._loop.call_later(wait, lambda: self._repeat_suspicion(suspicion))
 
@@ -224,7 +225,7 @@
 
     def _note_suspected(self, suspicion, source):
         self.counts["suspected"] += 1
-        self._lively.discard(suspicion.address)
+        self._alive.discard(suspicion.address)
         self._log.notable("host_silent", address=suspicion.address, source=source)
 
     def _send_to(self, address, data):
@@ -243,12 +244,12 @@
         if not is_greeted and self._answer_budget.spend(1, self._loop.now()):
             self._datagrams.send(ip, encode(self._announcer.next_status()))
 
-    def _on_status_request(self, question, ip):
+    def _on_status_request(self, request, ip):
         status = self._announcer.next_status()
-        is_known = question.incarnation == status.incarnation
-        short = is_known and question.revision == status.revision
+        is_known = request.incarnation == status.incarnation
+        short = is_known and request.revision == status.revision
         self._datagrams.send(ip, encode_short(status) if short else encode(status))
-        if question.is_suspected and is_known:
+        if request.is_suspected and is_known:
             self._announcer.refute()
 
     def _on_unknown_short(self, _message, ip):
@@ -274,7 +275,7 @@
             self._note_suspected(suspicion, "news")
 
     def _on_probe_request(self, request, ip):
-        self._vouches.setdefault(request.address, set()).add(ip)
+        self._indirect_probes.setdefault(request.address, set()).add(ip)
         self._probe(request.address)
 
     def _on_addresses_request(self, _request, ip):
@@ -302,7 +303,7 @@
         self._incarnations[status.incarnation] = status.address
         self._detector.note_heard(status.address)
         self._prober.note_heard(status.address)
-        for ip in self._vouches.pop(status.address, ()):
+        for ip in self._indirect_probes.pop(status.address, ()):
             self._datagrams.send(ip, encode(status))
         self._note_alive(status)
         self._ask_for_addresses(status.address, now)
@@ -326,22 +327,22 @@
         self._send_to(address, encode(AddressesRequest()))
 
     def _note_alive(self, status):
-        if status.address not in self._lively:
-            self._lively.add(status.address)
+        if status.address not in self._alive:
+            self._alive.add(status.address)
             self._log.notable("host_heard", name=status.host, address=status.address)
 
     def _forget(self):
         now = self._loop.now()
-        for address in list(self._lively):
+        for address in list(self._alive):
             view = self._directory.view(address)
             if view is None or view.is_gone(now):
-                self._lively.discard(address)
+                self._alive.discard(address)
                 self._log.notable("host_silent", address=address, source="silence")
         held = {view.status.incarnation for view in self._directory.views()}
         self._incarnations = {
             name: address for name, address in self._incarnations.items() if name in held
         }
-        self._vouches.clear()
+        self._indirect_probes.clear()
         for address in self._directory.forget_silent(now):
             self._announcer.forget(address)
             self._links.drop(address)
