--- a/packages/core/src/camphorshelf_core/directory.py
+++ b/packages/core/src/camphorshelf_core/directory.py
@@ -90,17 +90,6 @@
         """
         return list(self._domains.get(domain, ()))
 
-    def heard(self, address, now, seconds):
-        """Tell whether a host was heard lately.
-
-        :param address: its links' address.
-        :param now: seconds on the monotonic clock.
-        :param seconds: what counts as lately.
-        :return: True or False.
-        """
-        view = self._views.get(address)
-        return view is not None and now - view.heard_at <= seconds
-
     def live(self, now):
         """List the hosts that are not gone.
 
--- a/packages/relay/src/camphorshelf_relay/announcer.py
+++ b/packages/relay/src/camphorshelf_relay/announcer.py
@@ -80,11 +80,6 @@
         """Names this process of the node."""
         return self._incarnation
 
-    @property
-    def is_pushing(self):
-        """Whether each change of the load is pushed to all hosts."""
-        return self._is_pushing
-
     def next_status(self):
         """Describe the own host under the next sequence number.
 
@@ -243,24 +238,22 @@
         if own_reach is not Reach.NOBODY:
             news.append((self.next_status(), own_reach))
         now = self._loop.now()
-        near = self._list_live(self._domain, now)
+        near = self._members(self._domain, lambda view: view.is_gone(now))
         self._send_news(near, False, [item for item, _ in news])
         for_all = [item for item, reach in news if reach is Reach.ALL]
         for domain in self._directory.domains:
             if for_all and domain != self._domain:
-                live = self._list_sound(domain, now) or self._list_live(domain, now)
-                chosen = self._random.sample(live, min(len(live), _FORWARDING_MEMBERS))
-                self._send_news(chosen, True, for_all)
-
-    def _list_live(self, domain, now):
-        view = self._directory.view
-        addresses = self._directory.in_domain(domain)
-        return [address for address in addresses if not view(address).is_gone(now)]
-
-    def _list_sound(self, domain, now):
-        view = self._directory.view
-        addresses = self._directory.in_domain(domain)
-        return [address for address in addresses if not view(address).is_silent(now)]
+                self._send_news(self._choose_forwarding(domain, now), True, for_all)
+
+    def _choose_forwarding(self, domain, now):
+        sound = self._members(domain, lambda view: view.is_silent(now))
+        members = sound or self._members(domain, lambda view: view.is_gone(now))
+        return self._random.sample(members, min(len(members), _FORWARDING_MEMBERS))
+
+    def _members(self, domain, is_left_out):
+        directory = self._directory
+        addresses = directory.in_domain(domain)
+        return [address for address in addresses if not is_left_out(directory.view(address))]
 
     def _send_news(self, addresses, must_forward, items):
         for first in range(0, len(items), _ITEMS_PER_DATAGRAM):
