Rank targets for work that takes no time

Cause, by reading: the order of unprobed targets took the logarithm of their cost, which is zero where a route's goal and so the first guess at its work is zero; the request ended in a fault. Change: costs below 1 ms count as 1 ms there. Result: the scenario failed before (ValueError).

--- a/packages/core/src/camphorshelf_core/placement.py
+++ b/packages/core/src/camphorshelf_core/placement.py
@@ -29,6 +29,7 @@
 _LOAD_SECONDS = 0.6
 _USUAL_SLOWNESS = 1.0
 _COST_STEP = 1.5
+_LEAST_COST_SECONDS = 0.001
 # Slots that a target which pushes its load must have free beyond the one that is taken.
 _SPARE_SLOTS = 1
 
@@ -153,7 +154,8 @@
         return candidate.cost_s
     # Unprobed targets that differ little count as equal and keep their random order: otherwise all
     # entry nodes would probe the same few.
-    return _COST_STEP ** math.ceil(math.log(candidate.cost_s, _COST_STEP))
+    cost_s = max(_LEAST_COST_SECONDS, candidate.cost_s)
+    return _COST_STEP ** math.ceil(math.log(cost_s, _COST_STEP))
 
 
 def _by_freshness(candidate):
--- a/tests/features/load_probes.feature
+++ b/tests/features/load_probes.feature
@@ -19,6 +19,12 @@
     When 60 entry nodes each choose whom to ask
     Then more than 5 hosts are asked
 
+  Scenario: Work that takes no time can be ranked
+    # Guards against a fault for a route whose goal, and so the first guess at its work, is zero.
+    Given 5 hosts of one service, all idle and heard a second ago
+    When they are ranked for work that takes no time
+    Then all 5 are candidates
+
   Scenario: What is known well enough is not asked for
     Given 5 hosts of one service, all idle and heard just now
     Then no host is asked
--- a/tests/features/steps/load_probes_steps.py
+++ b/tests/features/steps/load_probes_steps.py
@@ -104,9 +104,20 @@
 def idle_hosts(context, count, when):
     heard_at = 0.0 if when == "just now" else -1.0
     views = [make_view(make_status(f"h{one}", repeat_s=0.0), heard_at) for one in range(count)]
+    context.views = views
     context.candidates = rank(views, _WORK_SECONDS, 0.0, "a", _GOAL_SECONDS)
 
 
+@when("they are ranked for work that takes no time")
+def rank_no_work(context):
+    context.candidates = rank(context.views, 0.0, 0.0, "a", 0.0)
+
+
+@then("all {count:d} are candidates")
+def check_candidates(context, count):
+    assert len(context.candidates) == count, context.candidates
+
+
 @when("{count:d} entry nodes each choose whom to ask")
 def many_choose(context, count):
     context.asked = set()
