Announcer: one check of a recent greeting, one loop that sends to each

Found when the change was read once more: the pause between greetings was compared in two places, the loop over addresses stood beside the method that does it, and the share of a repeat's pause was an unnamed number in a property amid the private methods.

--- a/packages/relay/src/camphorshelf_relay/announcer.py
+++ b/packages/relay/src/camphorshelf_relay/announcer.py
@@ -19,6 +19,8 @@
 # Pushed statuses a second that one node sends at most, to its own domain and to all others.
 _NEAR_PER_SECOND = 300
 _FAR_PER_SECOND = 100
+# A status is repeated a little before it is due, so that a late timer does not miss its time.
+_REPEAT_SHARE = 0.9
 # The names in a pushed status are repeated so often, for whoever has missed them.
 _WHOLE_SECONDS = 3.0
 # Hosts that were never heard, or fell silent, are greeted so often: a partition may heal.
@@ -170,7 +172,8 @@
         """
         self._update_mode()
         now = self._loop.now()
-        if self._is_pushing and now - self._all_told_at >= self._pause_s:
+        pause_s = repeat_seconds(self._directory.size) * _REPEAT_SHARE
+        if self._is_pushing and now - self._all_told_at >= pause_s:
             self._push(must=True)
         self.greet([one for one in self._directory.addresses if self._is_greeting_due(one, now)])
 
@@ -182,10 +185,6 @@
         """
         self._greeted_at.pop(address, None)
 
-    @property
-    def _pause_s(self):
-        return repeat_seconds(self._directory.size) * 0.9
-
     def _update_mode(self):
         is_pushing = is_push_size(self._directory.size, self._is_pushing)
         if is_pushing == self._is_pushing:
@@ -201,7 +200,7 @@
         view = self._directory.view(address)
         if view is not None and not (self._is_pushing and view.is_gone(now)):
             return False
-        if now - self._greeted_at.get(address, 0.0) < _GREETING_PAUSE_SECONDS:
+        if self.has_greeted(address):
             return False
         self._greeted_at[address] = now
         return True
@@ -258,8 +257,7 @@
     def _send_news(self, addresses, must_forward, items):
         for first in range(0, len(items), _ITEMS_PER_DATAGRAM):
             data = encode(News(must_forward, tuple(items[first : first + _ITEMS_PER_DATAGRAM])))
-            for address in addresses:
-                self._send_to(address, data)
+            self._send_to_each(addresses, data)
 
     def _has_changed(self, status):
         told = self._told
