Log how each answer was found on its connection, and stray answers

An answer with a wrong body leaves nothing in the logs that tells where it went wrong: run_ended had no size, nothing said how the end of the body was found, and answers that belong to no request were dropped without a word.

run_ended now has bytes, framing, reused and skipped, answered has bytes, and stray_answer (not sampled like lines of requests that went well) tells of bytes ahead of an answer, behind it or on an idle connection; a counter by place.

target_answers.feature: 8 scenarios. No change of what is delivered.

--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -21,7 +21,7 @@
     Event(
         "answered",
         "A caller got a target's answer. `expected_ms` is what the choice foretold.",
-        f"{_REQUEST} status service target expected_ms waited_ms ran_ms slowness offers",
+        f"{_REQUEST} status service target expected_ms waited_ms ran_ms slowness offers bytes",
     ),
     Event(
         "refused",
@@ -61,8 +61,15 @@
     ),
     Event(
         "run_ended",
-        "The target answered a request.",
-        "request status waited_ms ran_ms slowness instance",
+        "The target answered a request. `framing` tells what ended its body, `reused` whether the "
+        "connection had carried another request, `skipped` how many answers to others came first.",
+        "request status waited_ms ran_ms slowness instance bytes framing reused skipped",
+    ),
+    Event(
+        "stray_answer",
+        "The target said something that belongs to no request: `ahead` of the answer to `request`, "
+        "`behind` it, or while the connection was `idle`. It was dropped.",
+        "request place instance",
     ),
     Event(
         "limit_moved",
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -164,7 +164,7 @@
             self.decline(Code.TARGET_UNREACHABLE, result.reason, Ran.NOT_RUN)
 
     def _on_answer(self, answered):
-        response, word = answered
+        response, word, origin = answered
         target = self._gate.target
         target.note_word(word)
         if word.not_run:
@@ -192,6 +192,8 @@
             ran_ms=round(ran_s * 1000, 1),
             slowness=self._slowness,
             instance=target.record.instance,
+            bytes=len(response.body),
+            **origin._asdict(),
         )
         reply, self._reply = self._reply, None
         self._release()
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -195,6 +195,7 @@
             "outcome",
         )
         count("target.contacts", "Probes and connections.", target.counts, "kind")
+        count("target.strays", "Answers that belong to no request.", target.strays, "place")
         count("log.dropped", "Log lines left out.", self._log.counts, "reason")
         watch("target.running", "Requests that run at the target.", lambda: intake.running)
         watch("target.queued", "Requests that wait for a slot.", lambda: intake.queued)
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -253,6 +253,7 @@
             ran_ms=round(message.ran_s * 1000, 1),
             slowness=message.slowness,
             offers=len(self._tried),
+            bytes=len(message.body),
         )
         self._exchange.answer(Response(message.status, message.headers, message.body))
 
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -36,6 +36,7 @@
         self._record = InstanceRecord()
         self._link = TargetLink(loop, settings.addresses.target, dialect)
         self._link.on_dial = self._note_dial
+        self._link.on_stray = self._note_stray
         self._health_path = None
         self._load_at = 0.0
         self._probed_at = 0.0
@@ -48,6 +49,7 @@
         self.tells_slowness = False
         self.slowness = 1.0
         self.counts = {"probe": 0, "silent_probe": 0, "connection": 0}
+        self.strays = {"ahead": 0, "behind": 0, "idle": 0}
         # Told after every change that others may want to know of.
         self.on_change = _do_nothing
         # Told when the target's process has ended without a word.
@@ -189,6 +191,11 @@
     def _note_dial(self):
         self.counts["connection"] += 1
 
+    def _note_stray(self, request_id, place):
+        self.strays[place] += 1
+        instance = self._record.instance
+        self._log.notable("stray_answer", request=request_id, place=place, instance=instance)
+
     def _probe(self):
         wait = PROBE_SECONDS
         if not self._probing and self._health_path is not None:
--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -22,6 +22,20 @@
 # may drop idle ones without notice, and what is sent next is lost with its outcome unknown.
 _FRESH_SECONDS = 1.0
 _SWEEP_SECONDS = 1.0
+_LENGTH, _CHUNKED, _CLOSE = "length", "chunked", "close"
+
+
+class Origin(NamedTuple):
+    """How an answer was found on its connection.
+
+    :param framing: what ended its body: ``length``, ``chunked`` or ``close``.
+    :param reused: whether the connection had carried another request before.
+    :param skipped: answers to other requests that came before it.
+    """
+
+    framing: str
+    reused: bool
+    skipped: int
 
 
 class Answered(NamedTuple):
@@ -29,10 +43,12 @@
 
     :param response: status, headers and body.
     :param word: what the target says of itself and of the request on it.
+    :param origin: the :class:`Origin`, for the log.
     """
 
     response: Response
     word: object
+    origin: Origin
 
 
 class Lost(NamedTuple):
@@ -59,6 +75,9 @@
         self.idle_s = _DEFAULT_IDLE_SECONDS
         # Told of each connection that is opened.
         self.on_dial = _do_nothing
+        # Told of bytes that belong to no request: the id of the request on the connection (empty
+        # for none), and where they came: ``ahead`` of its answer, ``behind`` it or ``idle``.
+        self.on_stray = _ignore_stray
         loop.call_every(_SWEEP_SECONDS, self._sweep)
 
     def send(self, request, request_id, idempotent, on_done):
@@ -137,6 +156,10 @@
         self._keep = True
         self._parser = None
         self._result = None
+        self._runs = 0
+        self._skipped = 0
+        self._has_surplus = False
+        self._framing = ""
         self.idle_since = 0.0
         stream.on_data = self._on_data
         stream.on_close = self._on_close
@@ -152,6 +175,9 @@
         self._request_id = request_id
         self._on_done = on_done
         self._sent = False
+        self._runs += 1
+        self._skipped = 0
+        self._has_surplus = False
         self._parser = httptools.HttpResponseParser(self)
         self._start_answer()
         if self._connected:
@@ -164,7 +190,17 @@
     def close(self):
         self._stream.close()
 
+    def _tell_strays(self):
+        if self._result is None:
+            return
+        if self._skipped:
+            self._link.on_stray(self._request_id, "ahead")
+        if self._has_surplus:
+            self._link.on_stray(self._request_id, "behind")
+
     def on_message_begin(self):
+        if self._result is not None:
+            self._has_surplus = True
         if self._finished:
             # A second answer behind the one that was asked for.
             self._keep = False
@@ -177,7 +213,8 @@
     def on_headers_complete(self):
         self._in_head = False
         status = self._parser.get_status_code()
-        self._framed = _is_framed(self._headers, status, self._request.method)
+        self._framing = _find_framing(self._headers, status, self._request.method)
+        self._framed = self._framing != _CLOSE
         if self._request.method == "HEAD" and status >= 200:
             self.on_message_complete()
 
@@ -207,6 +244,7 @@
         if self._request_id and not self._is_own(status, word):
             # The late second answer to an earlier request; the own one may still follow it.
             self._keep = False
+            self._skipped += self._result is None
             return
         self._finished = True
         keep = framed and self._parser.should_keep_alive()
@@ -219,7 +257,8 @@
         if word.encoded:
             self._finish(Lost("the answer's body is not what the target made", sent=True))
         else:
-            self._finish(Answered(response, word))
+            origin = Origin(self._framing, self._runs > 1, self._skipped)
+            self._finish(Answered(response, word, origin))
 
     def _is_own(self, status, word):
         if word.request_id:
@@ -263,6 +302,7 @@
     def _on_data(self, data):
         if self._on_done is None:
             self._keep = False
+            self._link.on_stray("", "idle")
             self._stream.close()
             return
         if self._in_head:
@@ -275,6 +315,8 @@
                 return
             # The answer was whole; what came behind it was not.
             self._keep = False
+            self._has_surplus = True
+        self._tell_strays()
         self._deliver()
         if self._on_done is not None and self._in_head and self._head_bytes > _MAX_HEAD_BYTES:
             self._spoil("the answer's head is larger than allowed")
@@ -304,16 +346,20 @@
             on_done(Lost("no connection", sent=False))
 
 
-def _is_framed(headers, status, method):
+def _find_framing(headers, status, method):
     if method == "HEAD" or status < 200 or status in BODILESS:
-        return True
+        return _LENGTH
     for name, value in headers:
         if name == b"content-length":
-            return True
+            return _LENGTH
         if name == b"transfer-encoding" and value.strip().lower() == b"chunked":
-            return True
-    return False
+            return _CHUNKED
+    return _CLOSE
 
 
 def _do_nothing():
     """Stands for breaking off what was never sent."""
+
+
+def _ignore_stray(request_id, place):
+    """Stands for nobody who wants to know of stray bytes."""
--- a/tests/features/steps/limit_log_steps.py
+++ b/tests/features/steps/limit_log_steps.py
@@ -11,7 +11,7 @@
 from camphorshelf_platform.headers import DIALECT, read_target
 from camphorshelf_relay.crashes import CrashWatch
 from camphorshelf_relay.gate import Gate
-from camphorshelf_relay.targetlink import Answered
+from camphorshelf_relay.targetlink import Answered, Origin
 from standins.fakes import FakeLoop
 
 _SERVICE = "counter"
@@ -57,7 +57,8 @@
 
     def _answer(self, on_done):
         self._running -= 1
-        on_done(Answered(Response(200, (), b""), read_target(200, ())))
+        origin = Origin("length", reused=False, skipped=0)
+        on_done(Answered(Response(200, (), b""), read_target(200, ()), origin))
 
     def on_change(self):
         """Nobody else wants to know."""
--- /dev/null
+++ b/tests/features/target_answers.feature
@@ -0,0 +1,34 @@
+Feature: Which bytes of the target's connection are an answer
+
+  On streams and a clock of the test's own; the request's id is A. A stray answer is one that
+  belongs to no request, or to another one.
+
+  Scenario Outline: A stray answer is told with the request that was on the connection
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "<first>" arrive in one read
+    And the target's bytes "<second>" arrive in one read
+    Then a stray answer "<place>" is told with request "<request>"
+
+    Examples:
+      | first                                | second                | place  | request |
+      | {200 B len 5}wrong                   | {200 A len 3}own      | ahead  | A       |
+      | {200 A len 3}o                       | wn{200 B len 5}wrong  | behind | A       |
+      | {200 A len 3}o                       | wn and other bytes    | behind | A       |
+      | {200 A len 3}own                     | {200 A len 5}wrong    | idle   | -       |
+
+  Scenario Outline: How an answer was found is known
+    Given a link to a target
+    When request Z is sent to the target
+    And the target's bytes "{200 Z len 5}first" arrive in one read
+    And request A is sent to the target
+    And the target's bytes "<bytes>" arrive in one read
+    And the target closes in order
+    Then the answer of A was found by "<framing>" behind <skipped> others
+
+    Examples:
+      | bytes                             | framing | skipped |
+      | {200 A len 3}own                  | length  | 0       |
+      | {200 A chunked}3~own~0~~          | chunked | 0       |
+      | {200 Z len 5}first{200 A len 3}own | length  | 1       |
+      | {200 A unframed}own               | close   | 0       |
