Reproduce the wrong body: a second answer in the same read replaces the first (red)

A target that answers a request twice, both answers in one read of the node, makes the caller get 200 with the body of the second one. Two scenarios, one on the connection alone, one through real processes (an entry node, a link, a target's node and a stand-in of the target).

--- a/tests/features/relay_path.feature
+++ b/tests/features/relay_path.feature
@@ -36,6 +36,11 @@
     When the "GET /look/x?extra=1" of a caller at "a" is followed by 10 others
     Then each gets the answer to its own request
 
+  Scenario: The first of two answers to a request is the one that its caller gets
+    # Guards against a second answer that replaces the first one when both come in one read.
+    When the "GET /look/x?twice=1" of a caller at "a" is followed by 10 others
+    Then each gets the answer to its own request
+
   Scenario: A caller that leaves takes its work along
     When after 0.2 s a caller at "a" leaves its "GET /look/x?work_ms=1500"
     Then the target drops the work within 0.5 s
--- a/tests/features/target_answers.feature
+++ b/tests/features/target_answers.feature
@@ -32,3 +32,11 @@
       | {200 A chunked}3~own~0~~          | chunked | 0       |
       | {200 Z len 5}first{200 A len 3}own | length  | 1       |
       | {200 A unframed}own               | close   | 0       |
+
+  Scenario: A second answer in the same read does not replace the first
+    # Guards against a caller that gets the body of a second answer to its request.
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "{200 A len 3}own{200 A len 5}wrong" arrive in one read
+    Then the caller of A gets 200 "own"
+    And the connection of A is not used again
--- a/tests/standins/relaytarget.py
+++ b/tests/standins/relaytarget.py
@@ -3,7 +3,8 @@
 It starts with an id of its own, sends heartbeats to the node beside it, answers its health path,
 and runs requests for that id only. A request's query says what to do: ``work_ms``, ``fail`` (a
 status), ``cut`` (the connection breaks off while it runs), ``extra`` (a second answer behind the
-first, which belongs to no request), ``mute`` (no answer), ``crash``.
+first, which belongs to no request), ``twice`` (a second answer behind the first, to the same
+request and with another body), ``mute`` (no answer), ``crash``.
 ``/_runs`` lists what ran. SIGUSR1 makes it announce that it leaves, SIGUSR2 that it stays.
 """
 
@@ -68,7 +69,10 @@
         if "echo" in query:
             return self._reply(200, received)._replace(body=received.body)
         if "extra" in query:
-            return Reply(raw=self._with_extra(received), close=False)
+            return Reply(raw=_answer_twice(received, "stray"), close=False)
+        if "twice" in query:
+            request_id = received.headers["request-id"]
+            return Reply(raw=_answer_twice(received, request_id), close=False)
         return self._reply(int(query.get("fail", 200)), received)
 
     def _note_run(self, received):
@@ -93,12 +97,6 @@
         body = f"{self._options['name']} {received.method} {received.path}\n".encode()
         return Reply(status=status, headers=tuple(headers), body=body)
 
-    def _with_extra(self, received):
-        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {received.headers['request-id']}\r\n"
-        own = f"{head}Content-Length: 4\r\n\r\nown\n"
-        stray = "HTTP/1.1 200 OK\r\nRequest-Id: stray\r\nContent-Length: 6\r\n\r\nstray\n"
-        return (own + stray).encode()
-
     async def beat(self):
         """Send heartbeats, and at once when something changed."""
         loop = asyncio.get_running_loop()
@@ -143,6 +141,16 @@
             print(f"acknowledged {method} leaving={self._leaving} {time.time()}", flush=True)
 
 
+def _answer_twice(received, second_id):
+    own = _render("own\n", received.headers["request-id"])
+    return own + _render("stray\n", second_id)
+
+
+def _render(body, request_id):
+    lines = ("HTTP/1.1 200 OK", f"Request-Id: {request_id}", f"Content-Length: {len(body)}", "")
+    return "\r\n".join((*lines, body)).encode()
+
+
 def main():
     """Run a target whose options are the JSON object on the command line."""
     options = json.loads(sys.argv[1])
