Make an answer of the target final at its last byte

What callers saw: 200 with the signature of the right target and the body of another answer.

Cause: the connection to the target kept the state of the answer that was being read and the whole answer in the same fields. A second message on the connection reset them (on_message_begin called _start_answer, which cleared _finished) and, when it named the same request, replaced the result. That happened only where the last bytes of the first answer and the second answer came in one read of the node, because the result was handed on at the end of each read: a node that is busy while the target says its answer twice. A second 500 or a 503 with "not run" would have replaced a success in the same way.

Change: ResponseReader reads the bytes that come back for one request. A response that is whole is never touched again; what follows is noted as surplus, and the connection is not kept. TargetLink keeps only what concerns the connection and the request.

--- /dev/null
+++ b/packages/node/src/camphorshelf_node/responsereader.py
@@ -0,0 +1,194 @@
+"""Finds the response to one request among the bytes that its connection delivers."""
+
+from enum import Enum
+
+import httptools
+
+from camphorshelf_core.calls import Response
+
+from .headers import BODILESS, strip_hop_by_hop
+
+_MAX_HEAD_BYTES = 65_536
+_INTERIM_STATUSES = range(100, 200)
+
+
+class Framing(Enum):
+    """What ends the body of a response."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+class ResponseError(Exception):
+    """The bytes of a connection cannot be read as the response to its request."""
+
+
+class ResponseReader:
+    """Reads what comes back for one request.
+
+    The response is final at its last byte. What follows belongs to no request: it changes nothing
+    and is only noted.
+
+    :param method: the request's method.
+    :param max_body_bytes: the largest body that is taken.
+    :param is_own: takes the status and the headers of a response and tells whether it answers the
+        request; a response that does not is skipped.
+    """
+
+    def __init__(self, method, max_body_bytes, is_own=lambda status, headers: True):
+        self._method = method
+        self._max_body_bytes = max_body_bytes
+        self._is_own = is_own
+        self._parser = httptools.HttpResponseParser(self)
+        self._response = None
+        self._error = None
+        self._keep_alive = False
+        self._has_surplus = False
+        self._skipped = 0
+        self._start()
+
+    @property
+    def response(self):
+        """The whole :class:`~camphorshelf_core.calls.Response`, or None as long as it is not."""
+        return self._response
+
+    @property
+    def framing(self):
+        """What ends the body of the response, a :class:`Framing`."""
+        return self._framing
+
+    @property
+    def is_in_head(self):
+        """Whether no head of the response has arrived whole."""
+        return self._in_head
+
+    @property
+    def has_surplus(self):
+        """Whether something followed the response."""
+        return self._has_surplus
+
+    @property
+    def skipped(self):
+        """How many responses to other requests came before it."""
+        return self._skipped
+
+    @property
+    def leaves_reusable(self):
+        """Whether the connection may carry another request."""
+        return self._keep_alive and not self._has_surplus and not self._skipped
+
+    def feed(self, data):
+        """Read bytes of the connection.
+
+        :param data: the bytes.
+        :return: None.
+        :raises ResponseError: when they cannot be the response and none was whole before them.
+        """
+        if self._response is not None:
+            self._has_surplus = True
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._note_invalid(error)
+        if self._response is None:
+            self._check()
+
+    def end(self):
+        """Take in that the server has ended the connection in order.
+
+        :return: None.
+        """
+        if self._response is None and not self._in_head and self._framing is Framing.CLOSE:
+            self._finish()
+
+    def on_message_begin(self):
+        """Called by the parser at the start of a response."""
+        if self._response is not None:
+            self._has_surplus = True
+        else:
+            self._start()
+
+    def on_header(self, name, value):
+        """Called by the parser with one header or trailer."""
+        if self._in_head:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        """Called by the parser at the end of a head."""
+        if self._response is not None:
+            return
+        self._in_head = False
+        status = self._parser.get_status_code()
+        self._framing = find_framing(status, self._headers, self._method)
+        if self._method == "HEAD" and status not in _INTERIM_STATUSES:
+            self._finish()
+
+    def on_body(self, body):
+        """Called by the parser with a part of a body."""
+        if self._response is not None:
+            self._has_surplus = True
+            return
+        self._body_bytes += len(body)
+        if self._body_bytes > self._max_body_bytes:
+            self._error = f"the body is larger than {self._max_body_bytes} bytes"
+        else:
+            self._body.append(body)
+
+    def on_message_complete(self):
+        """Called by the parser at the end of a response."""
+        if self._response is None and self._parser.get_status_code() not in _INTERIM_STATUSES:
+            self._finish()
+
+    def _start(self):
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+        self._in_head = True
+        self._head_bytes = 0
+        self._framing = None
+
+    def _finish(self):
+        if self._error is not None:
+            return
+        status = self._parser.get_status_code()
+        if not self._is_own(status, self._headers):
+            self._skipped += 1
+            self._start()
+            return
+        self._keep_alive = self._framing is not Framing.CLOSE and self._parser.should_keep_alive()
+        headers = strip_hop_by_hop(self._headers)
+        self._response = Response(status, headers, b"".join(self._body))
+
+    def _note_invalid(self, error):
+        if self._response is None:
+            self._error = f"not a valid response: {error}"
+        else:
+            self._has_surplus = True
+
+    def _check(self):
+        if self._error is not None:
+            raise ResponseError(self._error)
+        if self._in_head and self._head_bytes > _MAX_HEAD_BYTES:
+            raise ResponseError(f"the head is larger than {_MAX_HEAD_BYTES} bytes")
+
+
+def find_framing(status, headers, method):
+    """Find what ends the body of a response.
+
+    :param status: the HTTP status.
+    :param headers: pairs of lower-case name and value.
+    :param method: the request's method.
+    :return: the :class:`Framing`.
+    """
+    if method == "HEAD" or status in _INTERIM_STATUSES or status in BODILESS:
+        return Framing.LENGTH
+    for name, value in headers:
+        if name == b"content-length":
+            return Framing.LENGTH
+        if name == b"transfer-encoding" and value.strip().lower() == b"chunked":
+            return Framing.CHUNKED
+    return Framing.CLOSE
--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -6,13 +6,11 @@
 
 from typing import NamedTuple
 
-import httptools
-
 from camphorshelf_core.calls import Response
-from camphorshelf_node.headers import BODILESS, render_request, strip_hop_by_hop
+from camphorshelf_node.headers import render_request
+from camphorshelf_node.responsereader import ResponseError, ResponseReader
 from camphorshelf_node.streams import dial
 
-_MAX_HEAD_BYTES = 65_536
 _MAX_BODY_BYTES = 128 * 1024 * 1024
 # Kept connections are given up before the target may close them: a request that crosses the
 # close is lost, and one that must not run twice can't be sent again.
@@ -22,7 +20,6 @@
 # may drop idle ones without notice, and what is sent next is lost with its outcome unknown.
 _FRESH_SECONDS = 1.0
 _SWEEP_SECONDS = 1.0
-_LENGTH, _CHUNKED, _CLOSE = "length", "chunked", "close"
 
 
 class Origin(NamedTuple):
@@ -153,13 +150,9 @@
         self._request_id = ""
         self._connected = False
         self._sent = False
-        self._keep = True
-        self._parser = None
-        self._result = None
+        self._reader = None
+        self._word = None
         self._runs = 0
-        self._skipped = 0
-        self._has_surplus = False
-        self._framing = ""
         self.idle_since = 0.0
         stream.on_data = self._on_data
         stream.on_close = self._on_close
@@ -176,10 +169,7 @@
         self._on_done = on_done
         self._sent = False
         self._runs += 1
-        self._skipped = 0
-        self._has_surplus = False
-        self._parser = httptools.HttpResponseParser(self)
-        self._start_answer()
+        self._reader = ResponseReader(request.method, _MAX_BODY_BYTES, self._is_own)
         if self._connected:
             self._write()
 
@@ -190,106 +180,15 @@
     def close(self):
         self._stream.close()
 
-    def _tell_strays(self):
-        if self._result is None:
-            return
-        if self._skipped:
-            self._link.on_stray(self._request_id, "ahead")
-        if self._has_surplus:
-            self._link.on_stray(self._request_id, "behind")
-
-    def on_message_begin(self):
-        if self._result is not None:
-            self._has_surplus = True
-        if self._finished:
-            # A second answer behind the one that was asked for.
-            self._keep = False
-        self._start_answer()
-
-    def on_header(self, name, value):
-        if self._in_head:
-            self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self):
-        self._in_head = False
-        status = self._parser.get_status_code()
-        self._framing = _find_framing(self._headers, status, self._request.method)
-        self._framed = self._framing != _CLOSE
-        if self._request.method == "HEAD" and status >= 200:
-            self.on_message_complete()
-
-    def on_body(self, body):
-        self._size += len(body)
-        if self._size > _MAX_BODY_BYTES:
-            raise ValueError("the answer is larger than allowed")
-        self._body.append(body)
-
-    def on_message_complete(self):
-        if self._finished or self._parser.get_status_code() < 200:
-            return
-        self._take_answer(self._framed)
-
-    def _start_answer(self):
-        self._headers = []
-        self._body = []
-        self._size = 0
-        self._in_head = True
-        self._head_bytes = 0
-        self._framed = True
-        self._finished = False
-
-    def _take_answer(self, framed):
-        status = self._parser.get_status_code()
-        word = self._dialect.read_target(status, self._headers)
-        if self._request_id and not self._is_own(status, word):
-            # The late second answer to an earlier request; the own one may still follow it.
-            self._keep = False
-            self._skipped += self._result is None
-            return
-        self._finished = True
-        keep = framed and self._parser.should_keep_alive()
-        # A target may answer before it has read the whole body. Another request on the same
-        # connection would be read as the rest of it.
-        self._keep = self._keep and keep and not self._stream.unsent
-        if word.idle_s is not None:
-            self._link.idle_s = max(0.5, word.idle_s)
-        response = Response(status, strip_hop_by_hop(self._headers), b"".join(self._body))
-        if word.encoded:
-            self._finish(Lost("the answer's body is not what the target made", sent=True))
-        else:
-            origin = Origin(self._framing, self._runs > 1, self._skipped)
-            self._finish(Answered(response, word, origin))
-
-    def _is_own(self, status, word):
+    def _is_own(self, status, headers):
+        word = self._word = self._dialect.read_target(status, headers)
+        if not self._request_id:
+            return True
         if word.request_id:
             return word.request_id == self._request_id
         # Targets name the request they answer; only a bare refusal may leave it out.
         return status >= 300
 
-    def _finish(self, result):
-        # Delivered behind the parser's callback, which would take a fault in the code of the
-        # request for one in the answer's bytes.
-        self._result = result
-
-    def _deliver(self):
-        result, self._result = self._result, None
-        if result is None:
-            return
-        on_done, self._on_done = self._on_done, None
-        # Kept in the loop's next turn: all that came with the answer must have been read first,
-        # for what follows it would be taken for the answer to the next request.
-        self._link._loop.call_later(0, self._rest)
-        if on_done is not None:
-            on_done(result)
-
-    def _rest(self):
-        if self._stream.closed:
-            return
-        if self._keep and self._finished and not self._stream.stale:
-            self._link._give_back(self)
-        else:
-            self._stream.close()
-
     def _on_connect(self):
         self._connected = True
         if self._on_done is not None:
@@ -301,60 +200,68 @@
 
     def _on_data(self, data):
         if self._on_done is None:
-            self._keep = False
             self._link.on_stray("", "idle")
             self._stream.close()
             return
-        if self._in_head:
-            self._head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
-            if self._result is None:
-                self._spoil(f"not a valid answer: {error}")
-                return
-            # The answer was whole; what came behind it was not.
-            self._keep = False
-            self._has_surplus = True
+            self._reader.feed(data)
+        except ResponseError as error:
+            self._fail(Lost(str(error), sent=True))
+            return
+        if self._reader.response is not None:
+            self._deliver()
+
+    def _deliver(self):
+        reader, word = self._reader, self._word
         self._tell_strays()
-        self._deliver()
-        if self._on_done is not None and self._in_head and self._head_bytes > _MAX_HEAD_BYTES:
-            self._spoil("the answer's head is larger than allowed")
+        if word.idle_s is not None:
+            self._link.idle_s = max(0.5, word.idle_s)
+        if word.encoded:
+            self._fail(Lost("the answer's body is not what the target made", sent=True))
+            return
+        on_done, self._on_done = self._on_done, None
+        # A target may answer before it has read the whole body. Another request on the same
+        # connection would be read as the rest of it.
+        is_reusable = reader.leaves_reusable and not self._stream.unsent
+        # Kept in the loop's next turn: what the target sends at once behind its answer would be
+        # taken for the answer to the next request.
+        self._link._loop.call_later(0, lambda: self._rest(is_reusable))
+        origin = Origin(reader.framing.value, self._runs > 1, reader.skipped)
+        on_done(Answered(reader.response, word, origin))
+
+    def _tell_strays(self):
+        if self._reader.skipped:
+            self._link.on_stray(self._request_id, "ahead")
+        if self._reader.has_surplus:
+            self._link.on_stray(self._request_id, "behind")
+
+    def _rest(self, is_reusable):
+        if self._stream.closed:
+            return
+        if is_reusable and not self._stream.stale:
+            self._link._give_back(self)
+        else:
+            self._stream.close()
 
-    def _spoil(self, reason):
-        self._keep = False
+    def _fail(self, lost):
         on_done, self._on_done = self._on_done, None
         self._stream.close()
         if on_done is not None:
-            on_done(Lost(reason, sent=True))
+            on_done(lost)
 
     def _on_close(self):
         self._link._forget(self)
         if self._on_done is None:
             return
-        if not self._in_head and not self._framed and self._stream.ended_cleanly:
-            # Its end is the end of the connection; a reset would not be one.
-            self._keep = False
-            self._take_answer(False)
-            if self._result is not None:
-                self._deliver()
-                return
-        on_done, self._on_done = self._on_done, None
-        if self._sent:
-            on_done(Lost("the connection was lost", sent=True, crashed=self._in_head))
+        if self._stream.ended_cleanly:
+            # A reset would not be the end of an answer without a length.
+            self._reader.end()
+        if self._reader.response is not None:
+            self._deliver()
+        elif self._sent:
+            self._fail(Lost("the connection was lost", True, crashed=self._reader.is_in_head))
         else:
-            on_done(Lost("no connection", sent=False))
-
-
-def _find_framing(headers, status, method):
-    if method == "HEAD" or status < 200 or status in BODILESS:
-        return _LENGTH
-    for name, value in headers:
-        if name == b"content-length":
-            return _LENGTH
-        if name == b"transfer-encoding" and value.strip().lower() == b"chunked":
-            return _CHUNKED
-    return _CLOSE
+            self._fail(Lost("no connection", sent=False))
 
 
 def _do_nothing():
--- a/tests/features/target_answers.feature
+++ b/tests/features/target_answers.feature
@@ -40,3 +40,66 @@
     And the target's bytes "{200 A len 3}own{200 A len 5}wrong" arrive in one read
     Then the caller of A gets 200 "own"
     And the connection of A is not used again
+
+  Scenario Outline: What follows a whole answer does not reach the caller
+    # Guards against a second answer in the same read that replaces the first.
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "<bytes>" arrive in one read
+    Then the caller of A gets 200 "own"
+    And the connection of A is not used again
+
+    Examples:
+      | bytes                                                                              |
+      | {200 A len 3}own{200 A len 5}wrong                                                 |
+      | {200 A len 3}own{500 A len 5}wrong                                                 |
+      | {200 A chunked}3~own~0~~{200 A len 5}wrong                                         |
+      | {200 A len 3}own{200 A chunked}5~wrong~0~~                                         |
+      | {200 A len 3}own{200 A len 5}wr                                                    |
+      | {200 A len 3}own{200 A len 5}wrong{200 A len 5}wrong                               |
+      | {200 A len 3}own{200 B len 5}wrong                                                 |
+      | {200 A len 3}own{200 - len 5}wrong                                                 |
+      | {200 A len 3}own and bytes that are no answer                                      |
+      | {103 - none}{200 A len 3}own{200 A len 5}wrong                                     |
+      | {200 B len 5}wrong{200 A len 3}own{200 A len 5}wrong                               |
+
+  Scenario Outline: The last bytes of an answer come with a second one
+    # Guards against a second answer that replaces a first one of which a part was read before.
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "<first>" arrive in one read
+    And the target's bytes "<second>" arrive in one read
+    Then the caller of A gets 200 "own"
+    And the connection of A is not used again
+
+    Examples:
+      | first                     | second                                    |
+      | {200 A len 3}o            | wn{200 A len 5}wrong                      |
+      | {200 A chunked}1~o~       | 2~wn~0~~{200 A len 5}wrong                |
+      | {200 B len 5}wrong        | {200 A len 3}own{200 A len 5}wrong        |
+
+  Scenario Outline: Answers to other requests are passed over
+    # Guards against the late second answer to an earlier request that is taken for the own one.
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "<first>" arrive in one read
+    Then nothing is known yet of A
+    When the target's bytes "<second>" arrive in one read
+    Then the caller of A gets 200 "own"
+    And the connection of A is not used again
+
+    Examples:
+      | first                     | second               |
+      | {200 B len 5}wrong        | {200 A len 3}own     |
+      | {500 B len 5}wrong        | {200 A len 3}own     |
+      | {200 - len 5}wrong        | {200 A len 3}own     |
+      | {200 B chunked}5~wrong~   | 0~~{200 A len 3}own  |
+
+  Scenario: A stray answer on an idle connection
+    # Guards against a late second answer that stays on a kept connection until its next use.
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "{200 A len 3}own" arrive in one read
+    And the target's bytes "{200 A len 5}wrong" arrive in one read
+    Then the caller of A gets 200 "own"
+    And the connection of A is not used again
