Count the bytes of a response's head from its first read on

Callers would have seen nothing but a node that grows: a target that sends a head without an end in large reads was not bounded in the first of them, because the start of the message set the count back after the read had been counted. Scenario "A head that never ends" fails before (no end after 100,000 bytes in one read; 65,536 are allowed).

--- a/packages/node/src/camphorshelf_node/responsereader.py
+++ b/packages/node/src/camphorshelf_node/responsereader.py
@@ -46,6 +46,7 @@
         self._keep_alive = False
         self._has_surplus = False
         self._skipped = 0
+        self._head_bytes = 0
         self._start()
 
     @property
@@ -122,6 +123,7 @@
         if self._response is not None:
             return
         self._in_head = False
+        self._head_bytes = 0
         status = self._parser.get_status_code()
         self._framing = find_framing(status, self._headers, self._method)
         if self._method == "HEAD" and status not in _INTERIM_STATUSES:
@@ -148,7 +150,6 @@
         self._body = []
         self._body_bytes = 0
         self._in_head = True
-        self._head_bytes = 0
         self._framing = None
 
     def _finish(self):
--- a/tests/features/steps/target_answers_steps.py
+++ b/tests/features/steps/target_answers_steps.py
@@ -33,7 +33,7 @@
     def dial(loop, _address):
         stream = FakeStream()
         context.streams.append(stream)
-        loop.call_later(0, stream.on_connect)
+        loop.call_later(0, lambda: stream.on_connect())
         return stream
 
     patch = mock.patch.object(targetlink, "dial", dial)
@@ -67,6 +67,11 @@
     context.loop.advance(0)
 
 
+@when("{size:d} bytes of a head without an end arrive in one read")
+def deliver_endless_head(context, size):
+    deliver(context, "HTTP/1.1 200 OK~X: " + "x" * size)
+
+
 def _render_head(match):
     status, request_id, framing = match.groups()
     lines = f"HTTP/1.1 {status} X\r\n"
--- a/tests/features/target_answers.feature
+++ b/tests/features/target_answers.feature
@@ -103,3 +103,10 @@
     And the target's bytes "{200 A len 5}wrong" arrive in one read
     Then the caller of A gets 200 "own"
     And the connection of A is not used again
+
+  Scenario: A head that never ends
+    # Guards against a target that fills the node's memory with a head.
+    Given a link to a target
+    When request A is sent to the target
+    And 100000 bytes of a head without an end arrive in one read
+    Then the caller of A is told that it may have run
