Refuse responses in another transfer coding than chunked, at each client

What callers would see: 200 with the target's signature and a body that is still compressed, its Transfer-Encoding taken off as a header of one connection. The product's own client refused such a response unless the codings came in two header lines; the link to the target passed all of them.

Cause: two readers of responses, each with a rule of its own. Both now use ResponseReader, whose rule is that chunked is the only coding. Scenarios that fail before: target_answers.feature "not whole or not clear" @1.4 and @1.5, target_side.feature the same @1.4 (codings in two lines). The other rows and "An answer without a length ends with its connection" hold before and after.

--- a/packages/node/src/camphorshelf_node/httpclient.py
+++ b/packages/node/src/camphorshelf_node/httpclient.py
@@ -3,14 +3,12 @@
 from collections import deque
 from typing import NamedTuple
 
-import httptools
+from camphorshelf_core.calls import is_idempotent
 
-from camphorshelf_core.calls import Response, is_idempotent
-
-from .headers import BODILESS, render_request, strip_hop_by_hop
+from .headers import render_request
+from .responsereader import ResponseError, ResponseReader
 from .streams import dial
 
-_MAX_HEAD_BYTES = 65_536
 # Servers commonly close what was idle for five seconds or more. Work that must not run twice
 # cannot be sent again when such a close crosses it, so it keeps off connections that old.
 _FRESH_SECONDS = 4.0
@@ -162,8 +160,7 @@
         self._exchange = None
         self._connected = False
         self._kept = False
-        self._spoiled = False
-        self._parser = None
+        self._reader = None
         self.idle_since = 0.0
         stream.on_data = self._on_data
         stream.on_close = self._on_close
@@ -177,76 +174,18 @@
     def run(self, exchange):
         self._exchange = exchange
         exchange.connection = self
-        self._parser = httptools.HttpResponseParser(self)
+        self._reader = ResponseReader(exchange.request.method, self._client._max_answer_bytes)
         self._answered = False
-        self._head_bytes = 0
-        self._in_head = True
-        self._body = []
-        self._size = 0
-        self._reset_head()
         if self._connected:
             self._write()
 
     def close(self):
         self._stream.close()
 
-    def on_message_begin(self):
-        if self._exchange is None:
-            self._spoiled = True
-
-    def on_header(self, name, value):
-        if not self._in_head:
-            return
-        name = name.lower()
-        if name == b"content-length":
-            self._framed = True
-        elif name == b"transfer-encoding":
-            self._framed = value.strip().lower() == b"chunked"
-        self._headers.append((name, value))
-
-    def on_headers_complete(self):
-        self._in_head = False
-        if self._exchange is None:
-            return
-        if self._exchange.request.method == "HEAD" and self._parser.get_status_code() >= 200:
-            self.on_message_complete()
-
-    def on_body(self, body):
-        if self._exchange is None:
-            self._spoiled = True
-            return
-        self._size += len(body)
-        if self._size > self._client._max_answer_bytes:
-            raise ValueError("the answer is larger than allowed")
-        self._body.append(body)
-
-    def on_message_complete(self):
-        if self._exchange is None:
-            return
-        status = self._parser.get_status_code()
-        if status < 200:
-            self._reset_head()
-            return
-        exchange, self._exchange = self._exchange, None
-        response = Response(status, strip_hop_by_hop(self._headers), b"".join(self._body))
-        if self._framed or status in BODILESS or exchange.request.method == "HEAD":
-            self._finish(exchange, response, self._parser.should_keep_alive())
-        else:
-            # With another coding before "chunked" the parser's body is not the answer's; what
-            # only ends with its connection never gets here.
-            failed = Failed("the answer has another transfer coding than chunked", sent=True)
-            self._finish(exchange, failed, keep=False)
-
-    def _reset_head(self):
-        self._headers = []
-        self._framed = False
-        self._in_head = True
-        self._head_bytes = 0
-
     def _finish(self, exchange, result, keep):
         if keep:
-            # Not before the parser has seen all that came with the answer: what follows it
-            # would otherwise be taken for the answer to the next request.
+            # Not in this turn: what the server sends at once behind its answer would be taken for
+            # the answer to the next request.
             self._client._loop.call_later(0, self._reuse)
         else:
             self._stream.close()
@@ -255,9 +194,6 @@
     def _reuse(self):
         if self._stream.closed:
             return
-        if self._spoiled:
-            self._stream.close()
-            return
         self._kept = True
         self._client._give_back(self)
 
@@ -281,15 +217,15 @@
             self._stream.close()
             return
         self._answered = True
-        if self._in_head:
-            self._head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
-            self._fail(f"not a valid answer: {error}")
+            self._reader.feed(data)
+        except ResponseError as error:
+            self._fail(str(error))
             return
-        if self._exchange is not None and self._in_head and self._head_bytes > _MAX_HEAD_BYTES:
-            self._fail("the answer's head is larger than allowed")
+        response = self._reader.response
+        if response is not None:
+            exchange, self._exchange = self._exchange, None
+            self._finish(exchange, response, self._reader.leaves_reusable)
 
     def _fail(self, reason):
         exchange, self._exchange = self._exchange, None
--- a/packages/node/src/camphorshelf_node/responsereader.py
+++ b/packages/node/src/camphorshelf_node/responsereader.py
@@ -160,6 +160,9 @@
             self._skipped += 1
             self._start()
             return
+        if not _is_decoded(self._headers):
+            self._error = "another transfer coding than chunked"
+            return
         self._keep_alive = self._framing is not Framing.CLOSE and self._parser.should_keep_alive()
         headers = strip_hop_by_hop(self._headers)
         self._response = Response(status, headers, b"".join(self._body))
@@ -193,3 +196,9 @@
         if name == b"transfer-encoding" and value.strip().lower() == b"chunked":
             return Framing.CHUNKED
     return Framing.CLOSE
+
+
+def _is_decoded(headers):
+    # The parser undoes chunked and no other coding.
+    codings = [value.strip().lower() for name, value in headers if name == b"transfer-encoding"]
+    return codings in ([], [b"chunked"])
--- a/tests/features/target_answers.feature
+++ b/tests/features/target_answers.feature
@@ -104,9 +104,40 @@
     Then the caller of A gets 200 "own"
     And the connection of A is not used again
 
+  Scenario Outline: An answer that is not whole or not clear is never passed on
+    # Guards against half an answer, or a body in another coding, that reaches a caller as a success.
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "<bytes>" arrive in one read
+    And the target <end>
+    Then the caller of A is told that it may have run
+
+    Examples:
+      | bytes                                     | end                  |
+      | {200 A len 9}half                         | closes in order      |
+      | {200 A chunked}4~half~                    | closes in order      |
+      | {200 A unframed}half                      | resets               |
+      | {200 A coded}3~zzz~0~~                    | closes in order      |
+      | {200 A coded twice}3~zzz~0~~              | closes in order      |
+      | {200 A encoded}zzz                        | closes in order      |
+      | {200 B unframed}wrong{200 A len 3}own     | closes in order      |
+
   Scenario: A head that never ends
     # Guards against a target that fills the node's memory with a head.
     Given a link to a target
     When request A is sent to the target
     And 100000 bytes of a head without an end arrive in one read
     Then the caller of A is told that it may have run
+
+  Scenario Outline: An answer without a length ends with its connection
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "<bytes>" arrive in one read
+    And the target closes in order
+    Then the caller of A gets 200 "<body>"
+
+    Examples:
+      | bytes                                   | body                           |
+      | {200 A unframed}own                     | own                            |
+      | {200 A unframed}                        |                                |
+      | {200 A unframed}see HTTP/1.1 200 OK     | see HTTP/1.1 200 OK            |
--- a/tests/features/target_side.feature
+++ b/tests/features/target_side.feature
@@ -13,6 +13,7 @@
       | HTTP/1.1 200 OK~Content-Length: 10~~half                                    | hangs up  |
       | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~4~half~                         | hangs up  |
       | HTTP/1.1 200 OK~Transfer-Encoding: gzip, chunked~~2~zz~0~~                | waits     |
+      | HTTP/1.1 200 OK~Transfer-Encoding: gzip~Transfer-Encoding: chunked~~2~zz~0~~ | waits  |
       | HTTP/1.1 200 OK~~an end that may be none                                    | hangs up  |
       | HTTP/1.1 200 OK~Content-Length: 4~Content-Length: 5~~halfx                  | waits     |
       | HTTP/1.1 200 OK~Content-Length: 4~Transfer-Encoding: chunked~~0~~           | waits     |
