Do not pass on a body that runs on into a second answer

What callers would see: 200 with the target's signature and a body that ends in the head and the body of a second answer.

Cause: an answer without a length takes in all that the target says until it closes; an answer that was cut short of its length without a close is filled up by what comes next. By the protocol neither can be told from a whole one. A body that holds the head of an answer which names a request can: it is now a lost answer (outcome unknown; lookups go on to another target). It is looked for only where the body had no length or where something was left over behind it, and a body that merely mentions a status line, or holds a head that names no request, is delivered.

Weighed and left: handing on the part before the second head (whether that part is whole is not known); an answer without a length that is cut short by an orderly close (nothing tells it).

--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -8,7 +8,7 @@
 
 from camphorshelf_core.calls import Response
 from camphorshelf_node.headers import render_request
-from camphorshelf_node.responsereader import ResponseError, ResponseReader
+from camphorshelf_node.responsereader import Framing, ResponseError, ResponseReader, find_heads
 from camphorshelf_node.streams import dial
 
 _MAX_BODY_BYTES = 128 * 1024 * 1024
@@ -219,6 +219,9 @@
         if word.encoded:
             self._fail(Lost("the answer's body is not what the target made", sent=True))
             return
+        if self._holds_second_answer():
+            self._fail(Lost("the answer's body runs on into another answer", sent=True))
+            return
         on_done, self._on_done = self._on_done, None
         # A target may answer before it has read the whole body. Another request on the same
         # connection would be read as the rest of it.
@@ -229,6 +232,15 @@
         origin = Origin(reader.framing.value, self._runs > 1, reader.skipped)
         on_done(Answered(reader.response, word, origin))
 
+    def _holds_second_answer(self):
+        # A body without a length takes in all that the target says before it closes. One that was
+        # cut short of its length is filled up by what comes next, of which some is left over.
+        reader = self._reader
+        if reader.framing is not Framing.CLOSE and not reader.has_surplus:
+            return False
+        heads = find_heads(reader.response.body)
+        return any(self._dialect.read_target(one.status, one.headers).request_id for one in heads)
+
     def _tell_strays(self):
         if self._reader.skipped:
             self._link.on_stray(self._request_id, "ahead")
--- a/tests/features/steps/target_answers_steps.py
+++ b/tests/features/steps/target_answers_steps.py
@@ -120,7 +120,8 @@
 def _check_answer(context, request_id, status, body):
     (result,) = context.results[request_id]
     assert isinstance(result, Answered), result
-    assert (result.response.status, result.response.body) == (status, body.encode()), result
+    body = body.replace("~", "\r\n").encode()
+    assert (result.response.status, result.response.body) == (status, body), result
 
 
 @then("nothing is known yet of {request_id:w}")
--- a/tests/features/target_answers.feature
+++ b/tests/features/target_answers.feature
@@ -122,6 +122,22 @@
       | {200 A encoded}zzz                        | closes in order      |
       | {200 B unframed}wrong{200 A len 3}own     | closes in order      |
 
+  Scenario Outline: Two answers in one body are never passed on
+    # Guards against a second answer that a caller gets as the rest of the first.
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "<bytes>" arrive in one read
+    And the target closes in order
+    Then the caller of A is told that it may have run
+
+    Examples:
+      | bytes                                                                    |
+      | {200 A unframed}own{200 A len 5}wrong                                    |
+      | {200 A unframed}own{200 B len 5}wrong                                    |
+      | {200 A unframed}own{200 A unframed}wrong                                 |
+      | {200 A unframed}see HTTP/1.1 200 OK{200 A chunked}5~wrong~               |
+      | {200 A len 70}own{200 A len 40}a second answer that fills up the first   |
+
   Scenario: A head that never ends
     # Guards against a target that fills the node's memory with a head.
     Given a link to a target
@@ -141,3 +157,4 @@
       | {200 A unframed}own                     | own                            |
       | {200 A unframed}                        |                                |
       | {200 A unframed}see HTTP/1.1 200 OK     | see HTTP/1.1 200 OK            |
+      | {200 A unframed}see {200 - len 5}       | see HTTP/1.1 200 X~Content-Length: 5~~ |
