Send a request again over another connection than before

What callers would see: a wrong refusal or failure, or a request that runs twice. A request that a target turns away may be offered to the same target once more. Over the connection that carried it before, a late second answer to the first sending has the same request id and would be taken for the answer to the second one, while that runs: a second "not run" frees its caller to send an order again.

A connection remembers the ids of the last 32 requests that were answered on it, and carries none of them again. Scenario "A request that is sent again goes over another connection" fails before.

--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -4,6 +4,7 @@
 be taken for the answer to another request.
 """
 
+from collections import deque
 from typing import NamedTuple
 
 from camphorshelf_core.calls import Response
@@ -20,6 +21,8 @@
 # may drop idle ones without notice, and what is sent next is lost with its outcome unknown.
 _FRESH_SECONDS = 1.0
 _SWEEP_SECONDS = 1.0
+# A second answer that is late comes behind few others on its connection.
+_REMEMBERED_REQUESTS = 32
 
 
 class Origin(NamedTuple):
@@ -86,7 +89,7 @@
         :param on_done: takes an :class:`Answered` or a :class:`Lost`, once.
         :return: a function that breaks the request off; ``on_done`` is not called then.
         """
-        connection = self._take(idempotent) or self._dial()
+        connection = self._take(request_id, idempotent) or self._dial()
         if connection is None:
             lost = Lost("no connection could be opened", sent=False)
             self._loop.call_later(0, lambda: on_done(lost))
@@ -102,7 +105,7 @@
         while self._idle:
             self._idle[-1].close()
 
-    def _take(self, idempotent):
+    def _take(self, request_id, idempotent):
         now = self._loop.now()
         longest = self.idle_s * _IDLE_SHARE
         if not idempotent:
@@ -111,6 +114,9 @@
             connection = self._idle[-1]
             if connection.stale:
                 connection.close()
+            elif connection.has_carried(request_id):
+                # A late second answer to the first sending would be taken for the second's.
+                return None
             elif now - connection.idle_since > longest:
                 # The one used last stands last: the others were idle for longer.
                 return None
@@ -150,9 +156,10 @@
         self._request_id = ""
         self._connected = False
         self._sent = False
+        self._reused = False
         self._reader = None
         self._word = None
-        self._runs = 0
+        self._carried = deque(maxlen=_REMEMBERED_REQUESTS)
         self.idle_since = 0.0
         stream.on_data = self._on_data
         stream.on_close = self._on_close
@@ -163,12 +170,16 @@
         """Whether the target has closed the connection or said something unasked."""
         return self._stream.closed or self._stream.stale
 
+    def has_carried(self, request_id):
+        """Tell whether a request of this id went over the connection lately."""
+        return request_id in self._carried
+
     def run(self, request, request_id, on_done):
         self._request = request
         self._request_id = request_id
         self._on_done = on_done
         self._sent = False
-        self._runs += 1
+        self._reused = self._reader is not None
         self._reader = ResponseReader(request.method, _MAX_BODY_BYTES, self._is_own)
         if self._connected:
             self._write()
@@ -212,6 +223,8 @@
             self._deliver()
 
     def _deliver(self):
+        if self._request_id:
+            self._carried.append(self._request_id)
         reader, word = self._reader, self._word
         self._tell_strays()
         if word.idle_s is not None:
@@ -229,7 +242,7 @@
         # Kept in the loop's next turn: what the target sends at once behind its answer would be
         # taken for the answer to the next request.
         self._link._loop.call_later(0, lambda: self._rest(is_reusable))
-        origin = Origin(reader.framing.value, self._runs > 1, reader.skipped)
+        origin = Origin(reader.framing.value, self._reused, reader.skipped)
         on_done(Answered(reader.response, word, origin))
 
     def _holds_second_answer(self):
--- a/tests/features/target_answers.feature
+++ b/tests/features/target_answers.feature
@@ -158,3 +158,12 @@
       | {200 A unframed}                        |                                |
       | {200 A unframed}see HTTP/1.1 200 OK     | see HTTP/1.1 200 OK            |
       | {200 A unframed}see {200 - len 5}       | see HTTP/1.1 200 X~Content-Length: 5~~ |
+
+  Scenario: A request that is sent again goes over another connection
+    # Guards against the late second answer to the first sending that is taken for the second's.
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "{503 A len 4 not run}full" arrive in one read
+    Then the caller of A gets 503 "full"
+    When request A is sent to the target
+    Then 2 connections have been opened to the target
