Do not take a late answer to a request for the answer to a probe

What callers would see: requests that are turned away or sent to a wrong place, since the node reads its target's health, instance and load from an answer that belongs to a request of before. Probes carry no id, so every answer counted as theirs. Scenario "A late answer to a request is no answer to a probe" fails before.

--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -194,7 +194,7 @@
     def _is_own(self, status, headers):
         word = self._word = self._dialect.read_target(status, headers)
         if not self._request_id:
-            return True
+            return not self.has_carried(word.request_id)
         if word.request_id:
             return word.request_id == self._request_id
         # Targets name the request they answer; only a bare refusal may leave it out.
--- a/tests/features/target_answers.feature
+++ b/tests/features/target_answers.feature
@@ -167,3 +167,15 @@
     Then the caller of A gets 503 "full"
     When request A is sent to the target
     Then 2 connections have been opened to the target
+
+  Scenario: A late answer to a request is no answer to a probe
+    # Guards against a wrong state of health, instance and load that is read from a stray answer.
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "{200 A len 3}own" arrive in one read
+    Then the caller of A gets 200 "own"
+    When a probe is sent to the target
+    And the target's bytes "{200 A len 5}wrong" arrive in one read
+    Then nothing is known yet of the probe
+    When the target's bytes "{200 - len 4}well" arrive in one read
+    Then the probe gets 200 "well"
