Take a refusal that names no request for the own one on a new connection only

What callers would see: a request that is refused as "not run" and runs. A target that turns a probe away does so without naming a request; a late second answer of that kind on a kept connection would have been taken for the refusal of the request that runs there.

--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -197,8 +197,9 @@
             return not self.has_carried(word.request_id)
         if word.request_id:
             return word.request_id == self._request_id
-        # Targets name the request they answer; only a bare refusal may leave it out.
-        return status >= 300
+        # Targets name the request they answer; only a bare refusal may leave it out, and on a
+        # connection that was in use it may be the late answer to a probe.
+        return status >= 300 and not self._reused
 
     def _on_connect(self):
         self._connected = True
--- a/tests/features/target_answers.feature
+++ b/tests/features/target_answers.feature
@@ -179,3 +179,26 @@
     Then nothing is known yet of the probe
     When the target's bytes "{200 - len 4}well" arrive in one read
     Then the probe gets 200 "well"
+
+  Scenario Outline: A refusal that names no request counts on a new connection only
+    # Guards against "not run" of a request that runs, read from the late answer to a probe.
+    Given a link to a target
+    When a probe is sent to the target
+    And the target's bytes "{503 - len 4 not run}full" arrive in one read
+    Then the probe gets 503 "full"
+    When request A is sent to the target
+    And the target's bytes "<bytes>" arrive in one read
+    Then nothing is known yet of A
+    When the target's bytes "{200 A len 3}own" arrive in one read
+    Then the caller of A gets 200 "own"
+
+    Examples:
+      | bytes                      |
+      | {503 - len 4 not run}full  |
+      | {500 - len 4}fail          |
+
+  Scenario: A bare refusal on a new connection
+    Given a link to a target
+    When request A is sent to the target
+    And the target's bytes "{400 - len 3}bad" arrive in one read
+    Then the caller of A gets 400 "bad"
