--- a/tests/features/edge.feature
+++ b/tests/features/edge.feature
@@ -146,6 +146,12 @@
     And the target answers 200 "second"
     Then the caller got the answers "first, second"
 
+  Scenario: The body beside a wish to change the protocol is not read as a request
+    # Guards against a request that is smuggled inside the body of another.
+    Given a caller's connection to a node
+    When the caller sends "POST /1 HTTP/1.1~Host: a~Connection: Upgrade~Upgrade: h2c~Content-Length: 33~~GET /inside HTTP/1.1~Host: a~~"
+    Then nothing but "/1" with a body of 33 bytes was passed on
+
   Scenario Outline: Answers without a body
     Given a caller's connection to a node
     When the caller sends "<method> / HTTP/1.1~Host: a~~"
--- a/tests/features/steps/edge_steps.py
+++ b/tests/features/steps/edge_steps.py
@@ -216,6 +216,13 @@
     assert request.body == body.encode(), request
 
 
+@then('nothing but "{path}" with a body of {size:d} bytes was passed on')
+def check_only_passed(context, path, size):
+    passed = [(one.request.path.decode(), len(one.request.body)) for one in context.exchanges]
+    # A refusal is as good: then nothing was passed on at all.
+    assert passed in ([], [(path, size)]), passed
+
+
 @then("it has no header {name}")
 def check_no_header(context, name):
     assert header(context.exchanges[-1].request.headers, name.encode()) is None
