Refuse a request with a body that asks for another protocol

What could happen: a request smuggled inside the body of another one. With Connection: Upgrade and an Upgrade header the parser stops behind the head; the request was passed on without its body, and the body was read as the next request of the connection.

Such a request is refused with 400 and its connection ends. Upgrade without a body is ignored as before. edge.feature "The body beside a wish to change the protocol is not read as a request" fails before.

--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -160,6 +160,10 @@
         length = header(self._headers, b"content-length")
         if length is not None and int(length) > self._limits.body_bytes:
             raise _RefusedError(Code.BODY_TOO_LARGE, "the body is larger than allowed")
+        if self._parser.should_upgrade() and _has_body(self._headers):
+            # The parser stops behind such a head, and the body would be read as the next request.
+            reason = "a request with a body cannot change the protocol"
+            raise _RefusedError(Code.BAD_REQUEST, reason)
         self._in_head = False
         self._continue_due = _wants_continue(version, self._headers)
 
@@ -427,5 +431,9 @@
 def _wants_continue(version, headers):
     if version == "1.0" or header(headers, b"expect") is None:
         return False
+    return _has_body(headers)
+
+
+def _has_body(headers):
     length = header(headers, b"content-length")
     return header(headers, b"transfer-encoding") is not None or (length or b"0").strip(b"0") != b""
