Read a skipped answer to HEAD once

What callers would see: a HEAD request that is not answered before its deadline. An answer to another request that came ahead was finished at the end of its head and once more at its end, the second time without headers; taken for a bare refusal, it ended in an exception after the request's callback had been taken. answer_cuts.feature "The answer to HEAD comes behind an answer to another request" fails before.

An answer that was skipped counts as a sign of life as before: a target that closes behind it is not said to have crashed under the request.

--- a/packages/node/src/camphorshelf_node/responsereader.py
+++ b/packages/node/src/camphorshelf_node/responsereader.py
@@ -65,8 +65,8 @@
 
     @property
     def is_in_head(self):
-        """Whether no head of the response has arrived whole."""
-        return self._in_head
+        """Whether no head of any response has arrived whole."""
+        return self._in_head and not self._skipped
 
     @property
     def has_surplus(self):
@@ -146,7 +146,9 @@
 
     def on_message_complete(self):
         """Called by the parser at the end of a response."""
-        if self._response is None and self._parser.get_status_code() not in _INTERIM_STATUSES:
+        if self._response is not None or self._in_head:
+            return
+        if self._parser.get_status_code() not in _INTERIM_STATUSES:
             self._finish()
 
     def _start(self):
