Find a second answer in a body also when its head is cut, and whatever ends the body

What callers would see: 200 with the target's signature and a body that ends in a part of a second answer. The check looked only where something was left over in the same read, and for whole heads; an answer that was cut short by less than a head was filled up unseen.

Every body is searched now. A whole head counts when it names this request or one that the connection has carried (any request where the body had no length or something was left over); a head that the body's end cuts short counts when it begins like the head of the answer itself, since one target writes its heads alike. A body that quotes other responses is delivered. What is missing less than a status line can't be told.

--- a/packages/node/src/camphorshelf_node/responsereader.py
+++ b/packages/node/src/camphorshelf_node/responsereader.py
@@ -1,6 +1,5 @@
 """Finds the response to one request among the bytes that its connection delivers."""
 
-from contextlib import suppress
 from enum import Enum
 
 import httptools
@@ -11,9 +10,6 @@
 
 _MAX_HEAD_BYTES = 65_536
 _INTERIM_STATUSES = range(100, 200)
-_VERSION = b"HTTP/1."
-# A body may mention the protocol's name any number of times.
-_MAX_HEADS_TRIED = 8
 
 
 class Framing(Enum):
@@ -63,6 +59,11 @@
         """What ends the body of the response, a :class:`Framing`."""
         return self._framing
 
+    @property
+    def first_name(self):
+        """The name of the first header of the response, empty when it has none."""
+        return self._headers[0][0] if self._headers else b""
+
     @property
     def is_in_head(self):
         """Whether no head of any response has arrived whole."""
@@ -186,24 +187,6 @@
             raise ResponseError(f"the head is larger than {_MAX_HEAD_BYTES} bytes")
 
 
-def find_heads(body):
-    """Find the heads of responses inside a body.
-
-    :param body: the bytes.
-    :return: a generator of responses without bodies.
-    """
-    start = body.find(_VERSION)
-    for _ in range(_MAX_HEADS_TRIED):
-        if start < 0:
-            return
-        reader = ResponseReader("HEAD", 0)
-        with suppress(ResponseError):
-            reader.feed(body[start : start + _MAX_HEAD_BYTES])
-        if reader.response is not None:
-            yield reader.response
-        start = body.find(_VERSION, start + 1)
-
-
 def find_framing(status, headers, method):
     """Find what ends the body of a response.
 
--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -8,8 +8,9 @@
 from typing import NamedTuple
 
 from camphorshelf_core.calls import Response
+from camphorshelf_node.embeddedheads import find_heads
 from camphorshelf_node.headers import render_request
-from camphorshelf_node.responsereader import Framing, ResponseError, ResponseReader, find_heads
+from camphorshelf_node.responsereader import Framing, ResponseError, ResponseReader
 from camphorshelf_node.streams import dial
 
 _MAX_BODY_BYTES = 128 * 1024 * 1024
@@ -247,13 +248,21 @@
         on_done(Answered(reader.response, word, origin))
 
     def _holds_second_answer(self):
-        # A body without a length takes in all that the target says before it closes. One that was
-        # cut short of its length is filled up by what comes next, of which some is left over.
+        # Cut short of its end, an answer is filled up by the next one on its connection.
         reader = self._reader
-        if reader.framing is not Framing.CLOSE and not reader.has_surplus:
-            return False
         heads = find_heads(reader.response.body)
-        return any(self._dialect.read_target(one.status, one.headers).request_id for one in heads)
+        return any(self._is_second(head, reader) for head in heads)
+
+    def _is_second(self, head, reader):
+        if not head.is_whole:
+            # One target writes all its heads alike; the last name may be a part of one.
+            name, _ = head.headers[0]
+            is_alike = reader.first_name.startswith(name)
+            return is_alike and (len(head.headers) == 1 or name == reader.first_name)
+        request_id = self._dialect.read_target(head.status, head.headers).request_id
+        if reader.framing is Framing.CLOSE or reader.has_surplus:
+            return bool(request_id)
+        return bool(request_id) and (request_id == self._request_id or self.has_carried(request_id))
 
     def _tell_strays(self):
         if self._reader.skipped:
