Refuse a response whose head runs on into another one

What callers would see: a failure of the target as a success. An answer that is cut short in its status line or in a header's value takes the rest of its head from the answer behind it: 200 with the body and the name of a 500. A status line in the reason phrase or in a header's value is now an invalid response. answer_cuts.feature "A first line that is cut short" and "A header line that is cut short" fail before.

--- a/packages/node/src/camphorshelf_node/responsereader.py
+++ b/packages/node/src/camphorshelf_node/responsereader.py
@@ -1,5 +1,6 @@
 """Finds the response to one request among the bytes that its connection delivers."""
 
+import re
 from enum import Enum
 
 import httptools
@@ -10,6 +11,7 @@
 
 _MAX_HEAD_BYTES = 65_536
 _INTERIM_STATUSES = range(100, 200)
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
 
 
 class Framing(Enum):
@@ -118,6 +120,11 @@
         else:
             self._start()
 
+    def on_status(self, reason):
+        """Called by the parser with a part of the status line behind the status."""
+        if self._response is None:
+            self._reason += reason
+
     def on_header(self, name, value):
         """Called by the parser with one header or trailer."""
         if self._in_head:
@@ -153,6 +160,7 @@
             self._finish()
 
     def _start(self):
+        self._reason = b""
         self._headers = []
         self._body = []
         self._body_bytes = 0
@@ -167,6 +175,10 @@
             self._skipped += 1
             self._start()
             return
+        if _holds_status_line(self._reason, self._headers):
+            # Cut short in its head, it took the rest of the head from the response behind it.
+            self._error = "the head runs on into another one"
+            return
         if not _is_decoded(self._headers):
             self._error = "another transfer coding than chunked"
             return
@@ -209,3 +221,7 @@
     # The parser undoes chunked and no other coding.
     codings = [value.strip().lower() for name, value in headers if name == b"transfer-encoding"]
     return codings in ([], [b"chunked"])
+
+
+def _holds_status_line(reason, headers):
+    return any(_STATUS_LINE.search(text) for text in (reason, *[value for _, value in headers]))
--- a/tests/features/steps/answer_cuts_steps.py
+++ b/tests/features/steps/answer_cuts_steps.py
@@ -112,9 +112,7 @@
     return b"".join(chunks) + b"0\r\n" + trailer + b"\r\n"
 
 
-@given(
-    "{count:d} random answers to A {framing} that are cut short, with a second answer behind"
-)
+@given("{count:d} random answers to A {framing} that are cut short, with a second answer behind")
 def give_short_rows(context, count, framing):
     rng = random.Random(framing)
     context.rows = [_make_short_row(rng, framing == "in chunks") for _ in range(count)]
