Look for unread bytes before a connection goes to a call that waits

What callers would see: another call's answer. The client closed a connection with unread bytes before it took it from the idle ones, but handed it to a waiting call unlooked at. Found by the review with real sockets (a second answer behind the first was read as the answer to the next two calls). What arrives only after the next call has been written can't be told without ids in the answers; that is listed in the postmortem. target_side.feature "A call that waits gets no connection with unread bytes" fails before.

--- a/packages/node/src/camphorshelf_node/httpclient.py
+++ b/packages/node/src/camphorshelf_node/httpclient.py
@@ -194,6 +194,9 @@
     def _reuse(self):
         if self._stream.closed:
             return
+        if self._stream.stale:
+            self._stream.close()
+            return
         self._kept = True
         self._client._give_back(self)
 
--- a/tests/features/steps/target_side_steps.py
+++ b/tests/features/steps/target_side_steps.py
@@ -99,6 +99,26 @@
     say(context, "HTTP/1.1 200 OK~X: " + "x" * size)
 
 
+@when("5 calls are sent over its 4 connections")
+def send_five(context):
+    for _ in range(5):
+        send(context, "GET")
+    assert len(context.streams) == 4
+
+
+@when("the first is answered, with more bytes behind it that are not read yet")
+def answer_first(context):
+    first = context.streams[0]
+    first.on_data(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    first.stale = True
+    context.loop.advance(0)
+
+
+@then("the first connection is closed")
+def check_first_closed(context):
+    assert context.streams[0].closed
+
+
 @when("the call is abandoned")
 def abandon(context):
     context.abandon()
--- a/tests/features/target_side.feature
+++ b/tests/features/target_side.feature
@@ -74,6 +74,14 @@
       | GET    | HTTP/1.1 200 OK~Content-Length: 2~~okHTTP/1.1 200                                        |
       | HEAD   | HTTP/1.1 200 OK~Content-Length: 2~~ok                                                    |
 
+  Scenario: A call that waits gets no connection with unread bytes
+    # Guards against a second answer of one call that is read as the answer to the next.
+    Given a client of a target
+    When 5 calls are sent over its 4 connections
+    And the first is answered, with more bytes behind it that are not read yet
+    Then 5 connections were opened in all
+    And the first connection is closed
+
   Scenario: A kept connection that the target has closed meanwhile
     Given a client of a target
     And a kept connection to the target
