Do not pass on a success without the target's signature

What callers would see: a success that the target may not have made. Nothing looked at the signature that every success of a target bears; an answer that was spoiled in its head could come without it.

--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -88,6 +88,7 @@
     :param slowness: how long work takes there now, 1.0 as usual; None when it does not tell.
     :param idle_s: how long it keeps an idle connection; None when it does not say.
     :param encoded: whether the body is not as the target's service made it.
+    :param signed: whether the answer bears the target's signature, as every success does.
     """
 
     request_id: str
@@ -100,6 +101,7 @@
     slowness: float | None
     idle_s: float | None
     encoded: bool
+    signed: bool
 
 
 class Dialect(NamedTuple):
--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -231,11 +231,9 @@
         self._tell_strays()
         if word.idle_s is not None:
             self._link.idle_s = max(0.5, word.idle_s)
-        if word.encoded:
-            self._fail(Lost("the answer's body is not what the target made", sent=True))
-            return
-        if self._holds_second_answer():
-            self._fail(Lost("the answer's body runs on into another answer", sent=True))
+        flaw = self._find_flaw()
+        if flaw is not None:
+            self._fail(Lost(flaw, sent=True))
             return
         on_done, self._on_done = self._on_done, None
         # A target may answer before it has read the whole body. Another request on the same
@@ -247,6 +245,16 @@
         origin = Origin(reader.framing.value, self._reused, reader.skipped)
         on_done(Answered(reader.response, word, origin))
 
+    def _find_flaw(self):
+        status = self._reader.response.status
+        if self._word.encoded:
+            return "the answer's body is not what the target made"
+        if self._request_id and status < 300 and not self._word.signed:
+            return "the answer is a success without the target's signature"
+        if self._holds_second_answer():
+            return "the answer's body runs on into another answer"
+        return None
+
     def _holds_second_answer(self):
         # Cut short of its end, an answer is filled up by the next one on its connection.
         reader = self._reader
--- a/tests/features/steps/answer_cuts_steps.py
+++ b/tests/features/steps/answer_cuts_steps.py
@@ -162,7 +162,9 @@
         if is_used:
             _send(link, "Z", [])
             streams[0].on_connect()
-            streams[0].on_data(b"HTTP/1.1 200 X\r\nRequest-Id: Z\r\nContent-Length: 0\r\n\r\n")
+            streams[0].on_data(
+                b"HTTP/1.1 200 X\r\nRequest-Id: Z\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"
+            )
             loop.advance(0)
         results = []
         _send(link, "A", results)
--- a/tests/features/steps/target_answers_steps.py
+++ b/tests/features/steps/target_answers_steps.py
@@ -15,6 +15,7 @@
 _HEAD = re.compile(r"\{(\d+) (\S) ([a-z0-9 ]+)\}")
 _FRAMINGS = {
     "none": "",
+    "unsigned": "Content-Length: 3\r\n",
     "chunked": "Transfer-Encoding: chunked\r\n",
     "unframed": "",
     "coded": "Transfer-Encoding: gzip, chunked\r\n",
@@ -77,6 +78,8 @@
     lines = f"HTTP/1.1 {status} X\r\n"
     if request_id != "-":
         lines += f"Request-Id: {request_id}\r\n"
+    if request_id != "-" and framing != "unsigned":
+        lines += "Response-Stamp: s\r\n"
     if framing.endswith(" not run"):
         framing = framing.removesuffix(" not run")
         lines += "Not-Executed: 1\r\n"
--- a/tests/features/target_answers.feature
+++ b/tests/features/target_answers.feature
@@ -120,6 +120,7 @@
       | {200 A coded}3~zzz~0~~                    | closes in order      |
       | {200 A coded twice}3~zzz~0~~              | closes in order      |
       | {200 A encoded}zzz                        | closes in order      |
+      | {200 A unsigned}zzz                       | closes in order      |
       | {200 B unframed}wrong{200 A len 3}own     | closes in order      |
 
   Scenario Outline: Two answers in one body are never passed on
@@ -136,7 +137,7 @@
       | {200 A unframed}own{200 B len 5}wrong                                    |
       | {200 A unframed}own{200 A unframed}wrong                                 |
       | {200 A unframed}see HTTP/1.1 200 OK{200 A chunked}5~wrong~               |
-      | {200 A len 70}own{200 A len 40}a second answer that fills up the first   |
+      | {200 A len 90}own{200 A len 40}a second answer that fills up the first   |
 
   Scenario: A head that never ends
     # Guards against a target that fills the node's memory with a head.
--- a/tests/standins/relaytarget.py
+++ b/tests/standins/relaytarget.py
@@ -147,7 +147,13 @@
 
 
 def _render(body, request_id):
-    lines = ("HTTP/1.1 200 OK", f"Request-Id: {request_id}", f"Content-Length: {len(body)}", "")
+    lines = (
+        "HTTP/1.1 200 OK",
+        f"Request-Id: {request_id}",
+        "Response-Stamp: stamp",
+        f"Content-Length: {len(body)}",
+        "",
+    )
     return "\r\n".join((*lines, body)).encode()
 
 
