--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -6,7 +6,7 @@
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage
 from camphorshelf_core.retry import FAILURE_STATUSES
 
-from .targetlink import Answered
+from .targetconnection import Answered
 
 
 class Gate:
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -7,7 +7,8 @@
 from camphorshelf_core.calls import Request
 from camphorshelf_core.instances import InstanceRecord
 
-from .targetlink import Answered, TargetLink
+from .targetconnection import Answered
+from .targetlink import TargetLink
 
 # A host's speed changes every few hundred milliseconds: asked 20 times a second, the answer is
 # 25 ms old on average. Answers to requests carry the same word, so a busy target is asked less.
--- a/tests/features/steps/answer_cuts_steps.py
+++ b/tests/features/steps/answer_cuts_steps.py
@@ -9,7 +9,8 @@
 from camphorshelf_core.calls import Request
 from camphorshelf_platform.headers import DIALECT
 from camphorshelf_relay import targetlink
-from camphorshelf_relay.targetlink import Answered, TargetLink
+from camphorshelf_relay.targetconnection import Answered
+from camphorshelf_relay.targetlink import TargetLink
 from standins.fakes import FakeLoop, FakeStream
 
 _BODY_BYTES = b"abHT/ \r\n0"
--- a/tests/features/steps/limit_log_steps.py
+++ b/tests/features/steps/limit_log_steps.py
@@ -11,7 +11,7 @@
 from camphorshelf_platform.headers import DIALECT, read_target
 from camphorshelf_relay.crashes import CrashWatch
 from camphorshelf_relay.gate import Gate
-from camphorshelf_relay.targetlink import Answered, Origin
+from camphorshelf_relay.targetconnection import Answered, Origin
 from standins.fakes import FakeLoop
 
 _SERVICE = "counter"
--- a/tests/features/steps/target_answers_steps.py
+++ b/tests/features/steps/target_answers_steps.py
@@ -8,7 +8,8 @@
 from camphorshelf_core.calls import Request
 from camphorshelf_platform.headers import DIALECT
 from camphorshelf_relay import targetlink
-from camphorshelf_relay.targetlink import Answered, Lost, TargetLink
+from camphorshelf_relay.targetconnection import Answered, Lost
+from camphorshelf_relay.targetlink import TargetLink
 from standins.fakes import FakeLoop, FakeStream
 
 # A head is written as {status id framing}; the id "-" stands for none.
