Hedging: the second try of a slow idempotent request goes by its usual name

Behaviour is unchanged. Logs saved before have the old event; explain then sorts that line among the last ones.

--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -76,8 +76,8 @@
     placement._SPARE_SLOTS = 0
 
 
-def _no_second_try():
-    relay.second_try_times = lambda *terms: ()
+def _no_hedging():
+    relay.hedge_delays = lambda *terms: ()
 
 
 def _no_retries():
@@ -126,7 +126,7 @@
     "no-warming": _no_warming_in_choice,
     "no-crowding": _no_crowding_in_choice,
     "no-spare-slots": _no_spare_slots,
-    "no-second-try": _no_second_try,
+    "no-hedging": _no_hedging,
     "no-retries": _no_retries,
     "no-rerun-pool": _no_rerun_pool,
     "no-spread": _no_spread,
--- a/packages/cli/src/camphorshelf_cli/logs.py
+++ b/packages/cli/src/camphorshelf_cli/logs.py
@@ -12,8 +12,9 @@
     "run_ended": 1,
     "declined": 2,
     "repeat": 2,
+    "hedge": 2,
 }
-_SECOND_TRY, _LAST = 2, 3
+_AT_ENTRY, _LAST = 2, 3
 _SHOWN_APART = frozenset({"time", "host", "event", "request"})
 
 
@@ -43,9 +44,9 @@
     :return: a list of :class:`Hop`.
     """
     hops = [hop for path in sorted(glob(pattern)) for hop in _read_hops(path, request)]
-    entry = {hop.host for hop in hops if _stage(hop) >= _SECOND_TRY}
-    own = [hop for hop in hops if _stage(hop) >= _SECOND_TRY]
-    others = [hop for hop in hops if _stage(hop) < _SECOND_TRY]
+    entry = {hop.host for hop in hops if _stage(hop) >= _AT_ENTRY}
+    own = [hop for hop in hops if _stage(hop) >= _AT_ENTRY]
+    others = [hop for hop in hops if _stage(hop) < _AT_ENTRY]
     ordered = []
     for hop in sorted(own, key=lambda one: (_stage(one) == _LAST, one.time)):
         results = [one for one in others if _belongs(one, hop, entry)]
@@ -77,7 +78,7 @@
 
 
 def _stage(hop):
-    return _STAGES.get(hop.event, _SECOND_TRY if hop.event == "second_try" else _LAST)
+    return _STAGES.get(hop.event, _LAST)
 
 
 def _read_hops(path, request):
--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -40,8 +40,8 @@
         "request route target expected_ms status",
     ),
     Event(
-        "second_try",
-        "An idempotent request takes long and is given to a second target, `to`, as well.",
+        "hedge",
+        "An idempotent request takes long and is hedged: sent to a second target, `to`, as well.",
         "request route target expected_ms to",
     ),
     Event(
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -2,12 +2,12 @@
 
 from camphorshelf_core.calls import Response
 from camphorshelf_core.errors import Code, Ran, Refusal
+from camphorshelf_core.hedging import hedge_delays
 from camphorshelf_core.loadprobes import MAX_PROBE_ROUNDS, put_unanswered_last
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage, RelayMessage
 from camphorshelf_core.placement import rank
 from camphorshelf_core.retry import FAILURE_STATUSES
 from camphorshelf_core.returns import retry_after, retry_after_shed
-from camphorshelf_core.secondtry import second_try_times
 from camphorshelf_node.headers import strip_hop_by_hop
 
 # Targets' nodes that a request is offered to in turn before it is refused.
@@ -47,7 +47,7 @@
         self._maybe_ran = False
         self._failure = None
         self._finished = False
-        self._overdue_timers = []
+        self._hedge_timers = []
         self._timer = None
 
     def start(self):
@@ -132,22 +132,20 @@
         if offer in self._running:
             self._running[offer] = cancel
             if self._route.idempotent and self._route.attempts > 1:
-                self._watch_overdue(candidate, now)
+                self._schedule_hedges(candidate, now)
 
-    def _watch_overdue(self, candidate, now):
-        self._cancel_overdue()
-        times = second_try_times(
+    def _schedule_hedges(self, candidate, now):
+        self._cancel_hedges()
+        delays = hedge_delays(
             candidate.expected_s, self._facts.work_s, self._goal_at - now, self._expires_at - now
         )
         guard = self._exchange.guard
-        self._overdue_timers = [
-            self._loop.call_later(wait, guard(self._on_overdue)) for wait in times
-        ]
+        self._hedge_timers = [self._loop.call_later(delay, guard(self._hedge)) for delay in delays]
 
-    def _cancel_overdue(self):
-        for timer in self._overdue_timers:
+    def _cancel_hedges(self):
+        for timer in self._hedge_timers:
             timer.cancel()
-        self._overdue_timers = []
+        self._hedge_timers = []
 
     def on_relayed(self, offer, message):
         """Take a target's answer.
@@ -222,7 +220,7 @@
             return False
         return self._router.spend_retry(self._service, is_rerun)
 
-    def _on_overdue(self):
+    def _hedge(self):
         if self._finished or len(self._running) != 1:
             return
         if self._reached + 1 >= self._route.attempts:
@@ -236,7 +234,7 @@
         ]
         if free and self._router.spend_retry(self._service, is_rerun=True):
             (first,) = self._running
-            self._log_step("second_try", first, to=free[0].address)
+            self._log_step("hedge", first, to=free[0].address)
             self._offer(free[0], patience=0)
 
     def _answer(self, offer, message):
@@ -309,7 +307,7 @@
 
     def _end(self):
         self._finished = True
-        self._cancel_overdue()
+        self._cancel_hedges()
         if self._timer is not None:
             self._timer.cancel()
         running, self._running = self._running, {}
