Retry-After: core/returns.py is core/retryafter.py, refused callers retry

The bounds are _MIN_SECONDS and _MAX_SECONDS; the tests that speak of a time to come back speak of Retry-After. Behaviour is unchanged.

--- a/packages/core/src/camphorshelf_core/returns.py
+++ b/packages/core/src/camphorshelf_core/retryafter.py
@@ -1,23 +1,23 @@
-"""When a refused caller should come back.
+"""After which delay a refused caller should retry (Retry-After), with jitter.
 
-Load pattern: saturation, where many callers are refused within a moment. All of them coming back
-after the same time would be the same burst again; coming back past their goal is of no use to
-most. So each is told a moment of its own, within what its goal leaves.
+Load pattern: saturation, where many callers are refused within a moment. With the same delay for
+all of them the burst would repeat; a retry past their goal is of no use to most. So each gets a
+random delay within what its goal leaves.
 """
 
 # Earlier than this nothing has changed: the speed of a host holds for some 300 ms.
-_LEAST_SECONDS = 0.04
+_MIN_SECONDS = 0.04
 # Without a target there is nothing to wait for but its return; a quarter of a second spares the
 # node a caller that asks in a loop, and costs the caller little.
 _NO_TARGET_SECONDS = 0.25
-_MOST_SECONDS = 1.0
+_MAX_SECONDS = 1.0
 # A target that turns requests away at random, and not for want of a slot, may take the same one a
 # moment later: a caller with a goal of 100 ms then has two more chances in time.
 _SHED_SECONDS = 0.01
 
 
 def retry_after_shed(random):
-    """Tell a caller whose request the target itself turned away when to come back.
+    """Choose the delay for a caller whose request the target itself shed.
 
     Load pattern: a service whose targets all shed a part of what they get, whatever their load.
     Retries between nodes are bounded for all services together; what a caller sends again isn't.
@@ -29,9 +29,9 @@
 
 
 def retry_after(wait_s, goal_left_s, work_s, random):
-    """Tell a refused caller when to come back.
+    """Choose the delay for a caller that this node refused.
 
-    :param wait_s: the shortest wait that any target foretold; None when there was no target.
+    :param wait_s: the shortest queueing delay that any target expected; None without a target.
     :param goal_left_s: what is left of the caller's goal.
     :param work_s: how long its work usually runs.
     :param random: the source of random numbers.
@@ -40,7 +40,7 @@
     if wait_s is None:
         return random.uniform(0.5, 1.0) * _NO_TARGET_SECONDS
     spare = goal_left_s - work_s * 1.5
-    if spare > _LEAST_SECONDS:
+    if spare > _MIN_SECONDS:
         # In time for its goal, when what waits now has mostly gone.
-        return random.uniform(_LEAST_SECONDS, max(_LEAST_SECONDS, min(spare, wait_s * 1.5)))
-    return min(_MOST_SECONDS, random.uniform(0.5, 1.5) * max(wait_s, _LEAST_SECONDS))
+        return random.uniform(_MIN_SECONDS, max(_MIN_SECONDS, min(spare, wait_s * 1.5)))
+    return min(_MAX_SECONDS, random.uniform(0.5, 1.5) * max(wait_s, _MIN_SECONDS))
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -7,14 +7,14 @@
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage, RelayMessage
 from camphorshelf_core.placement import rank
 from camphorshelf_core.retry import FAILURE_STATUSES
-from camphorshelf_core.returns import retry_after, retry_after_shed
+from camphorshelf_core.retryafter import retry_after, retry_after_shed
 from camphorshelf_node.headers import strip_hop_by_hop
 
 # Targets' nodes that a request is offered to in turn before it is refused.
 _MAX_OFFERS = 3
 _LEAST_SECONDS = 0.01
 # Up to an eighth of its goal a request may be held and refused all the same: its caller still has
-# most of the time to come back.
+# most of the time to retry.
 _HELD_SHARE = 0.125
 
 
@@ -198,7 +198,7 @@
         self._log_step("declined", offer, code=Code(message.code).name, wait_s=round(wait_s, 4))
         if now - self._arrived > _HELD_SHARE * self._route.goal_s:
             # It has waited in a queue that became too long. A refusal now would come too late for
-            # its caller to do better elsewhere, so it is treated like one that came back.
+            # its caller to do better elsewhere, so it is treated like a retry.
             self._patience = 2
         if self._running:
             return
--- a/packages/relay/src/camphorshelf_relay/routebook.py
+++ b/packages/relay/src/camphorshelf_relay/routebook.py
@@ -32,7 +32,7 @@
     def spent_before(self, wait_s):
         """Tell how long a caller has waited already, over its earlier attempts.
 
-        A caller that comes back after a refusal says a shorter wait than others of its route: the
+        A caller that retries after a refusal says a shorter wait than others of its route: the
         difference is the time that it has spent. Its goal counts from its first attempt.
 
         :param wait_s: how long it waits now.
--- a/packages/relay/src/camphorshelf_relay/storeport.py
+++ b/packages/relay/src/camphorshelf_relay/storeport.py
@@ -11,7 +11,7 @@
 def wait_after(failures, random, longest_s=MAX_WAIT_SECONDS):
     """Tell how long to wait before the store is asked again.
 
-    Doubled up to the longest, and drawn below that, so that nodes do not come back together.
+    Doubled up to the longest, and drawn below that, so that nodes do not retry together.
 
     :param failures: how many calls have failed in a row.
     :param random: the source of random numbers.
--- a/tests/features/platform_formats.feature
+++ b/tests/features/platform_formats.feature
@@ -40,8 +40,8 @@
       | INTERNAL          | OUTCOME_UNKNOWN | 502    |
       | QUEUE_FULL        | OUTCOME_UNKNOWN | 502    |
 
-  Scenario: A time to come back keeps its fractions
-    Then a refusal with 130 ms to come back says "0.130"
+  Scenario: A Retry-After keeps its fractions
+    Then a refusal with 130 ms of Retry-After says "0.130"
 
   Scenario Outline: What a target tells of its load
     When a target's load header is "<value>"
--- a/tests/features/relay_changes.feature
+++ b/tests/features/relay_changes.feature
@@ -29,7 +29,7 @@
 
   Scenario: Nobody is served before a configuration is known, and nobody is told "no such route"
     Given the store is down and every node is started again
-    Then "a" is not ready and answers 503 with a time to come back
+    Then "a" is not ready and answers 503 with Retry-After
     When the store is back
     Then every node is ready within 3 s
 
@@ -72,7 +72,7 @@
 
   Scenario: A target that crashes takes no new orders until it is back
     When the target of "c" is killed
-    Then within 1 s an order at "a" is answered 503 with a time to come back
+    Then within 1 s an order at "a" is answered 503 with Retry-After
     When the target of "c" is started again
     Then a caller at "a" is served "POST /order/x" within 3 s
 
--- a/tests/features/relay_path.feature
+++ b/tests/features/relay_path.feature
@@ -22,7 +22,7 @@
   Scenario: An order whose target breaks off is not run again, and is not called "not run"
     # The caller sees 502: it may have run. A second target exists but must not get it.
     When a caller at "a" sends "POST /order/x?cut=1"
-    Then it is answered 502 without a time to come back
+    Then it is answered 502 without Retry-After
     And it ran once
 
   Scenario: A lookup whose target breaks off goes on to another one
@@ -47,7 +47,7 @@
   Scenario: Requests beyond the last slot are turned away or wait, and none is lost
     # Forty callers at once where two targets take seven each; nobody waits for nothing.
     When 40 callers at "a" send "GET /look/x?work_ms=100" at once
-    Then each is answered 200, or 503 with a time to come back
+    Then each is answered 200, or 503 with Retry-After
     And no refused one ran
 
   Scenario: A malformed request harms nobody behind it
@@ -73,13 +73,13 @@
   Scenario: A lookup that fails at each target gets the failure, not "not run"
     # Both targets ran it and failed. "Not run" would be untrue, and there is no third target.
     When a caller at "c" sends "GET /look/x?fail=500"
-    Then it is answered 500 without a time to come back
+    Then it is answered 500 without Retry-After
     And it ran at two targets
 
   Scenario: A target that says 503 of an order without vouching that it did not run
     # A caller takes 503 for "did not run" and sends it again.
     When a caller at "a" sends "POST /order/x?fail=503"
-    Then it is answered 502 without a time to come back
+    Then it is answered 502 without Retry-After
     And it ran once
 
   Scenario: A large body goes to a target on another host and back unharmed
--- a/tests/features/steps/platform_formats_steps.py
+++ b/tests/features/steps/platform_formats_steps.py
@@ -115,7 +115,7 @@
     assert write_refusal(refusal, "r1")[0] == status, write_refusal(refusal, "r1")
 
 
-@then('a refusal with {milliseconds:d} ms to come back says "{text}"')
+@then('a refusal with {milliseconds:d} ms of Retry-After says "{text}"')
 def says(context, milliseconds, text):
     refusal = Refusal(Code.TARGET_BUSY, "why", Ran.NOT_RUN, milliseconds)
     headers = dict(write_refusal(refusal, "r1")[1])
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -121,7 +121,7 @@
     assert set(context.statuses) == {status}, context.statuses
 
 
-@then("it is answered {status:d} without a time to come back")
+@then("it is answered {status:d} without Retry-After")
 def answered_without_return(context, status):
     assert context.answer.status == status, context.answer
     assert "retry-after" not in context.answer.headers, context.answer
@@ -249,7 +249,7 @@
     assert len(context.answers) == count
 
 
-@then("each is answered 200, or 503 with a time to come back")
+@then("each is answered 200, or 503 with Retry-After")
 def served_or_refused(context):
     for _, answer in context.answers:
         assert answer.status in (200, 503), answer
@@ -412,7 +412,7 @@
         context.relays.wait_until(lambda name=name: _listens(context, name))
 
 
-@then('"{name}" is not ready and answers 503 with a time to come back')
+@then('"{name}" is not ready and answers 503 with Retry-After')
 def not_ready(context, name):
     assert not context.relays.is_ready(name)
     answer = context.relays.send(name, "GET", "/look/x")
@@ -531,7 +531,7 @@
     context.relays.start_target(name)
 
 
-@then('within {seconds:d} s an order at "{name}" is answered 503 with a time to come back')
+@then('within {seconds:d} s an order at "{name}" is answered 503 with Retry-After')
 def order_refused(context, seconds, name):
     def refused():
         answer = context.relays.send(name, "POST", "/order/x")
--- a/tests/features/steps/returns_steps.py
+++ b/tests/features/steps/retry_after_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then
 
-from camphorshelf_core.returns import retry_after, retry_after_shed
+from camphorshelf_core.retryafter import retry_after, retry_after_shed
 
 
 @given(
@@ -31,7 +31,7 @@
     context.times = [retry_after_shed(numbers) for _ in range(count)]
 
 
-@then("no tenth of the time holds more than a fifth of their returns")
+@then("no tenth of the time holds more than a fifth of their retries")
 def spread(context):
     first, last = min(context.times), max(context.times)
     step = (last - first) / 10
@@ -41,11 +41,11 @@
         assert inside <= len(context.times) / 5, (number, inside)
 
 
-@then("all come back after at least {least:d} ms and with time for their work")
+@then("all retry after at least {least:d} ms and with time for their work")
 def in_time(context, least):
     assert all(least / 1000 <= time <= context.spare for time in context.times), context.times
 
 
-@then("all come back between {least:d} and {most:d} ms")
+@then("all retry between {least:d} and {most:d} ms")
 def between(context, least, most):
     assert all(least <= time * 1000 <= most for time in context.times), sorted(context.times)
