Store pollers: who polls the store, and whether a node has store access

core/storereaders.py is core/storepollers.py: is_poller, is_default_poller, first_poll_probability. The field of a status is lacks_store_access; statuses go over the wire by position, so their bytes are the same. Behaviour is unchanged.

--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -79,7 +79,7 @@
     :param work_s: mean time of a request there, as if the slowness were 1.0; 0.0 unknown.
     :param failing: share of recent requests that failed.
     :param config_version: the configuration in force there; 0 for none.
-    :param store_denied: whether the store turns its node away.
+    :param lacks_store_access: whether the store refuses or does not answer its node.
     :param revision: grows with each change of what a short status leaves out.
     :param repeat_s: the longest time between two statuses that it pushes; 0.0 when it is to be
         probed.
@@ -102,7 +102,7 @@
     work_s: float
     failing: float
     config_version: int
-    store_denied: bool
+    lacks_store_access: bool
     revision: int
     repeat_s: float
     crashes: tuple = ()
--- a/packages/core/src/camphorshelf_core/statusforms.py
+++ b/packages/core/src/camphorshelf_core/statusforms.py
@@ -112,7 +112,7 @@
             round(status.work_s * _THOUSANDTHS),
             round(status.failing * _THOUSANDTHS),
             status.config_version,
-            status.store_denied,
+            status.lacks_store_access,
         )
     )
 
@@ -207,7 +207,7 @@
 
 def _fill_in(held, fields):
     _, sequence, revision, accepting, limit, running, queued, *rest = fields
-    slowness, work, failing, version, store_denied = rest
+    slowness, work, failing, version, lacks_store_access = rest
     if held is None or held.revision != revision:
         return UnknownShort()
     return held._replace(
@@ -220,7 +220,7 @@
         work_s=work / _THOUSANDTHS,
         failing=failing / _THOUSANDTHS,
         config_version=version,
-        store_denied=bool(store_denied),
+        lacks_store_access=bool(lacks_store_access),
     )
 
 
--- a/packages/relay/src/camphorshelf_relay/announcer.py
+++ b/packages/relay/src/camphorshelf_relay/announcer.py
@@ -312,7 +312,7 @@
 
 
 def _standing(status):
-    return status.accepting, status.instance, status.crashes, status.store_denied
+    return status.accepting, status.instance, status.crashes, status.lacks_store_access
 
 
 def _pushed_standing(status):
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -5,11 +5,11 @@
 from camphorshelf_core.errors import ProtocolError
 from camphorshelf_core.messages import ConfigReplyMessage, ConfigRequestMessage
 from camphorshelf_core.routes import RouteTable
-from camphorshelf_core.storereaders import (
-    TRIES_PER_SECOND,
-    keeps_trying,
-    reads_store,
-    try_share,
+from camphorshelf_core.storepollers import (
+    OUTAGE_POLLS_PER_SECOND,
+    first_poll_probability,
+    is_default_poller,
+    is_poller,
 )
 
 from .announcer import Reach
@@ -19,7 +19,7 @@
 # its connection hangs, or the store compacts its history and says so only later, and the change
 # comes into force too late. So three nodes read once a second, at unlike moments, and nobody
 # watches. A change that comes just after a read is read within 1 s and told within 0.1 s.
-_READ_SECONDS = 1.0
+_POLL_SECONDS = 1.0
 # A read without an answer for so long speaks against the store, for this node: it says so, and
 # others read in its place. The store answers in 4 ms, and in 85 times that when it is slow.
 _OVERDUE_SECONDS = 0.4
@@ -80,11 +80,11 @@
         return -1.0 if self._store_at is None else self._loop.now() - self._store_at
 
     @property
-    def store_denied(self):
-        """Whether the store turns this node away.
+    def lacks_store_access(self):
+        """Whether the store has refused this node's last poll or leaves it without an answer.
 
-        The store may do so to just those nodes that read it. Known only by a growing age, the
-        others would take their places seconds later, and a change would wait for that.
+        The store may do so to just the pollers. Known only by a growing age, others would take
+        over seconds later, and a change would wait for that.
         """
         asked_at = self._asked_store_at
         is_overdue = asked_at is not None and self._loop.now() - asked_at >= _OVERDUE_SECONDS
@@ -115,7 +115,7 @@
         :return: None.
         """
         own = self._settings.name
-        if keeps_trying(own, [(name, False) for name in names if name != own]):
+        if is_default_poller(own, [(name, False) for name in names if name != own]):
             self._begin()
 
     def _begin(self):
@@ -209,25 +209,25 @@
         self._store_at = self._loop.now()
         self._take_rows(result.rows)
         # Of unlike length, so that the nodes that read do not all do so in the same moment.
-        self._loop.call_later(_READ_SECONDS * self._random.uniform(0.75, 1.0), self._review)
+        self._loop.call_later(_POLL_SECONDS * self._random.uniform(0.75, 1.0), self._review)
 
     def _review(self):
         # Without a configuration too: the first ones read it for all that started together.
         others = self._others()
-        if reads_store(self._settings.name, others) and self._takes_turn(others):
+        if is_poller(self._settings.name, others) and self._is_poll_due(others):
             self._read()
         else:
             self._loop.call_later(_REVIEW_SECONDS, self._review)
 
-    def _takes_turn(self, others):
+    def _is_poll_due(self, others):
         has_begun = self._store_at is not None or self._failures
-        if has_begun or keeps_trying(self._settings.name, others):
+        if has_begun or is_default_poller(self._settings.name, others):
             return True
-        return self._random.random() < try_share(others, _REVIEW_SECONDS)
+        return self._random.random() < first_poll_probability(others, _REVIEW_SECONDS)
 
     def _others(self):
         live = self._peers.directory.live(self._loop.now())
-        return [(view.status.host, view.status.store_denied) for view in live]
+        return [(view.status.host, view.status.lacks_store_access) for view in live]
 
     def _on_failure(self, failure):
         self._failures += 1
@@ -239,9 +239,9 @@
 
     def _longest_wait_s(self):
         others = self._others()
-        if self.config is None or keeps_trying(self._settings.name, others):
+        if self.config is None or is_default_poller(self._settings.name, others):
             return MAX_WAIT_SECONDS
-        return max(_SELDOM_SECONDS, len(others) / TRIES_PER_SECOND)
+        return max(_SELDOM_SECONDS, len(others) / OUTAGE_POLLS_PER_SECOND)
 
     def _take_rows(self, rows):
         for row in rows:
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -229,7 +229,7 @@
             work_s=round(intake.work_s, 4),
             failing=round(target.failing, 3),
             config_version=self._config.version,
-            store_denied=self._config.store_denied,
+            lacks_store_access=self._config.lacks_store_access,
             revision=0,
             repeat_s=0.0,
             crashes=self._crashes.told,
--- a/tests/features/steps/config_reads_steps.py
+++ b/tests/features/steps/config_reads_steps.py
@@ -9,7 +9,7 @@
 from camphorshelf_core.directory import HostDirectory
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_core.routes import RoutingConfig
-from camphorshelf_core.storereaders import READERS, reads_store
+from camphorshelf_core.storepollers import POLLERS, is_poller
 from camphorshelf_platform.documents import read_document
 from camphorshelf_relay.announcer import Reach
 from camphorshelf_relay.configkeeper import ConfigKeeper
@@ -86,7 +86,7 @@
         loop.advance(seconds)
 
 
-@then("no two reads of a node are more than {most:f} s apart")
+@then("no two polls of a node are more than {most:f} s apart")
 def close_reads(context, most):
     for store in context.stores:
         gaps = [later - at for at, later in zip(store.reads, store.reads[1:], strict=False)]
@@ -99,9 +99,9 @@
         assert len(store.reads) <= count, len(store.reads)
 
 
-@when("the store turns the node away at its next read")
-def turn_away(context):
-    assert not context.keeper.store_denied
+@when("the store refuses the node's next poll")
+def refuse_poll(context):
+    assert not context.keeper.lacks_store_access
     context.stores[0].answers = False
     context.loops[0].advance(1.05)
     context.stores[0].waiting(StoreFailure(Trouble.UNAVAILABLE, "refused"))
@@ -118,18 +118,18 @@
 
 @then("the node tells the others that the store does not answer it")
 def tells(context):
-    assert context.keeper.store_denied
+    assert context.keeper.lacks_store_access
     assert context.peers.told_at
 
 
-@given("{count:d} other hosts that the store turns away, and a configuration in force")
-def others_turned_away(context, count):
+@given("{count:d} other hosts without store access, and a configuration in force")
+def others_without_access(context, count):
     loop = FakeLoop()
     store, peers = _SilentStore(loop), _Peers()
     store.answers = False
     keeper = ConfigKeeper(loop, _Settings(), store, peers, None, random.Random(1), _Log())
     for number in range(count):
-        peers.directory.take(make_status(f"h{number}", store_denied=True), 1_000.0)
+        peers.directory.take(make_status(f"h{number}", lacks_store_access=True), 1_000.0)
     keeper.config = RoutingConfig(1, (), {}, None)
     context.loop, context.store, context.keeper, context.peers = loop, store, keeper, peers
     keeper.start("op", "config")
@@ -163,9 +163,9 @@
 _DOMAINS = {"another domain": "d1", "its own domain": "d0"}
 
 
-@then("it does not say that the store turns it away")
+@then("it does not say that it lacks store access")
 def not_denied(context):
-    assert not context.keeper.store_denied
+    assert not context.keeper.lacks_store_access
 
 
 @when("it hears of a newer version at a host of {domain} that {forwarding}")
@@ -235,7 +235,7 @@
     assert context.log.events == ["config_refused"], context.log.events
 
 
-@given("{count:d} nodes of a fleet of {size:d} in which the store has turned away {denied:d}")
+@given("{count:d} nodes of a fleet of {size:d} in which {denied:d} have lost their store access")
 def fleet_in_outage(context, count, size, denied):
     context.fleet = []
     names = [f"h{number}" for number in range(size)]
@@ -250,7 +250,9 @@
         keeper.config = RoutingConfig(1, (), {}, None)
         for other in names:
             if other != name:
-                status = make_status(other, store_denied=other in ranked[:denied], repeat_s=0.0)
+                status = make_status(
+                    other, lacks_store_access=other in ranked[:denied], repeat_s=0.0
+                )
                 peers.directory.take(status, loop.now())
         keeper.start("op", "config")
         context.fleet.append((loop, store))
@@ -262,7 +264,7 @@
     def count(name):
         others = [(other, False) for other in names if other != name]
         # A name has as many before it as can be left in until it no longer reads.
-        return sum(not reads_store(name, [other] * READERS) for other in others)
+        return sum(not is_poller(name, [other] * POLLERS) for other in others)
 
     return count
 
--- a/tests/standins/hosts.py
+++ b/tests/standins/hosts.py
@@ -27,7 +27,7 @@
         work_s=0.1,
         failing=0.0,
         config_version=1,
-        store_denied=False,
+        lacks_store_access=False,
         revision=1,
         repeat_s=0.2,
     )
