Admission queue: core/intake.py is core/admissionqueue.py, in the field's words

Intake is AdmissionQueue, Verdict AdmissionResult, Line QueueClass, patience an IntEnum LatePolicy (the numbers on the wire are the same), the state of a job an Enum; pump is dispatch, review shed_late, withdraw cancel, turn_away shed. Result codes, reasons, log events and metrics keep their names.

--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from camphorshelf_core import hosts, intake, placement, retrybudget, slotlimit
+from camphorshelf_core import admissionqueue, hosts, placement, retrybudget, slotlimit
 from camphorshelf_relay import announcer, crashes, peers, relay, router
 
 
@@ -20,20 +20,24 @@
 
 
 def _no_queue():
-    intake._QUEUE_PER_SLOT = 0.0
-    intake._LATE_PER_SLOT = 0.0
+    admissionqueue._QUEUE_PER_SLOT = 0.0
+    admissionqueue._LATE_PER_SLOT = 0.0
 
 
-def _no_late_room():
-    intake._LATE_PER_SLOT = 0.0
+def _no_late_queue():
+    admissionqueue._LATE_PER_SLOT = 0.0
 
 
 def _no_priority():
-    intake._key = lambda job: (job.line is intake.Line.LATE, 0, job.goal_at)
+    admissionqueue._key = lambda job: (
+        job.queue_class is admissionqueue.QueueClass.LATE,
+        0,
+        job.goal_at,
+    )
 
 
-def _no_review():
-    intake.Intake.review = lambda self, now: None
+def _no_shedding():
+    admissionqueue.AdmissionQueue.shed_late = lambda self, now: None
 
 
 def _no_near_first():
@@ -116,9 +120,9 @@
     "all-slots": _hold_limit(1.0),
     "fixed-limit": _hold_limit(0.8),
     "no-queue": _no_queue,
-    "no-late-room": _no_late_room,
+    "no-late-queue": _no_late_queue,
     "no-priority": _no_priority,
-    "no-review": _no_review,
+    "no-shedding": _no_shedding,
     "no-near-first": _no_near_first,
     "no-slowness": _no_slowness_in_choice,
     "no-pace": _no_pace_in_choice,
--- a/packages/core/src/camphorshelf_core/intake.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -1,25 +1,25 @@
-"""What a target's node lets in, what waits there, in which order, and what it turns away.
+"""The admission queue of a target: admission control, priority order and load shedding.
 
 Load patterns: a burst, saturation, long work among short, and a host that slows down under work
 that already waits. A target that takes all it is offered finishes most of it too late to be of
 use: every request waits for all before it. Here a request waits only where it will probably
-start early enough to be answered within its goal. Every other one is turned away at once, while
-its caller can still go to another target or come back.
+start early enough to be answered within its goal. Every other one is rejected at once, while its
+caller can still go to another target or retry.
 
 The target's own queue stays empty: a request that waits there can be neither reordered nor
-turned away, and the last slots of most servers finish work slower than they add to it.
+shed, and the last slots of most servers finish work slower than they add to it.
 """
 
 import heapq
 import itertools
 from collections import Counter
-from enum import Enum
+from enum import Enum, IntEnum
 from typing import NamedTuple
 
 from .slotlimit import SlotLimit
 
-# The wait that is foretold for work with a late goal grows with each more urgent request that comes
-# after it and goes ahead. In a long queue all of it starts too late; where few wait, few overtake.
+# The expected delay of work with a late goal grows with each more urgent request that comes after
+# it and goes ahead. In a long queue all of it starts too late; where few wait, few overtake.
 _QUEUE_PER_SLOT = 2.0
 # Late work may wait only in a short queue, or it takes the slots of what is still in time; with
 # none at all, calls that running work waits for would fail it. Counted in work and not in jobs: a
@@ -31,24 +31,47 @@
 _WORK_SMOOTHING = 0.05
 
 
-class Verdict(NamedTuple):
+class AdmissionResult(NamedTuple):
     """What became of an offered job.
 
-    :param admitted: whether it runs or waits.
-    :param wait_s: when it was turned away, how long it would have had to wait.
+    :param admitted: whether it runs or is queued.
+    :param wait_s: when it was rejected, the queueing delay that it would have had.
     """
 
     admitted: bool
     wait_s: float = 0.0
 
 
-class Line(Enum):
-    """The terms on which a job waits."""
+class QueueClass(Enum):
+    """The terms on which a job is queued."""
 
-    USUAL = "usual"
+    IN_TIME = "in time"
     LATE = "late"
 
 
+class LatePolicy(IntEnum):
+    """What becomes of a job that will miss its goal.
+
+    The number goes over links, and late work is granted so many times the usual room and offers.
+    """
+
+    REJECT = 0
+    # An answer after the goal is still wanted: queued as late while there is room.
+    QUEUE = 1
+    # It was held so long that a rejection would come too late.
+    QUEUE_HELD = 2
+
+
+class JobState(Enum):
+    """Where a job is between its offer and its end."""
+
+    NEW = "new"
+    QUEUED = "queued"
+    DEQUEUED = "dequeued"
+    RUNNING = "running"
+    DONE = "done"
+
+
 class Job:
     """One request that is offered to the target.
 
@@ -56,10 +79,9 @@
     :param goal_at: when its answer is due, seconds on the monotonic clock.
     :param expires_at: when nobody waits for it any more.
     :param work_s: how long such work runs where the slowness is 1.0.
-    :param patience: 0 when an answer after the goal is of no use here, 1 when it is still wanted,
-        2 when it has been held for so long that a refusal would come too late.
+    :param late_policy: its :class:`LatePolicy`.
     :param start: called when its slot is there.
-    :param decline: called with the expected wait when it was let in and has to go after all.
+    :param reject: called with the expected wait when it was queued and is shed.
     """
 
     __slots__ = (
@@ -67,38 +89,38 @@
         "goal_at",
         "expires_at",
         "work_s",
-        "patience",
+        "late_policy",
         "start",
-        "decline",
+        "reject",
         "state",
-        "line",
+        "queue_class",
         "due_at",
-        "begun_with",
+        "concurrency_at_start",
     )
 
-    def __init__(self, priority, goal_at, expires_at, work_s, patience, start, decline):
+    def __init__(self, priority, goal_at, expires_at, work_s, late_policy, start, reject):
         self.priority = priority
         self.goal_at = goal_at
         self.expires_at = expires_at
         self.work_s = work_s
-        self.patience = patience
+        self.late_policy = late_policy
         self.start = start
-        self.decline = decline
-        self.state = "new"
-        self.line = Line.USUAL
+        self.reject = reject
+        self.state = JobState.NEW
+        self.queue_class = QueueClass.IN_TIME
         # Until when its answer is wanted here.
         self.due_at = goal_at
         # How many ran when it started, itself included.
-        self.begun_with = 0
+        self.concurrency_at_start = 0
 
 
-class Intake:
+class AdmissionQueue:
     """Admission at one target: exact counts of what runs, and the queue before it."""
 
     def __init__(self, slots=0):
         self._order = itertools.count()
         self._queue = []
-        self._waiting = Counter()
+        self._queued = Counter()
         self._late_work_s = 0.0
         self.running = 0
         self.slowness = 1.0
@@ -118,8 +140,8 @@
 
     @property
     def queued(self):
-        """How many jobs wait."""
-        return self._waiting.total()
+        """How many jobs are queued."""
+        return self._queued.total()
 
     def resize(self, slots):
         """Take another number of slots.
@@ -130,62 +152,64 @@
         self._limit.resize(slots)
 
     def offer(self, job, now):
-        """Let a job start, wait, or go elsewhere.
+        """Start, queue or reject a job.
 
         :param job: the :class:`Job`.
         :param now: seconds on the monotonic clock.
-        :return: a :class:`Verdict`.
+        :return: a :class:`AdmissionResult`.
         """
         if self.closed or not self.limit:
-            return Verdict(False, 0.0)
+            return AdmissionResult(False, 0.0)
         if now + self._run_s(job) * _LEAST_RUN > job.expires_at:
             # It would take a slot and be broken off: better its caller knows now.
-            return Verdict(False, self.expected_wait(job))
+            return AdmissionResult(False, self.expected_wait(job))
         if self.running < self._limit.value and not self.queued:
             self._start(job)
-            return Verdict(True)
+            return AdmissionResult(True)
         wait = self.expected_wait(job)
-        if not self._may_wait(job, now + wait):
-            return Verdict(False, wait)
-        self._push(job)
+        if not self._can_queue(job, now + wait):
+            return AdmissionResult(False, wait)
+        self._enqueue(job)
         if self._limit.consider_trial(now):
-            self.pump(now)
-        return Verdict(True)
+            self.dispatch(now)
+        return AdmissionResult(True)
 
     def expected_wait(self, job):
-        """Foretell how long a job would wait for a slot.
+        """Estimate the queueing delay of a job.
 
         :param job: the :class:`Job`.
         :return: seconds.
         """
         key = _key(job)
         ahead = sum(
-            other.work_s for at, _, other in self._queue if other.state == "queued" and at <= key
+            other.work_s
+            for at, _, other in self._queue
+            if other.state is JobState.QUEUED and at <= key
         )
-        return self._wait_behind(ahead, job)
+        return self._delay_behind(ahead, job)
 
     def finish(self, job, now):
-        """Take note that a job left the target, and start what waits.
+        """Take note that a job left the target, and start what is queued.
 
         :param job: the :class:`Job`.
         :param now: seconds on the monotonic clock.
         :return: None.
         """
-        if job.state == "running":
-            job.state = "done"
+        if job.state is JobState.RUNNING:
+            job.state = JobState.DONE
             self.running -= 1
-            self.pump(now)
+            self.dispatch(now)
 
-    def withdraw(self, job):
-        """Take back a job that waits.
+    def cancel(self, job):
+        """Cancel a queued job.
 
         :param job: the :class:`Job`.
-        :return: whether it waited.
+        :return: whether it was queued.
         """
-        if job.state != "queued":
+        if job.state is not JobState.QUEUED:
             return False
-        self._leave_queue(job)
-        job.state = "done"
+        self._dequeue(job)
+        job.state = JobState.DONE
         return True
 
     def note_work(self, seconds):
@@ -206,28 +230,28 @@
         :return: None.
         """
         self.note_work(seconds)
-        at_once = round((job.begun_with + self.running) / 2)
+        at_once = round((job.concurrency_at_start + self.running) / 2)
         if job.work_s > 0:
             self._limit.note(at_once, seconds / job.work_s, now)
 
-    def pump(self, now):
-        """Start waiting jobs while there are slots, and turn away those that came too late.
+    def dispatch(self, now):
+        """Start queued jobs while there are slots, and shed those that are too late.
 
         :param now: seconds on the monotonic clock.
         :return: None.
         """
         while self._queue and self.running < self._limit.value and not self.closed:
             job = heapq.heappop(self._queue)[2]
-            if job.state != "queued":
+            if job.state is not JobState.QUEUED:
                 continue
-            self._leave_queue(job)
-            if self._is_hopeless(job, now):
-                self._turn_away(job)
+            self._dequeue(job)
+            if self._is_overdue(job, now):
+                self._shed(job)
             else:
                 self._start(job)
 
-    def review(self, now):
-        """Turn away waiting jobs that will not start in time any more.
+    def shed_late(self, now):
+        """Shed queued jobs that will not start in time any more.
 
         Called when the target slowed down: with four times the usual slowness a queue that was
         fine a moment ago is four times as long, and its requests still have time to go elsewhere.
@@ -236,16 +260,17 @@
         :return: None.
         """
         ahead = 0.0
-        for _, _, job in sorted(entry for entry in self._queue if entry[2].state == "queued"):
-            wait = self._wait_behind(ahead, job)
-            if job.line is not Line.LATE and self._is_late(job, now + wait):
-                self._leave_queue(job)
-                self._turn_away(job, wait)
+        queued = [entry for entry in self._queue if entry[2].state is JobState.QUEUED]
+        for _, _, job in sorted(queued):
+            wait = self._delay_behind(ahead, job)
+            if job.queue_class is not QueueClass.LATE and self._is_late(job, now + wait):
+                self._dequeue(job)
+                self._shed(job, wait)
             else:
                 ahead += job.work_s
 
     def close(self, now):
-        """Let nothing in any more and turn away all that waits.
+        """Admit nothing any more and shed all that is queued.
 
         :param now: seconds on the monotonic clock.
         :return: None.
@@ -253,35 +278,35 @@
         self.closed = True
         queue, self._queue = self._queue, []
         for _, _, job in queue:
-            if job.state == "queued":
-                self._leave_queue(job)
-                self._turn_away(job)
+            if job.state is JobState.QUEUED:
+                self._dequeue(job)
+                self._shed(job)
 
     def open(self, now):
-        """Let jobs in again.
+        """Admit jobs again.
 
         :param now: seconds on the monotonic clock.
         :return: None.
         """
         self.closed = False
-        self.pump(now)
+        self.dispatch(now)
 
-    def _wait_behind(self, work_ahead_s, job):
+    def _delay_behind(self, work_ahead_s, job):
         # The first slot is free after a slot's part of the mean work, each further one after its
         # part of the work that stands before.
         first = self.work_s or job.work_s
         return (work_ahead_s + first) / max(1, self.limit) * self.slowness
 
-    def _may_wait(self, job, start_at):
+    def _can_queue(self, job, start_at):
         if not self._is_late(job, start_at):
-            return self._waiting[Line.USUAL] < self.limit * _QUEUE_PER_SLOT
-        job.line, job.due_at = Line.LATE, job.expires_at
-        return job.patience and self._has_late_room(job) and not self._is_late(job, start_at)
+            return self._queued[QueueClass.IN_TIME] < self.limit * _QUEUE_PER_SLOT
+        job.queue_class, job.due_at = QueueClass.LATE, job.expires_at
+        return self._is_late_queue_open(job) and not self._is_late(job, start_at)
 
-    def _has_late_room(self, job):
-        room = self.limit * _LATE_PER_SLOT * (self.work_s or job.work_s)
-        # What has waited elsewhere already gets a place where a new request does not.
-        return self._late_work_s < room * job.patience
+    def _is_late_queue_open(self, job):
+        capacity_s = self.limit * _LATE_PER_SLOT * (self.work_s or job.work_s)
+        # What has waited elsewhere already is queued where a new request is not.
+        return self._late_work_s < capacity_s * job.late_policy
 
     def _run_s(self, job):
         return job.work_s * self.slowness
@@ -289,36 +314,36 @@
     def _is_late(self, job, start_at):
         return start_at + self._run_s(job) > job.due_at
 
-    def _is_hopeless(self, job, now):
-        is_bound = job.line is not Line.USUAL or not job.patience
+    def _is_overdue(self, job, now):
+        is_bound = job.queue_class is QueueClass.LATE or job.late_policy is LatePolicy.REJECT
         return is_bound and now + self._run_s(job) * 0.5 > job.due_at
 
     def _start(self, job):
-        job.state = "running"
+        job.state = JobState.RUNNING
         self.running += 1
-        job.begun_with = self.running
+        job.concurrency_at_start = self.running
         job.start()
 
-    def _push(self, job):
-        job.state = "queued"
-        self._waiting[job.line] += 1
-        if job.line is Line.LATE:
+    def _enqueue(self, job):
+        job.state = JobState.QUEUED
+        self._queued[job.queue_class] += 1
+        if job.queue_class is QueueClass.LATE:
             self._late_work_s += job.work_s
         heapq.heappush(self._queue, (_key(job), next(self._order), job))
 
-    def _leave_queue(self, job):
-        self._waiting[job.line] -= 1
-        if job.line is Line.LATE:
+    def _dequeue(self, job):
+        self._queued[job.queue_class] -= 1
+        if job.queue_class is QueueClass.LATE:
             left = self._late_work_s - job.work_s
-            self._late_work_s = max(0.0, left) if self._waiting[Line.LATE] else 0.0
-        job.state = "left"
+            self._late_work_s = max(0.0, left) if self._queued[QueueClass.LATE] else 0.0
+        job.state = JobState.DEQUEUED
 
-    def _turn_away(self, job, wait=None):
-        job.state = "done"
-        job.decline(self.expected_wait(job) if wait is None else wait)
+    def _shed(self, job, wait=None):
+        job.state = JobState.DONE
+        job.reject(self.expected_wait(job) if wait is None else wait)
 
 
 def _key(job):
     # What is late already goes behind everything that is not; then the more important; then
     # what is due first.
-    return job.line is Line.LATE, job.priority, job.goal_at
+    return job.queue_class is QueueClass.LATE, job.priority, job.goal_at
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -187,8 +187,9 @@
 class RelayMessage(NamedTuple):
     """Asks the node beside a target to run a request; ``call_id`` is never reused on its link.
 
-    Times are seconds from the moment at which it was sent. ``patience`` is that of
-    :class:`~camphorshelf_core.intake.Job`; ``work_s`` is how long such work usually runs.
+    Times are seconds from the moment at which it was sent. ``late_policy`` is the number
+    of a :class:`~camphorshelf_core.admissionqueue.LatePolicy`; ``work_s`` is how long such work
+    usually runs.
     """
 
     call_id: int
@@ -199,7 +200,7 @@
     goal_s: float
     left_s: float
     work_s: float
-    patience: int
+    late_policy: int
     request_id: str
     caller_service: str
     method: str
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -1,8 +1,8 @@
 """Runs requests at the target beside the node: at most once each, and never past their time."""
 
+from camphorshelf_core.admissionqueue import Job, LatePolicy
 from camphorshelf_core.calls import Request
 from camphorshelf_core.errors import Code, Ran
-from camphorshelf_core.intake import Job
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage
 from camphorshelf_core.retry import FAILURE_STATUSES
 
@@ -12,12 +12,12 @@
 class Gate:
     """Admission at the target: all work for it passes here."""
 
-    def __init__(self, loop, settings, dialect, intake, target, crashes, log):
+    def __init__(self, loop, settings, dialect, admission, target, crashes, log):
         self._loop = loop
         self._settings = settings
         self.crashes = crashes
         self.dialect = dialect
-        self.intake = intake
+        self.admission = admission
         self.target = target
         self.log = log
         self.counts = {}
@@ -71,15 +71,15 @@
             self._arrived + message.goal_s,
             self._expires_at,
             message.work_s,
-            message.patience,
+            LatePolicy(message.late_policy),
             self._start,
-            self._on_turned_away,
+            self._on_shed,
         )
 
     def offer(self):
-        verdict = self._gate.intake.offer(self._job, self._arrived)
-        if not verdict.admitted:
-            self.decline(Code.TARGET_BUSY, "no slot in time", Ran.NOT_RUN, verdict.wait_s)
+        result = self._gate.admission.offer(self._job, self._arrived)
+        if not result.admitted:
+            self.decline(Code.TARGET_BUSY, "no slot in time", Ran.NOT_RUN, result.wait_s)
             return None
         self._timer = self._loop.call_later(max(0.0, self._message.left_s), self._on_expiry)
         return self.cancel
@@ -110,9 +110,9 @@
             code=code.name,
             ran=ran.value,
             wait_ms=round(wait_s * 1000, 1),
-            running=gate.intake.running,
-            queued=gate.intake.queued,
-            limit=gate.intake.limit,
+            running=gate.admission.running,
+            queued=gate.admission.queued,
+            limit=gate.admission.limit,
             slowness=gate.target.slowness,
             instance=gate.target.record.instance,
             held_ms=round((self._loop.now() - self._arrived) * 1000, 1),
@@ -210,15 +210,15 @@
         )
 
     def _note_run(self, seconds, now):
-        intake = self._gate.intake
-        before = intake.limit
-        intake.note_run(self._job, seconds, now)
-        if intake.limit != before:
+        admission = self._gate.admission
+        before = admission.limit
+        admission.note_run(self._job, seconds, now)
+        if admission.limit != before:
             self._gate.log.notable(
                 "limit_moved",
                 before=before,
-                limit=intake.limit,
-                slots=intake.slots,
+                limit=admission.limit,
+                slots=admission.slots,
                 instance=self._gate.target.record.instance,
             )
 
@@ -231,7 +231,7 @@
         target.note_outcome(True)
         self.decline(Code.TARGET_SHED, "the target turned it away", Ran.NOT_RUN, reached=True)
 
-    def _on_turned_away(self, wait_s):
+    def _on_shed(self, wait_s):
         self.decline(Code.TARGET_BUSY, "the wait became too long", Ran.NOT_RUN, wait_s)
 
     def _on_expiry(self):
@@ -251,6 +251,6 @@
             # it still says can reach another request.
             self._abort()
             self._abort = None
-        if not self._gate.intake.withdraw(self._job):
-            self._gate.intake.finish(self._job, self._loop.now())
+        if not self._gate.admission.cancel(self._job):
+            self._gate.admission.finish(self._job, self._loop.now())
         self._gate.target.on_change()
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -8,8 +8,8 @@
 
 from circuits import Component, handler
 
+from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.hosts import HostStatus, HostView
-from camphorshelf_core.intake import Intake
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_node.loop import Loop
 
@@ -82,12 +82,12 @@
         log = self._log = EventLog(loop, settings.name)
         loop.on_error = log.fault
         self._started_at = loop.now()
-        self._intake = Intake()
-        self._target = Target(loop, settings, ports.dialect, self._intake, log)
+        self._admission = AdmissionQueue()
+        self._target = Target(loop, settings, ports.dialect, self._admission, log)
         self._crashes = CrashWatch(loop, settings.name, log)
         self._target.on_crash = self._crashes.note_crash
         self._gate = Gate(
-            loop, settings, ports.dialect, self._intake, self._target, self._crashes, log
+            loop, settings, ports.dialect, self._admission, self._target, self._crashes, log
         )
         self._peers = Peers(loop, settings, self._describe, log, self._random)
         store = ports.store(loop, settings.addresses.store)
@@ -174,7 +174,7 @@
         serve_questions(self._loop, address, self._limits, answer, self._log.fault, headers)
 
     def _watch_metrics(self):
-        metrics, target, intake = self._metrics, self._target, self._intake
+        metrics, target, admission = self._metrics, self._target, self._admission
         self._router.on_outcome = metrics.note_request
         self._gate.on_answer = metrics.note_run
         count, watch = metrics.count, metrics.watch
@@ -196,9 +196,9 @@
         )
         count("target.contacts", "Probes and connections.", target.counts, "kind")
         count("log.dropped", "Log lines left out.", self._log.counts, "reason")
-        watch("target.running", "Requests that run at the target.", lambda: intake.running)
-        watch("target.queued", "Requests that wait for a slot.", lambda: intake.queued)
-        watch("target.limit", "Requests that may run at once.", lambda: intake.limit)
+        watch("target.running", "Requests that run at the target.", lambda: admission.running)
+        watch("target.queued", "Requests that wait for a slot.", lambda: admission.queued)
+        watch("target.limit", "Requests that may run at once.", lambda: admission.limit)
         watch("target.slowness", "How long work takes, 1 as usual.", lambda: target.slowness)
         watch("target.failing", "Share of failed requests.", lambda: target.failing)
         watch("target.accepting", "1 while work is let in.", lambda: int(target.accepting))
@@ -210,7 +210,7 @@
         watch("hosts", "Other hosts heard lately.", lambda: len(live(self._loop.now())))
 
     def _describe(self):
-        target, intake = self._target, self._intake
+        target, admission = self._target, self._admission
         record = target.record
         return HostStatus(
             host=self._settings.name,
@@ -222,11 +222,11 @@
             instance=record.instance,
             accepting=target.accepting,
             warming_s=round(target.warming_s, 2),
-            limit=intake.limit,
-            running=intake.running,
-            queued=intake.queued,
+            limit=admission.limit,
+            running=admission.running,
+            queued=admission.queued,
             slowness=target.slowness,
-            work_s=round(intake.work_s, 4),
+            work_s=round(admission.work_s, 4),
             failing=round(target.failing, 3),
             config_version=self._config.version,
             lacks_store_access=self._config.lacks_store_access,
@@ -287,14 +287,16 @@
             self._loop.interrupt(self._leave)
 
     def _leave(self):
-        self._log.notable("stop", running=self._intake.running, callers=self._callers.connections)
+        self._log.notable(
+            "stop", running=self._admission.running, callers=self._callers.connections
+        )
         self._target.stop()
         latest = self._loop.now() + self._settings.grace_s - _SPARE_GRACE_SECONDS
         self._loop.call_later(_LEAVING_SECONDS, self._callers.finish)
         self._loop.call_later(_LEAVING_SECONDS, lambda: self._end_when_idle(latest))
 
     def _end_when_idle(self, latest):
-        busy = self._callers.busy or self._links.busy or self._intake.running
+        busy = self._callers.busy or self._links.busy or self._admission.running
         if busy and self._loop.now() < latest:
             self._loop.call_later(_STOP_POLL_SECONDS, lambda: self._end_when_idle(latest))
             return
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -1,5 +1,6 @@
 """One caller's request on its way: which targets it is offered to, and its one answer."""
 
+from camphorshelf_core.admissionqueue import LatePolicy
 from camphorshelf_core.calls import Response
 from camphorshelf_core.errors import Code, Ran, Refusal
 from camphorshelf_core.hedging import hedge_delays
@@ -34,7 +35,7 @@
         spent = 0.0 if terms.wait_s is None else self._facts.spent_before(terms.wait_s)
         self._expires_at = self._arrived + wait_s
         self._goal_at = self._arrived + route.goal_s - spent
-        self._patience = 1
+        self._late_policy = LatePolicy.QUEUE
         self._headers = strip_hop_by_hop(exchange.request.headers)
         self._tried = set()
         self._probed = set()
@@ -88,12 +89,12 @@
         now = self._loop.now()
         in_time = [one for one in untried if now + one.expected_s <= self._goal_at]
         if in_time and self._offers < _MAX_OFFERS:
-            self._offer(in_time[0], patience=0)
-        elif self._late_offers < self._patience and (untried or not self._late_offers):
+            self._offer(in_time[0], LatePolicy.REJECT)
+        elif self._late_offers < self._late_policy and (untried or not self._late_offers):
             # None will be in time by what is known here; the best one's node knows better, and
             # has room for some late work.
             self._late_offers += 1
-            self._offer((untried or candidates)[0], self._patience)
+            self._offer((untried or candidates)[0], self._late_policy)
         else:
             self._refuse(Code.QUEUE_FULL, "every target is busy beyond the request's time")
 
@@ -102,7 +103,7 @@
         views, goal_left = router.views(self._service), self._goal_at - now
         return rank(views, self._facts.work_s, now, router.domain, goal_left)
 
-    def _offer(self, candidate, patience):
+    def _offer(self, candidate, late_policy):
         now = self._loop.now()
         self._offers += 1
         self._tried.add(candidate.address)
@@ -120,7 +121,7 @@
             goal_s=self._goal_at - now,
             left_s=self._expires_at - now,
             work_s=self._facts.work_s,
-            patience=patience,
+            late_policy=int(late_policy),
             request_id=self._terms.request_id,
             caller_service=self._router.service,
             method=request.method,
@@ -199,7 +200,7 @@
         if now - self._arrived > _HELD_SHARE * self._route.goal_s:
             # It has waited in a queue that became too long. A refusal now would come too late for
             # its caller to do better elsewhere, so it is treated like a retry.
-            self._patience = 2
+            self._late_policy = LatePolicy.QUEUE_HELD
         if self._running:
             return
         is_final = message.code == Code.QUARANTINED
@@ -235,7 +236,7 @@
         if free and self._router.spend_retry(self._service, is_rerun=True):
             (first,) = self._running
             self._log_step("hedge", first, to=free[0].address)
-            self._offer(free[0], patience=0)
+            self._offer(free[0], LatePolicy.REJECT)
 
     def _answer(self, offer, message):
         self._end()
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -28,10 +28,10 @@
 class Target:
     """What the node knows of its target, and the connections to it."""
 
-    def __init__(self, loop, settings, dialect, intake, log):
+    def __init__(self, loop, settings, dialect, admission, log):
         self._loop = loop
         self._settings = settings
-        self._intake = intake
+        self._admission = admission
         self._log = log
         self._record = InstanceRecord()
         self._link = TargetLink(loop, settings.addresses.target, dialect)
@@ -67,7 +67,7 @@
     @property
     def accepting(self):
         """Whether new work is let in."""
-        return self._record.usable and not self._stopping and self._intake.limit > 0
+        return self._record.usable and not self._stopping and self._admission.limit > 0
 
     @property
     def warming_s(self):
@@ -115,8 +115,8 @@
             return False
         before = self._record.instance, self._record.leaving
         taken = self._record.beat(heartbeat, self._loop.now())
-        if taken and heartbeat.slots != self._intake.slots:
-            self._intake.resize(heartbeat.slots)
+        if taken and heartbeat.slots != self._admission.slots:
+            self._admission.resize(heartbeat.slots)
         if (self._record.instance, self._record.leaving) != before:
             if before[0] and before[0] != self._record.instance and not before[1]:
                 self.on_crash()
@@ -145,14 +145,14 @@
             return
         now = self._loop.now()
         self._load_at = now
-        if word.slots and word.slots != self._intake.slots:
-            self._intake.resize(word.slots)
+        if word.slots and word.slots != self._admission.slots:
+            self._admission.resize(word.slots)
         self.tells_slowness = word.slowness is not None
         if word.slowness is not None and word.slowness != self.slowness:
             slower = word.slowness > self.slowness * 1.3
-            self.slowness = self._intake.slowness = word.slowness
+            self.slowness = self._admission.slowness = word.slowness
             if slower:
-                self._intake.review(now)
+                self._admission.shed_late(now)
             self.on_change()
 
     def note_outcome(self, failed):
@@ -254,10 +254,10 @@
     def _refresh(self):
         now = self._loop.now()
         if self.accepting:
-            if self._intake.closed:
-                self._intake.open(now)
-        elif not self._intake.closed:
-            self._intake.close(now)
+            if self._admission.closed:
+                self._admission.open(now)
+        elif not self._admission.closed:
+            self._admission.close(now)
 
 
 def _do_nothing():
--- a/tests/features/steps/intake_steps.py
+++ b/tests/features/steps/admission_queue_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from camphorshelf_core.intake import Intake, Job
+from camphorshelf_core.admissionqueue import AdmissionQueue, Job, JobState, LatePolicy
 
 _WORK = 0.1
 _GOAL = 0.3
@@ -12,34 +12,42 @@
 
 
 class Play:
-    """A target that works on what its door lets in, with a clock that only this moves."""
+    """A target that works on what its queue admits, with a clock that only this moves."""
 
     def __init__(self, slots):
         self.now = 0.0
-        self.intake = Intake(slots)
-        self.intake.work_s = _WORK
+        self.admission = AdmissionQueue(slots)
+        self.admission.work_s = _WORK
         self.started = []
-        self.sent_away = []
-        self.turned_away = []
+        self.shed = []
+        self.rejected = []
         self.finished = []
         self.busy_s = 0.0
         # Whether each request takes its own time.
         self.is_mixed = False
         self._ends = []
 
-    def offer(self, name, priority=2, goal=_GOAL, patience=0, work=_WORK, left=_DEADLINE):
+    def offer(
+        self,
+        name,
+        priority=2,
+        goal=_GOAL,
+        late_policy=LatePolicy.REJECT,
+        work=_WORK,
+        left=_DEADLINE,
+    ):
         job = Job(
             priority,
             self.now + goal,
             self.now + left,
             work,
-            patience,
+            late_policy,
             lambda: self._start(name, job),
-            lambda wait: self.sent_away.append((name, wait)),
+            lambda wait: self.shed.append((name, wait)),
         )
-        verdict = self.intake.offer(job, self.now)
-        if not verdict.admitted:
-            self.turned_away.append((name, verdict.wait_s))
+        result = self.admission.offer(job, self.now)
+        if not result.admitted:
+            self.rejected.append((name, result.wait_s))
         return job
 
     def advance(self, until):
@@ -48,12 +56,12 @@
             self._pass(end)
             self.finished.append((name, end, job))
             if self.is_mixed:
-                self.intake.note_work(job.work_s)
-            self.intake.finish(job, end)
+                self.admission.note_work(job.work_s)
+            self.admission.finish(job, end)
         self._pass(until)
 
     def _pass(self, moment):
-        self.busy_s += (moment - self.now) * (self.intake.running == self.intake.limit)
+        self.busy_s += (moment - self.now) * (self.admission.running == self.admission.limit)
         self.now = moment
 
     def _start(self, name, job):
@@ -94,37 +102,37 @@
 
 @when("the target becomes {factor:d} times slower")
 def slower(context, factor):
-    context.play.intake.slowness = float(factor)
-    context.play.intake.review(context.play.now)
+    context.play.admission.slowness = float(factor)
+    context.play.admission.shed_late(context.play.now)
 
 
-@when("{count:d} patient requests whose goal has passed come")
+@when("{count:d} late requests whose goal has passed come")
 def late_ones(context, count):
     for number in range(count):
-        context.play.offer(1000 + number, goal=0.0, patience=1)
+        context.play.offer(1000 + number, goal=0.0, late_policy=LatePolicy.QUEUE)
 
 
-@when("{count:d} patient requests of 40 ms whose goal has passed come")
+@when("{count:d} late requests of 40 ms whose goal has passed come")
 def late_calls(context, count):
     for number in range(count):
-        context.play.offer(1000 + number, goal=0.0, patience=1, work=0.04)
+        context.play.offer(1000 + number, goal=0.0, late_policy=LatePolicy.QUEUE, work=0.04)
 
 
 @when("admission is closed")
 def close(context):
-    context.play.intake.close(context.play.now)
+    context.play.admission.close(context.play.now)
 
 
-@when("the first one that waits is withdrawn")
+@when("the first one that is queued is cancelled")
 def withdraw(context):
-    waiting = [job for job in context.jobs if job.state == "queued"]
-    assert context.play.intake.withdraw(waiting[0])
+    waiting = [job for job in context.jobs if job.state is JobState.QUEUED]
+    assert context.play.admission.cancel(waiting[0])
 
 
 @when("one that runs is finished")
 def finish_one(context):
-    running = [job for job in context.jobs if job.state == "running"]
-    context.play.intake.finish(running[0], context.play.now)
+    running = [job for job in context.jobs if job.state is JobState.RUNNING]
+    context.play.admission.finish(running[0], context.play.now)
 
 
 @when("the target works through it")
@@ -132,29 +140,32 @@
     context.play.advance(context.play.now + 10.0)
 
 
-@then("{running:d} run and {waiting:d} wait")
+@then("{running:d} run and {waiting:d} are queued")
 def counts(context, running, waiting):
-    intake = context.play.intake
-    assert (intake.running, intake.queued) == (running, waiting), (intake.running, intake.queued)
+    admission = context.play.admission
+    assert (admission.running, admission.queued) == (running, waiting), (
+        admission.running,
+        admission.queued,
+    )
 
 
-@then("{count:d} were turned away, each with the wait it would have had")
-def turned_away(context, count):
-    assert len(context.play.turned_away) == count, len(context.play.turned_away)
-    assert all(wait > 0.1 for _, wait in context.play.turned_away)
+@then("{count:d} were rejected, each with the delay it would have had")
+def rejected(context, count):
+    assert len(context.play.rejected) == count, len(context.play.rejected)
+    assert all(wait > 0.1 for _, wait in context.play.rejected)
 
 
-@then("every request that was let in is answered within its goal")
+@then("every request that was admitted is answered within its goal")
 def all_in_time(context):
     play = context.play
-    assert not play.sent_away
+    assert not play.shed
     assert all(end <= job.goal_at + 1e-6 for _, end, job in play.finished)
 
 
-@then("at least {percent:d} in 100 of those let in are answered within their goal")
+@then("at least {percent:d} in 100 of those admitted are answered within their goal")
 def mostly_in_time(context, percent):
     play = context.play
-    admitted = len(play.finished) + len(play.sent_away)
+    admitted = len(play.finished) + len(play.shed)
     in_time = sum(end <= job.goal_at + 1e-6 for _, end, job in play.finished)
     assert in_time >= admitted * percent / 100, (in_time, admitted)
 
@@ -164,20 +175,20 @@
     assert context.play.busy_s >= context.offered_s * percent / 100, context.play.busy_s
 
 
-@then("it starts before any of the waiting ones")
+@then("it starts before any of the queued ones")
 def starts_first(context):
     context.play.advance(10.0)
     assert context.play.started[7] == "urgent", context.play.started
 
 
-@then("at least {count:d} waiting requests are sent away in that moment")
-def sent_away(context, count):
-    assert len(context.play.sent_away) >= count, context.play.sent_away
+@then("at least {count:d} queued requests are shed in that moment")
+def shed(context, count):
+    assert len(context.play.shed) >= count, context.play.shed
 
 
-@then("{count:d} of them wait")
+@then("{count:d} of them are queued")
 def late_wait(context, count):
-    refused = [name for name, _ in context.play.turned_away if name >= 1000]
+    refused = [name for name, _ in context.play.rejected if name >= 1000]
     assert len(refused) == 10 - count, refused
 
 
@@ -187,16 +198,16 @@
     assert all(name >= 1000 for name in names[-4:]), names
 
 
-@then("every waiting request was sent away")
-def all_sent_away(context):
-    assert len(context.play.sent_away) == 13, context.play.sent_away
+@then("every queued request was shed")
+def all_shed(context):
+    assert len(context.play.shed) == 13, context.play.shed
 
 
-@then("no request that comes later is let in")
+@then("no request that comes later is admitted")
 def nothing_let_in(context):
-    before = len(context.play.turned_away)
+    before = len(context.play.rejected)
     context.play.offer("later")
-    assert len(context.play.turned_away) == before + 1
+    assert len(context.play.rejected) == before + 1
 
 
 _ORDER = {"priority": 1, "goal": 0.6, "left": 1.2, "work": 0.21}
@@ -221,7 +232,7 @@
     for moment, kind, terms in sorted(arrivals, key=lambda one: one[0]):
         play.advance(moment)
         context.came.append((kind, moment))
-        play.offer((kind, moment), patience=1, **terms)
+        play.offer((kind, moment), late_policy=LatePolicy.QUEUE, **terms)
     play.advance(seconds + 5.0)
 
 
@@ -260,14 +271,14 @@
     assert in_time >= came * percent / 100, (in_time, came)
 
 
-@then("at least {percent:d} in 100 of the calls that are let in are answered within {limit:d} ms")
+@then("at least {percent:d} in 100 of the calls that are admitted are answered within {limit:d} ms")
 def calls_in_goal(context, percent, limit):
     waits = _waits(context, "call")
     in_time = sum(1 for wait in waits if wait <= limit / 1000)
     assert in_time >= len(waits) * percent / 100, (in_time, len(waits))
 
 
-@then("the orders that are let in are answered within {milliseconds:d} ms")
+@then("the orders that are admitted are answered within {milliseconds:d} ms")
 def orders_in_time(context, milliseconds):
     waits = _waits(context, "order")
     assert waits and max(waits) <= milliseconds / 1000, max(waits, default=None)
--- a/tests/features/steps/held_up_steps.py
+++ b/tests/features/steps/held_up_steps.py
@@ -36,7 +36,7 @@
         goal_s=left,
         left_s=left,
         work_s=0.1,
-        patience=1,
+        late_policy=1,
         request_id="r1",
         caller_service="orders",
         method="GET",
--- a/tests/features/steps/limit_log_steps.py
+++ b/tests/features/steps/limit_log_steps.py
@@ -4,9 +4,9 @@
 
 from behave import given, then, when
 
+from camphorshelf_core.admissionqueue import AdmissionQueue, LatePolicy
 from camphorshelf_core.calls import Response
 from camphorshelf_core.instances import InstanceRecord
-from camphorshelf_core.intake import Intake
 from camphorshelf_core.messages import RelayMessage
 from camphorshelf_platform.headers import DIALECT, read_target
 from camphorshelf_relay.crashes import CrashWatch
@@ -75,7 +75,7 @@
     target = _Target(context.loop, bend, longer)
     crashes = CrashWatch(context.loop, "a", context.log)
     context.gate = Gate(
-        context.loop, _Settings(), DIALECT, Intake(slots), target, crashes, context.log
+        context.loop, _Settings(), DIALECT, AdmissionQueue(slots), target, crashes, context.log
     )
 
 
@@ -93,7 +93,7 @@
             goal_s=0.2,
             left_s=1.2,
             work_s=_WORK,
-            patience=0,
+            late_policy=LatePolicy.REJECT,
             request_id=str(number),
             caller_service=_SERVICE,
             method="GET",
--- a/tests/features/steps/slot_limit_steps.py
+++ b/tests/features/steps/slot_limit_steps.py
@@ -24,7 +24,7 @@
 
 @then("its limit is {limit:d} at the median, and off by {most:d} at most on nine of ten seeds")
 def check_limit(context, limit, most):
-    limits = sorted(target.intake.limit for target in context.adaptive)
+    limits = sorted(target.admission.limit for target in context.adaptive)
     assert statistics.median_low(limits) == limit, limits
     assert sum(abs(one - limit) <= most for one in limits) >= 9, limits
 
--- a/tests/features/steps/target_link_steps.py
+++ b/tests/features/steps/target_link_steps.py
@@ -4,9 +4,9 @@
 
 from behave import given, then, when
 
+from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.calls import Request
 from camphorshelf_core.instances import Heartbeat
-from camphorshelf_core.intake import Intake
 from camphorshelf_core.retrybudget import RetryTerms
 from camphorshelf_core.routes import ServiceTerms
 from camphorshelf_platform.headers import DIALECT
@@ -57,7 +57,7 @@
     patch = mock.patch.object(targetlink, "dial", context.streams.dial)
     patch.start()
     context.add_cleanup(patch.stop)
-    context.subject = Target(context.loop, _SETTINGS, DIALECT, Intake(), _Log())
+    context.subject = Target(context.loop, _SETTINGS, DIALECT, AdmissionQueue(), _Log())
     context.subject.configure(ServiceTerms("/health"))
     context.subject.beat(Heartbeat("i-1", 1, 1, "counter", "127.0.0.1:1", 9, False, 0.0))
     for _ in range(3):
--- a/tests/standins/bending.py
+++ b/tests/standins/bending.py
@@ -3,7 +3,7 @@
 import heapq
 import random
 
-from camphorshelf_core.intake import Intake, Job
+from camphorshelf_core.admissionqueue import AdmissionQueue, Job, LatePolicy
 
 _WORK = 0.06
 _SPREAD = 0.3
@@ -32,7 +32,7 @@
         self._ends = []
         self._numbers = iter(range(10**9))
         self.now = 0.0
-        self.intake = Intake(slots)
+        self.admission = AdmissionQueue(slots)
         self._work_s = _WORK
         self.in_time = 0
         self.finished = 0
@@ -58,17 +58,17 @@
             self.now + _GOAL,
             self.now + _DEADLINE,
             self._work_s,
-            1,
+            LatePolicy.QUEUE,
             lambda: self._start(job),
             lambda wait: None,
         )
-        self.intake.offer(job, self.now)
+        self.admission.offer(job, self.now)
 
     def _start(self, job):
         work = _WORK * max(0.2, self._random.gauss(1.0, _SPREAD))
-        if self.intake.running > self._bend:
+        if self.admission.running > self._bend:
             work *= self._longer
-        if self.intake.running > self.intake.limit:
+        if self.admission.running > self.admission.limit:
             self.trials += 1
         heapq.heappush(self._ends, (self.now + work, next(self._numbers), self.now, job))
 
@@ -80,8 +80,8 @@
             ran_s = self.now - began
             self._work_s += _SMOOTHING * (ran_s - self._work_s)
             if self._adapts:
-                self.intake.note_run(job, ran_s, self.now)
+                self.admission.note_run(job, ran_s, self.now)
             else:
-                self.intake.note_work(ran_s)
-            self.intake.finish(job, self.now)
+                self.admission.note_work(ran_s)
+            self.admission.finish(job, self.now)
         self.now = until
