Latency objective: one term in place of goal, due time and time spent

goal_s, goal_at, goal_left_s are objective_s, objective_at, objective_left_s; spent_before is elapsed_before. The operators' document keeps goal_s, decoded in platform/; messages between nodes go by position, so their bytes are the same. Behaviour is unchanged.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -15,7 +15,7 @@
 import fire
 
 _START = '{"time"'
-# A part of the time that is longer than this share of the goal has made the answer late.
+# A part of the time that is longer than this share of the latency objective made the answer late.
 _CAUSE_SHARE = 0.25
 
 
@@ -72,10 +72,10 @@
         return event["code"]
     if event["status"] >= 300:
         return f"target {event['status']}"
-    goal_ms = event["goal_ms"]
-    if event["ms"] <= goal_ms:
+    objective_ms = event["objective_ms"]
+    if event["ms"] <= objective_ms:
         return "in time"
-    enough = goal_ms * _CAUSE_SHARE
+    enough = objective_ms * _CAUSE_SHARE
     before_ms = event["ms"] - event["waited_ms"] - event["ran_ms"]
     if before_ms > enough:
         return "late: before the target"
--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -32,7 +32,7 @@
     admissionqueue._key = lambda job: (
         job.queue_class is admissionqueue.QueueClass.LATE,
         0,
-        job.goal_at,
+        job.objective_at,
     )
 
 
@@ -93,7 +93,7 @@
 
 
 def _no_spread():
-    relay.retry_after = lambda wait_s, goal_left_s, work_s, random: 0.1
+    relay.retry_after = lambda wait_s, objective_left_s, work_s, random: 0.1
 
 
 def _no_overlap():
--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -3,8 +3,8 @@
 Load patterns: a burst, saturation, long work among short, and a host that slows down under work
 that already waits. A target that takes all it is offered finishes most of it too late to be of
 use: every request waits for all before it. Here a request waits only where it will probably
-start early enough to be answered within its goal. Every other one is rejected at once, while its
-caller can still go to another target or retry.
+start early enough to be answered within its latency objective. Every other one is rejected at once,
+while its caller can still go to another target or retry.
 
 The target's own queue stays empty: a request that waits there can be neither reordered nor
 shed, and the last slots of most servers finish work slower than they add to it.
@@ -18,8 +18,8 @@
 
 from .slotlimit import SlotLimit
 
-# The expected delay of work with a late goal grows with each more urgent request that comes after
-# it and goes ahead. In a long queue all of it starts too late; where few wait, few overtake.
+# The expected delay of work with a late objective grows with each more urgent request that comes
+# after it and goes ahead. In a long queue all of it starts too late; where few wait, few overtake.
 _QUEUE_PER_SLOT = 2.0
 # Late work may wait only in a short queue, or it takes the slots of what is still in time; with
 # none at all, calls that running work waits for would fail it. Counted in work and not in jobs: a
@@ -50,13 +50,13 @@
 
 
 class LatePolicy(IntEnum):
-    """What becomes of a job that will miss its goal.
+    """What becomes of a job that will miss its latency objective.
 
     The number goes over links, and late work is granted so many times the usual room and offers.
     """
 
     REJECT = 0
-    # An answer after the goal is still wanted: queued as late while there is room.
+    # An answer after the objective is still wanted: queued as late while there is room.
     QUEUE = 1
     # It was held so long that a rejection would come too late.
     QUEUE_HELD = 2
@@ -76,7 +76,7 @@
     """One request that is offered to the target.
 
     :param priority: 0 goes first.
-    :param goal_at: when its answer is due, seconds on the monotonic clock.
+    :param objective_at: when its latency objective ends, seconds on the monotonic clock.
     :param expires_at: when nobody waits for it any more.
     :param work_s: how long such work runs where the slowness is 1.0.
     :param late_policy: its :class:`LatePolicy`.
@@ -86,7 +86,7 @@
 
     __slots__ = (
         "priority",
-        "goal_at",
+        "objective_at",
         "expires_at",
         "work_s",
         "late_policy",
@@ -98,9 +98,9 @@
         "concurrency_at_start",
     )
 
-    def __init__(self, priority, goal_at, expires_at, work_s, late_policy, start, reject):
+    def __init__(self, priority, objective_at, expires_at, work_s, late_policy, start, reject):
         self.priority = priority
-        self.goal_at = goal_at
+        self.objective_at = objective_at
         self.expires_at = expires_at
         self.work_s = work_s
         self.late_policy = late_policy
@@ -109,7 +109,7 @@
         self.state = JobState.NEW
         self.queue_class = QueueClass.IN_TIME
         # Until when its answer is wanted here.
-        self.due_at = goal_at
+        self.due_at = objective_at
         # How many ran when it started, itself included.
         self.concurrency_at_start = 0
 
@@ -346,4 +346,4 @@
 def _key(job):
     # What is late already goes behind everything that is not; then the more important; then
     # what is due first.
-    return job.queue_class is QueueClass.LATE, job.priority, job.goal_at
+    return job.queue_class is QueueClass.LATE, job.priority, job.objective_at
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -197,7 +197,7 @@
     service: str
     idempotent: bool
     priority: int
-    goal_s: float
+    objective_s: float
     left_s: float
     work_s: float
     late_policy: int
--- a/packages/core/src/camphorshelf_core/placement.py
+++ b/packages/core/src/camphorshelf_core/placement.py
@@ -19,8 +19,8 @@
 # From here on a target gets no work while another one fails less.
 BROKEN_SHARE = 0.5
 # Traffic between failure domains is paid for, some 4 kB for a request with its answer. Where a
-# near target has a free slot and answers in half of the goal, a faster one elsewhere is of no use
-# to the caller; otherwise the near one is preferred between equals.
+# near target has a free slot and answers in half of the latency objective, a faster one elsewhere
+# is of no use to the caller; otherwise the near one is preferred between equals.
 _COMFORT = 0.5
 _FAR_FACTOR = 1.08
 _FAR_SECONDS = 0.002
@@ -54,14 +54,14 @@
     is_sound: bool
 
 
-def rank(views, work_s, now, domain, goal_left_s):
+def rank(views, work_s, now, domain, objective_left_s):
     """Order the targets of a service by the time to the answer, near ones that are good first.
 
     :param views: the :class:`~camphorshelf_core.hosts.HostView` of the service's accepting hosts.
     :param work_s: the mean time of such a request where the slowness is 1.0.
     :param now: seconds on the monotonic clock.
     :param domain: the own failure domain.
-    :param goal_left_s: seconds until the answer is due.
+    :param objective_left_s: what is left of the latency objective, in seconds.
     :return: a list of :class:`Candidate`, the best first.
     """
     usual = _usual_work(views)
@@ -81,7 +81,7 @@
         candidate = Candidate(status.address, expected, cost, wait, is_fresh, is_sound)
         if not is_sound:
             doubtful.append(candidate)
-        elif is_near and cost <= _COMFORT * goal_left_s and has_room(view, now):
+        elif is_near and cost <= _COMFORT * objective_left_s and has_room(view, now):
             near.append(candidate)
         else:
             sound.append(candidate)
--- a/packages/core/src/camphorshelf_core/retryafter.py
+++ b/packages/core/src/camphorshelf_core/retryafter.py
@@ -1,8 +1,8 @@
 """After which delay a refused caller should retry (Retry-After), with jitter.
 
 Load pattern: saturation, where many callers are refused within a moment. With the same delay for
-all of them the burst would repeat; a retry past their goal is of no use to most. So each gets a
-random delay within what its goal leaves.
+all of them the burst would repeat; a retry past their latency objective is of no use to most. So
+each gets a random delay within what its objective leaves.
 """
 
 # Earlier than this nothing has changed: the speed of a host holds for some 300 ms.
@@ -12,7 +12,7 @@
 _NO_TARGET_SECONDS = 0.25
 _MAX_SECONDS = 1.0
 # A target that turns requests away at random, and not for want of a slot, may take the same one a
-# moment later: a caller with a goal of 100 ms then has two more chances in time.
+# moment later: a caller with an objective of 100 ms then has two more chances in time.
 _SHED_SECONDS = 0.01
 
 
@@ -28,19 +28,19 @@
     return random.uniform(0.5, 1.5) * _SHED_SECONDS
 
 
-def retry_after(wait_s, goal_left_s, work_s, random):
+def retry_after(wait_s, objective_left_s, work_s, random):
     """Choose the delay for a caller that this node refused.
 
     :param wait_s: the shortest queueing delay that any target expected; None without a target.
-    :param goal_left_s: what is left of the caller's goal.
+    :param objective_left_s: what is left of the caller's latency objective, in seconds.
     :param work_s: how long its work usually runs.
     :param random: the source of random numbers.
     :return: seconds.
     """
     if wait_s is None:
         return random.uniform(0.5, 1.0) * _NO_TARGET_SECONDS
-    spare = goal_left_s - work_s * 1.5
+    spare = objective_left_s - work_s * 1.5
     if spare > _MIN_SECONDS:
-        # In time for its goal, when what waits now has mostly gone.
+        # In time for its objective, when what waits now has mostly gone.
         return random.uniform(_MIN_SECONDS, max(_MIN_SECONDS, min(spare, wait_s * 1.5)))
     return min(_MAX_SECONDS, random.uniform(0.5, 1.5) * max(wait_s, _MIN_SECONDS))
--- a/packages/core/src/camphorshelf_core/routes.py
+++ b/packages/core/src/camphorshelf_core/routes.py
@@ -26,7 +26,7 @@
     :param idempotent: whether a request may run more than once.
     :param attempts: the most targets that one request may be handed to.
     :param timeout_s: the longest time that a caller is kept waiting.
-    :param goal_s: the time within which an answer is worth most to its caller.
+    :param objective_s: the latency objective, within which an answer is worth most to its caller.
     :param priority: 0 is served first.
     :param parts: the services that share the route's requests.
     """
@@ -37,7 +37,7 @@
     idempotent: bool
     attempts: int
     timeout_s: float
-    goal_s: float
+    objective_s: float
     priority: int
     parts: tuple
 
--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -16,7 +16,7 @@
     fields: str
 
 
-_REQUEST = "request route ms goal_ms config"
+_REQUEST = "request route ms objective_ms config"
 EVENTS = (
     Event(
         "answered",
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -68,7 +68,7 @@
         self._timer = None
         self._job = Job(
             message.priority,
-            self._arrived + message.goal_s,
+            self._arrived + message.objective_s,
             self._expires_at,
             message.work_s,
             LatePolicy(message.late_policy),
--- a/packages/relay/src/camphorshelf_relay/listeners.py
+++ b/packages/relay/src/camphorshelf_relay/listeners.py
@@ -152,7 +152,9 @@
         # Bytes that a cut or a suspended host held up arrive seconds later with the times of
         # when they were sent: their callers are gone, and the target would work for nobody.
         held_up = offset - least_offset
-        message = message._replace(left_s=message.left_s - held_up, goal_s=message.goal_s - held_up)
+        message = message._replace(
+            left_s=message.left_s - held_up, objective_s=message.objective_s - held_up
+        )
         if message.left_s < _LEAST_SECONDS:
             reply(_decline(Code.DEADLINE_UNREACHABLE, "it was held up on the way", Ran.NOT_RUN))
             return None
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -14,8 +14,8 @@
 # Targets' nodes that a request is offered to in turn before it is refused.
 _MAX_OFFERS = 3
 _LEAST_SECONDS = 0.01
-# Up to an eighth of its goal a request may be held and refused all the same: its caller still has
-# most of the time to retry.
+# Up to this share of its latency objective a request may be held and refused all the same: its
+# caller still has most of the time to retry.
 _HELD_SHARE = 0.125
 
 
@@ -32,9 +32,9 @@
         self._facts = router.book.facts(route)
         self._arrived = exchange.received
         wait_s = route.timeout_s if terms.wait_s is None else min(terms.wait_s, route.timeout_s)
-        spent = 0.0 if terms.wait_s is None else self._facts.spent_before(terms.wait_s)
+        elapsed_s = 0.0 if terms.wait_s is None else self._facts.elapsed_before(terms.wait_s)
         self._expires_at = self._arrived + wait_s
-        self._goal_at = self._arrived + route.goal_s - spent
+        self._objective_at = self._arrived + route.objective_s - elapsed_s
         self._late_policy = LatePolicy.QUEUE
         self._headers = strip_hop_by_hop(exchange.request.headers)
         self._tried = set()
@@ -87,7 +87,7 @@
 
     def _offer_best(self, candidates, untried):
         now = self._loop.now()
-        in_time = [one for one in untried if now + one.expected_s <= self._goal_at]
+        in_time = [one for one in untried if now + one.expected_s <= self._objective_at]
         if in_time and self._offers < _MAX_OFFERS:
             self._offer(in_time[0], LatePolicy.REJECT)
         elif self._late_offers < self._late_policy and (untried or not self._late_offers):
@@ -100,8 +100,8 @@
 
     def _rank(self, now):
         router = self._router
-        views, goal_left = router.views(self._service), self._goal_at - now
-        return rank(views, self._facts.work_s, now, router.domain, goal_left)
+        views, objective_left = router.views(self._service), self._objective_at - now
+        return rank(views, self._facts.work_s, now, router.domain, objective_left)
 
     def _offer(self, candidate, late_policy):
         now = self._loop.now()
@@ -118,7 +118,7 @@
             service=self._service,
             idempotent=self._route.idempotent,
             priority=self._route.priority,
-            goal_s=self._goal_at - now,
+            objective_s=self._objective_at - now,
             left_s=self._expires_at - now,
             work_s=self._facts.work_s,
             late_policy=int(late_policy),
@@ -138,7 +138,10 @@
     def _schedule_hedges(self, candidate, now):
         self._cancel_hedges()
         delays = hedge_delays(
-            candidate.expected_s, self._facts.work_s, self._goal_at - now, self._expires_at - now
+            candidate.expected_s,
+            self._facts.work_s,
+            self._objective_at - now,
+            self._expires_at - now,
         )
         guard = self._exchange.guard
         self._hedge_timers = [self._loop.call_later(delay, guard(self._hedge)) for delay in delays]
@@ -197,7 +200,7 @@
             known = self._shortest_wait
             self._shortest_wait = wait_s if known is None else min(known, wait_s)
         self._log_step("declined", offer, code=Code(message.code).name, wait_s=round(wait_s, 4))
-        if now - self._arrived > _HELD_SHARE * self._route.goal_s:
+        if now - self._arrived > _HELD_SHARE * self._route.objective_s:
             # It has waited in a queue that became too long. A refusal now would come too late for
             # its caller to do better elsewhere, so it is treated like a retry.
             self._late_policy = LatePolicy.QUEUE_HELD
@@ -227,7 +230,7 @@
         if self._reached + 1 >= self._route.attempts:
             return
         now = self._loop.now()
-        due = self._goal_at if now < self._goal_at else self._expires_at
+        due = self._objective_at if now < self._objective_at else self._expires_at
         free = [
             one
             for one in self._rank(now)
@@ -291,7 +294,9 @@
         random = self._router.random
         if refusal.code is Code.TARGET_SHED:
             return retry_after_shed(random)
-        return retry_after(self._shortest_wait, self._goal_at - now, self._facts.work_s, random)
+        return retry_after(
+            self._shortest_wait, self._objective_at - now, self._facts.work_s, random
+        )
 
     def _on_expiry(self):
         self._timer = None
--- a/packages/relay/src/camphorshelf_relay/routebook.py
+++ b/packages/relay/src/camphorshelf_relay/routebook.py
@@ -14,8 +14,8 @@
 
     __slots__ = ("work_s", "longest_wait_s", "_samples")
 
-    def __init__(self, goal_s):
-        self.work_s = min(_FIRST_WORK_SECONDS, goal_s / 2)
+    def __init__(self, objective_s):
+        self.work_s = min(_FIRST_WORK_SECONDS, objective_s / 2)
         self.longest_wait_s = 0.0
         self._samples = 0
 
@@ -29,11 +29,11 @@
         weight = max(_SMOOTHING, 1 / (self._samples + 1)) if self._samples < _FIRST_SAMPLES else 0
         self.work_s += (weight or _SMOOTHING) * (seconds - self.work_s)
 
-    def spent_before(self, wait_s):
+    def elapsed_before(self, wait_s):
         """Tell how long a caller has waited already, over its earlier attempts.
 
         A caller that retries after a refusal says a shorter wait than others of its route: the
-        difference is the time that it has spent. Its goal counts from its first attempt.
+        difference is the time that has elapsed. Its objective counts from its first attempt.
 
         :param wait_s: how long it waits now.
         :return: seconds.
@@ -56,7 +56,7 @@
         """
         facts = self._facts.get(route.name)
         if facts is None:
-            facts = self._facts[route.name] = RouteFacts(route.goal_s)
+            facts = self._facts[route.name] = RouteFacts(route.objective_s)
         return facts
 
     def keep(self, routes):
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -208,7 +208,7 @@
             request=self._dialect.read_caller(exchange.request.headers).request_id,
             route=name,
             ms=round(seconds * 1000, 1),
-            goal_ms=0 if route is None else round(route.goal_s * 1000),
+            objective_ms=0 if route is None else round(route.objective_s * 1000),
             config=self._config.version,
             **fields,
         )
--- a/tests/features/admission_queue.feature
+++ b/tests/features/admission_queue.feature
@@ -1,7 +1,7 @@
 Feature: What the admission queue of a target admits, queues, rejects and sheds
 
   A target with nine slots of which seven are used, because the last ones slow all work down.
-  Work of 100 ms with a goal of 300 ms unless said otherwise; a clock of its own, no network.
+  Work of 100 ms with a latency objective of 300 ms unless said otherwise; a clock of its own, no network.
 
   Scenario: A burst fills the slots and a short queue, and the rest is rejected at once
     # Guards against callers of a burst that learn at their deadline that there was no slot.
@@ -10,13 +10,13 @@
     Then 7 run and 13 are queued
     And 20 were rejected, each with the delay it would have had
     When the target works through it
-    Then every request that was admitted is answered within its goal
+    Then every request that was admitted is answered within its objective
 
   Scenario: Saturation: what is admitted is in time, whatever is offered
     # Guards against a queue that is always full, so that every answer is late.
     Given a target with 9 slots
     When 140 requests a second come for 10 s
-    Then at least 95 in 100 of those admitted are answered within their goal
+    Then at least 95 in 100 of those admitted are answered within their objective
     And the target is busy at least 95 in 100 of the time
 
   Scenario: Urgent work goes first among long work
@@ -37,7 +37,7 @@
     # Guards against late work that takes the slots of work that is still in time.
     Given a target with 9 slots
     When 21 requests come at once
-    And 10 late requests whose goal has passed come
+    And 10 late requests whose objective has passed come
     Then 4 of them are queued
     When the target works through it
     Then the late ones are answered last
@@ -61,7 +61,7 @@
     # Guards against requests that fail because a short call of theirs is rejected as late.
     Given a target with 9 slots
     When 21 requests come at once
-    And 10 late requests of 40 ms whose goal has passed come
+    And 10 late requests of 40 ms whose objective has passed come
     Then 9 of them are queued
 
   Scenario: What cannot be done in the time left takes no slot
@@ -70,21 +70,21 @@
     When a request with 50 ms left comes
     Then 0 run and 0 are queued
 
-  Scenario: Short calls among long work are answered within their goal or rejected at once
-    # Guards against calls that are queued past the goal of the request that waits for them.
+  Scenario: Short calls among long work are answered within their objective or rejected at once
+    # Guards against calls that are queued past the objective of the request that waits for them.
     Given a target with 9 slots that works on orders of 210 ms and on calls of 40 ms
     When 60 orders a second and 50 calls a second come for 10 s
     Then at least 60 in 100 of the calls are answered within 150 ms
     And the orders that are admitted are answered within 1200 ms
     And at least 20 orders a second are answered
 
-  Scenario: Short calls alone are held to their goal
+  Scenario: Short calls alone are held to their objective
     # Guards against a queue of late calls where all work is of one length.
     Given a target with 9 slots that works on calls of 40 ms alone
     When 400 calls a second come for 10 s
     Then at least 95 in 100 of the calls that are admitted are answered within 150 ms
 
-  Scenario: Calls do not hold urgent lookups and uploads beyond their goal
+  Scenario: Calls do not hold urgent lookups and uploads beyond their objective
     # Guards against late calls that make all other work of an overloaded target late.
     Given a target with 8 slots that works on uploads, urgent lookups and calls
     When 22 uploads of 72 ms, 53 lookups of 24 ms and 230 calls of 15 ms a second come for 20 s
--- a/tests/features/hedging.feature
+++ b/tests/features/hedging.feature
@@ -1,6 +1,6 @@
 Feature: When a request in flight is hedged with a second target
 
-  Work of 100 ms, a goal of 400 ms and 1000 ms in all unless said otherwise.
+  Work of 100 ms, a latency objective of 400 ms and 1000 ms in all unless said otherwise.
 
   Scenario: At the last moment at which another target can still be in time
     # Guards against a request that is late although another target had time for it.
@@ -19,6 +19,6 @@
 
   Scenario: A request without enough time left stays where it is
     # Guards against hedges whose answer nobody would wait for.
-    Given 150 ms are left in all and for the goal
+    Given 150 ms are left in all and for the objective
     When the first target was expected to take 120 ms
     Then no hedge is considered before 1000 ms
--- a/tests/features/load_probes.feature
+++ b/tests/features/load_probes.feature
@@ -20,7 +20,7 @@
     Then more than 5 hosts are asked
 
   Scenario: Work that takes no time can be ranked
-    # Guards against a fault for a route whose goal, and so the first guess at its work, is zero.
+    # Guards against a fault for a route whose objective, and so the first guess at its work, is zero.
     Given 5 hosts of one service, all idle and heard a second ago
     When they are ranked for work that takes no time
     Then all 5 are candidates
--- a/tests/features/placement.feature
+++ b/tests/features/placement.feature
@@ -5,7 +5,7 @@
   time. All cases are on a clock of their own, without a network.
 
   Background:
-    Given work of 100 ms with a goal of 400 ms, asked for in domain "a"
+    Given work of 100 ms with an objective of 400 ms, asked for in domain "a"
 
   Scenario: A slow host is left alone though it is empty
     # Sent by load alone, every second request would take 400 ms on the host that is slow now.
--- a/tests/features/steps/admission_queue_steps.py
+++ b/tests/features/steps/admission_queue_steps.py
@@ -7,7 +7,7 @@
 from camphorshelf_core.admissionqueue import AdmissionQueue, Job, JobState, LatePolicy
 
 _WORK = 0.1
-_GOAL = 0.3
+_OBJECTIVE = 0.3
 _DEADLINE = 1.2
 
 
@@ -31,14 +31,14 @@
         self,
         name,
         priority=2,
-        goal=_GOAL,
+        objective=_OBJECTIVE,
         late_policy=LatePolicy.REJECT,
         work=_WORK,
         left=_DEADLINE,
     ):
         job = Job(
             priority,
-            self.now + goal,
+            self.now + objective,
             self.now + left,
             work,
             late_policy,
@@ -92,7 +92,7 @@
 
 @when("a request with {milliseconds:d} ms left comes")
 def little_left(context, milliseconds):
-    context.play.offer("short", goal=milliseconds / 1000, left=milliseconds / 1000)
+    context.play.offer("short", objective=milliseconds / 1000, left=milliseconds / 1000)
 
 
 @when("a request with priority 0 comes")
@@ -106,16 +106,16 @@
     context.play.admission.shed_late(context.play.now)
 
 
-@when("{count:d} late requests whose goal has passed come")
+@when("{count:d} late requests whose objective has passed come")
 def late_ones(context, count):
     for number in range(count):
-        context.play.offer(1000 + number, goal=0.0, late_policy=LatePolicy.QUEUE)
+        context.play.offer(1000 + number, objective=0.0, late_policy=LatePolicy.QUEUE)
 
 
-@when("{count:d} late requests of 40 ms whose goal has passed come")
+@when("{count:d} late requests of 40 ms whose objective has passed come")
 def late_calls(context, count):
     for number in range(count):
-        context.play.offer(1000 + number, goal=0.0, late_policy=LatePolicy.QUEUE, work=0.04)
+        context.play.offer(1000 + number, objective=0.0, late_policy=LatePolicy.QUEUE, work=0.04)
 
 
 @when("admission is closed")
@@ -155,18 +155,18 @@
     assert all(wait > 0.1 for _, wait in context.play.rejected)
 
 
-@then("every request that was admitted is answered within its goal")
+@then("every request that was admitted is answered within its objective")
 def all_in_time(context):
     play = context.play
     assert not play.shed
-    assert all(end <= job.goal_at + 1e-6 for _, end, job in play.finished)
+    assert all(end <= job.objective_at + 1e-6 for _, end, job in play.finished)
 
 
-@then("at least {percent:d} in 100 of those admitted are answered within their goal")
+@then("at least {percent:d} in 100 of those admitted are answered within their objective")
 def mostly_in_time(context, percent):
     play = context.play
     admitted = len(play.finished) + len(play.shed)
-    in_time = sum(end <= job.goal_at + 1e-6 for _, end, job in play.finished)
+    in_time = sum(end <= job.objective_at + 1e-6 for _, end, job in play.finished)
     assert in_time >= admitted * percent / 100, (in_time, admitted)
 
 
@@ -210,8 +210,8 @@
     assert len(context.play.rejected) == before + 1
 
 
-_ORDER = {"priority": 1, "goal": 0.6, "left": 1.2, "work": 0.21}
-_CALL = {"priority": 1, "goal": 0.15, "left": 0.5, "work": 0.04}
+_ORDER = {"priority": 1, "objective": 0.6, "left": 1.2, "work": 0.21}
+_CALL = {"priority": 1, "objective": 0.15, "left": 0.5, "work": 0.04}
 
 
 @given("a target with {slots:d} slots that works on orders of 210 ms and on calls of 40 ms")
@@ -252,9 +252,9 @@
 )
 def three_kinds(context, uploads, lookups, calls, seconds):
     rates = (
-        ("upload", uploads, {"priority": 1, "goal": 0.3, "left": 2.0, "work": 0.072}),
-        ("lookup", lookups, {"priority": 1, "goal": 0.1, "left": 0.6, "work": 0.024}),
-        ("call", calls, {"priority": 1, "goal": 0.08, "left": 0.2, "work": 0.015}),
+        ("upload", uploads, {"priority": 1, "objective": 0.3, "left": 2.0, "work": 0.072}),
+        ("lookup", lookups, {"priority": 1, "objective": 0.1, "left": 0.6, "work": 0.024}),
+        ("call", calls, {"priority": 1, "objective": 0.08, "left": 0.2, "work": 0.015}),
     )
     _come_mixed(context, rates, seconds)
 
@@ -272,7 +272,7 @@
 
 
 @then("at least {percent:d} in 100 of the calls that are admitted are answered within {limit:d} ms")
-def calls_in_goal(context, percent, limit):
+def calls_in_time(context, percent, limit):
     waits = _waits(context, "call")
     in_time = sum(1 for wait in waits if wait <= limit / 1000)
     assert in_time >= len(waits) * percent / 100, (in_time, len(waits))
--- a/tests/features/steps/hedging_steps.py
+++ b/tests/features/steps/hedging_steps.py
@@ -7,16 +7,16 @@
 _WORK = 0.1
 
 
-@given("{milliseconds:d} ms are left in all and for the goal")
+@given("{milliseconds:d} ms are left in all and for the objective")
 def little_left(context, milliseconds):
-    context.left_s = context.goal_s = milliseconds / 1000
+    context.left_s = context.objective_s = milliseconds / 1000
 
 
 @when("the first target was expected to take {milliseconds:d} ms")
 def expected(context, milliseconds):
-    goal = getattr(context, "goal_s", 0.4)
+    objective = getattr(context, "objective_s", 0.4)
     left = getattr(context, "left_s", 1.0)
-    delays = hedge_delays(milliseconds / 1000, _WORK, goal, left)
+    delays = hedge_delays(milliseconds / 1000, _WORK, objective, left)
     context.delays = [round(delay * 1000) for delay in delays]
 
 
--- a/tests/features/steps/held_up_steps.py
+++ b/tests/features/steps/held_up_steps.py
@@ -33,7 +33,7 @@
         service="counter",
         idempotent=True,
         priority=1,
-        goal_s=left,
+        objective_s=left,
         left_s=left,
         work_s=0.1,
         late_policy=1,
--- a/tests/features/steps/limit_log_steps.py
+++ b/tests/features/steps/limit_log_steps.py
@@ -90,7 +90,7 @@
             service=_SERVICE,
             idempotent=True,
             priority=1,
-            goal_s=0.2,
+            objective_s=0.2,
             left_s=1.2,
             work_s=_WORK,
             late_policy=LatePolicy.REJECT,
--- a/tests/features/steps/load_probes_steps.py
+++ b/tests/features/steps/load_probes_steps.py
@@ -15,7 +15,7 @@
 _SLOWNESS = 4.0
 _STATE_SECONDS = 0.3
 _WORK_SECONDS = 0.16
-_GOAL_SECONDS = 0.5
+_OBJECTIVE_SECONDS = 0.5
 
 
 class _NoisyHosts:
@@ -49,7 +49,7 @@
         view.take(status, self.now)
 
     def rank(self):
-        return rank(self.views, _WORK_SECONDS, self.now, "a", _GOAL_SECONDS)
+        return rank(self.views, _WORK_SECONDS, self.now, "a", _OBJECTIVE_SECONDS)
 
     def is_slow(self, address):
         return self.slowness[int(address[1:])] > 1.0
@@ -105,7 +105,7 @@
     heard_at = 0.0 if when == "just now" else -1.0
     views = [make_view(make_status(f"h{one}", repeat_s=0.0), heard_at) for one in range(count)]
     context.views = views
-    context.candidates = rank(views, _WORK_SECONDS, 0.0, "a", _GOAL_SECONDS)
+    context.candidates = rank(views, _WORK_SECONDS, 0.0, "a", _OBJECTIVE_SECONDS)
 
 
 @when("they are ranked for work that takes no time")
@@ -198,7 +198,7 @@
 def _ranked(context):
     now = context.loop.now()
     views = list(context.directory.views())
-    ranked = rank(views, _WORK_SECONDS, now, "a", _GOAL_SECONDS)
+    ranked = rank(views, _WORK_SECONDS, now, "a", _OBJECTIVE_SECONDS)
     return [one.address for one in ranked]
 
 
--- a/tests/features/steps/placement_steps.py
+++ b/tests/features/steps/placement_steps.py
@@ -8,10 +8,10 @@
 _NOW = 100.0
 
 
-@given('work of {work:d} ms with a goal of {goal:d} ms, asked for in domain "{domain}"')
-def work(context, work, goal, domain):
+@given('work of {work:d} ms with an objective of {objective:d} ms, asked for in domain "{domain}"')
+def work(context, work, objective, domain):
     context.work_s = work / 1000
-    context.goal_s = goal / 1000
+    context.objective_s = objective / 1000
     context.domain = domain
     context.views = {}
 
@@ -59,7 +59,7 @@
 
 def _rank(context):
     views = list(context.views.values())
-    return rank(views, context.work_s, _NOW, context.domain, context.goal_s)
+    return rank(views, context.work_s, _NOW, context.domain, context.objective_s)
 
 
 def _order(context):
--- a/tests/features/steps/retry_after_steps.py
+++ b/tests/features/steps/retry_after_steps.py
@@ -8,7 +8,7 @@
 
 
 @given(
-    "{count:d} callers refused with a wait of {wait:d} ms and {left:d} ms left of their goal,"
+    "{count:d} callers refused with a wait of {wait:d} ms and {left:d} ms left of their objective,"
     " for work of {work:d} ms"
 )
 def refused(context, count, wait, left, work):
--- a/tests/standins/bending.py
+++ b/tests/standins/bending.py
@@ -8,7 +8,7 @@
 _WORK = 0.06
 _SPREAD = 0.3
 _SMOOTHING = 0.05
-_GOAL = 0.2
+_OBJECTIVE = 0.2
 _DEADLINE = 1.2
 # Load goes up and down by this share within so many seconds.
 _SWING = 0.5
@@ -55,7 +55,7 @@
     def _offer(self):
         job = Job(
             1,
-            self.now + _GOAL,
+            self.now + _OBJECTIVE,
             self.now + _DEADLINE,
             self._work_s,
             LatePolicy.QUEUE,
@@ -76,7 +76,7 @@
         while self._ends and self._ends[0][0] <= until:
             self.now, _, began, job = heapq.heappop(self._ends)
             self.finished += 1
-            self.in_time += self.now <= job.goal_at
+            self.in_time += self.now <= job.objective_at
             ran_s = self.now - began
             self._work_s += _SMOOTHING * (ran_s - self._work_s)
             if self._adapts:
