--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -22,11 +22,10 @@
 # after it and goes ahead. In a long queue all of it starts too late; where few wait, few overtake.
 _QUEUE_PER_SLOT = 2.0
 # Late work may wait only in a short queue, or it takes the slots of what is still in time; with
-# none at all, calls that running work waits for would fail it. Counted in work and not in jobs: a
-# call of 40 ms that other work waits for takes a quarter of the room of one of 160 ms.
+# none at all, calls that running work waits for would fail it. Counted in work and not in jobs, so
+# that short calls take little of it.
 _LATE_PER_SLOT = 0.5
-# Work takes less than 0.7 of its mean in one case of six, with a spread of 0.3: what has less time
-# left than that is as good as lost.
+# Work with less time left than this share of its mean would seldom end before its deadline.
 _LEAST_RUN = 0.7
 _WORK_SMOOTHING = 0.05
 
@@ -161,7 +160,7 @@
         if self.closed or not self.limit:
             return AdmissionResult(False, 0.0)
         if now + self._run_s(job) * _LEAST_RUN > job.expires_at:
-            # It would take a slot and be broken off: better its caller knows now.
+            # It would take a slot and be cancelled at its deadline.
             return AdmissionResult(False, self.expected_wait(job))
         if self.running < self._limit.value and not self.queued:
             self._start(job)
@@ -253,8 +252,8 @@
     def shed_late(self, now):
         """Shed queued jobs that will not start in time any more.
 
-        Called when the target slowed down: with four times the usual slowness a queue that was
-        fine a moment ago is four times as long, and its requests still have time to go elsewhere.
+        Called when the target slowed down: the queue takes longer by as much, and its requests
+        still have time to go elsewhere.
 
         :param now: seconds on the monotonic clock.
         :return: None.
--- a/packages/core/src/camphorshelf_core/failuredetector.py
+++ b/packages/core/src/camphorshelf_core/failuredetector.py
@@ -15,7 +15,7 @@
 # a suspect, which may be back.
 _FAR_EVERY = 5
 _SUSPECT_EVERY = 4
-# An answer takes a few milliseconds; hosts with half a core may pause for 300 ms.
+# Timeouts of a direct probe and of one through others; hosts that share a core may pause.
 _DIRECT_SECONDS = 0.12
 _INDIRECT_SECONDS = 0.4
 # A silence of the own process says nothing of the members that did not answer meanwhile.
--- a/packages/core/src/camphorshelf_core/hedging.py
+++ b/packages/core/src/camphorshelf_core/hedging.py
@@ -1,20 +1,19 @@
 """When an idempotent request in flight is hedged: sent to a second target as well.
 
-Load pattern: a host that slows down under work it has already begun, for some 300 ms at a time,
-and a target that loses a request and never answers. The choice of the target cannot foresee the
-one, and the caller would wait out its whole time for the other. A hedge is charged to the retry
-budget, so it is sent when it is most likely to help: at the last moment at which another target
-can still answer within the latency objective, and again when the answer is long overdue.
+Load pattern: a host that slows down under work it has already begun, and a target that accepts a
+request and never answers. The choice of the target cannot foresee the one, and the caller would
+wait until its timeout for the other. A hedge is charged to the retry budget, so it is sent when it
+is most likely to help: at the last moment at which another target can still answer within the
+latency objective, and again when the answer is long overdue.
 
 The latency quantile that times the hedges of the product's own interface is in ``hedge.py``.
 """
 
-# The other target's time is a mean; with a third more, four of five requests are in time.
+# The other target's time is a mean; this covers its usual spread.
 _WORK_MARGIN = 1.3
-# Sooner, the answer is probably just on its way: with a spread of 0.3 of the work four of five
-# have come by then.
+# A hedge sooner than this mostly duplicates an answer that is about to arrive.
 _EARLIEST_FACTOR = 1.25
-# Past this many times the expected time the request has most likely been lost.
+# Past this many times the expected time the request is presumed lost.
 _LOST_FACTOR = 3.0
 _MIN_DELAY_SECONDS = 0.05
 
--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -24,7 +24,7 @@
 SUSPICION_SECONDS = 1.5
 # A host that has not answered a probe for so long is chosen last until it is heard again.
 _ANSWER_SECONDS = 0.1
-# A probed load says something for so long: a host's speed holds for some 300 ms.
+# For how long a probed load is fresh enough to choose by.
 FRESH_SECONDS = 0.04
 _INCARNATIONS_KEPT = 8
 
--- a/packages/core/src/camphorshelf_core/placement.py
+++ b/packages/core/src/camphorshelf_core/placement.py
@@ -1,26 +1,25 @@
 """Where a request goes: to the target that will probably finish it first.
 
-Load pattern: hosts shared with noisy neighbours, where a target works at a quarter of its speed
-for some 300 ms at a time, unlike targets, and targets that fail some of their requests. Sending
-by load alone keeps a slow host as busy as a fast one; here its slowness, its own pace and what
-waits there are put together into one expected time.
+Load pattern: hosts shared with noisy neighbours, where a target slows down for short times, unlike
+targets, and targets that fail some of their requests. Sending by load alone keeps a slow host as
+busy as a fast one; here its slowness, its own pace and what waits there are put together into one
+expected time.
 """
 
 import math
 from typing import NamedTuple
 
-# Between otherwise equal targets the emptier one, so that a burst finds room everywhere: a full
-# target counts as a fifth slower than an empty one.
+# How much slower a full target counts than an empty one, so that a burst finds room everywhere.
 _CROWDING = 0.2
-# A target that has just started works at about half of its speed; its node tells for how long.
+# How much slower a target counts that has just started; its node tells for how long.
 _WARMING = 2.0
 # A failed request costs its caller the answer, or another try and the time of both.
 _FAILURE_WEIGHT = 4.0
 # From here on a target gets no work while another one fails less.
 BROKEN_SHARE = 0.5
-# Traffic between failure domains is paid for, some 4 kB for a request with its answer. Where a
-# near target has a free slot and answers in half of the latency objective, a faster one elsewhere
-# is of no use to the caller; otherwise the near one is preferred between equals.
+# Traffic between failure domains is paid for. Where a near target has a free slot and answers well
+# within the latency objective, a faster one elsewhere is of no use to the caller; otherwise the
+# near one is preferred between equals.
 _COMFORT = 0.5
 _FAR_FACTOR = 1.08
 _FAR_SECONDS = 0.002
--- a/packages/core/src/camphorshelf_core/retryafter.py
+++ b/packages/core/src/camphorshelf_core/retryafter.py
@@ -5,14 +5,12 @@
 each gets a random delay within what its objective leaves.
 """
 
-# Earlier than this nothing has changed: the speed of a host holds for some 300 ms.
+# Earlier than this the load has hardly changed.
 _MIN_SECONDS = 0.04
-# Without a target there is nothing to wait for but its return; a quarter of a second spares the
-# node a caller that asks in a loop, and costs the caller little.
+# Without a target there is nothing to wait for but its return; keeps callers from asking in a loop.
 _NO_TARGET_SECONDS = 0.25
 _MAX_SECONDS = 1.0
-# A target that turns requests away at random, and not for want of a slot, may take the same one a
-# moment later: a caller with an objective of 100 ms then has two more chances in time.
+# A target that sheds at random, not for want of a slot, may take the request a moment later.
 _SHED_SECONDS = 0.01
 
 
--- a/packages/core/src/camphorshelf_core/retrybudget.py
+++ b/packages/core/src/camphorshelf_core/retrybudget.py
@@ -1,4 +1,4 @@
-"""How often a request may be handed to a second target, kept by all nodes without talk.
+"""The retry budget of a service, kept by all nodes together without coordination.
 
 Load pattern: a service whose targets fail or shed most of what they get. Each request that goes
 on to another target adds load just when there is least room, and a run that is repeated makes its
@@ -10,12 +10,11 @@
 from typing import NamedTuple
 
 # Of what operators allow: some is left for what is kept for a moment and spent together with
-# what is earned meanwhile, and for the repeated calls of other services' second runs.
+# what is earned meanwhile, and for the repeated calls of other services' reruns.
 _RATIO_SHARE = 0.4
 _SLACK_SHARE = 0.2
-# A request that was turned away unrun costs its service one arrival more. A second run makes its
-# calls again, and each of those counts as a repeat at the service that is called. Runs that failed
-# for their calls are those that make the most: where half of all calls are shed, two for each.
+# A request that was shed unrun costs its service one arrival more. A rerun makes its calls again,
+# and each of those counts as a retry at the service that is called.
 _RERUN_SHARE = 0.5
 # Retries that were not used must not add up to a burst later: they fade within some seconds.
 _KEPT_SECONDS = 2.0
--- a/packages/core/src/camphorshelf_core/slotlimit.py
+++ b/packages/core/src/camphorshelf_core/slotlimit.py
@@ -1,9 +1,9 @@
 """How many requests may run at once at one target, found from how long they run.
 
 Load pattern: saturation of a target whose last slots slow all work down. Where the bend is differs
-from service to service: with a limit beyond it a target finishes a quarter less than it could, and
-with one far below it slots stay empty while callers are refused. So the limit starts at a share of
-the slots that suits most servers, goes down when the last slot costs more than it gives, and one
+from service to service: with a limit beyond it a target finishes less than it could, and with one
+far below it slots stay empty while callers are refused. So the limit starts at a share of the slots
+that suits most servers, goes down when the last slot costs more than it gives, and one
 slot more is tried for some requests now and then while others wait for a slot.
 """
 
@@ -15,7 +15,7 @@
 # mostly work that waits for other services.
 _LEAST_SHARE = 0.5
 # A slot pays when work takes less longer with it than there are more slots. The times of single
-# requests differ by a third and more, so some are needed to tell, and less than this says nothing.
+# requests spread, so several are needed to tell, and less than this says nothing.
 _CLEAR_RATIO = 1.35
 _SAMPLES_TO_FAIL = 4
 _SAMPLES_TO_JUDGE = 28
--- a/packages/core/src/camphorshelf_core/statusforms.py
+++ b/packages/core/src/camphorshelf_core/statusforms.py
@@ -1,8 +1,8 @@
 """The datagrams between hosts: statuses, probes and news.
 
-A status has two forms. A whole one is some 130 bytes, most of them names that never change. The
-short one has the few numbers that change often; who has not heard a whole one of that incarnation
-and revision cannot use it and probes for the whole one.
+A status has two forms. A whole one is mostly names that never change. The short one has the few
+numbers that change often; who has not heard a whole one of that incarnation and revision cannot use
+it and probes for the whole one.
 """
 
 from typing import NamedTuple
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -15,21 +15,17 @@
 from .announcer import Reach
 from .storeport import MAX_WAIT_SECONDS, StoreFailure, wait_after
 
-# A read is always up to date. A watch may report nothing for seconds although there is a change:
-# its connection hangs, or the store compacts its history and says so only later, and the change
-# comes into force too late. So three nodes read once a second, at unlike moments, and nobody
-# watches. A change that comes just after a read is read within 1 s and told within 0.1 s.
+# Polled and not watched: a watch whose connection hangs, or whose history the store has compacted,
+# may report nothing for seconds although there is a change.
 _POLL_SECONDS = 1.0
-# A read without an answer for so long speaks against the store, for this node: it says so, and
-# others read in its place. The store answers in 4 ms, and in 85 times that when it is slow.
+# A poll without an answer for so long counts as lost store access; longer than a slow store takes.
 _OVERDUE_SECONDS = 0.4
 _REVIEW_SECONDS = 0.25
-# A node that has a configuration and that others can do without asks a store that turns it away
-# so seldom that all of them together ask three times a second: with each asking every second, an
-# outage of 8 s cost 800 calls at 77 hosts.
+# Least pause between polls of a node without store access that has a configuration. It grows with
+# the fleet, so that an outage does not cost a call a second of each node.
 _SELDOM_SECONDS = 4.0
-# A node that starts beside running ones has the configuration from them within 50 ms. Only the
-# first few by the common order read at once, in case that all have started together.
+# A node that starts beside running ones has the configuration from them sooner. Only the default
+# pollers read at once, in case that all have started together.
 _PEERS_FIRST_SECONDS = 0.3
 # A version told in another failure domain is fetched there by the members that forward the news
 # here; the others fetch it from these, or from afar when none near has it by then.
@@ -52,9 +48,8 @@
         self._random = random
         self._log = log
         self._document = None
-        # The same for peers, made when the first of them asks. A document of 1,560 routes is 0.3 MB
-        # and deflates to an eighth: a node that 25 others ask at once sends it to all in 0.8 s over
-        # 10 Mbit/s, where it would take 6 s, longer than a change may take.
+        # The document deflated for peers, made when the first of them asks: many may fetch a large
+        # one from this node at once.
         self._packed = None
         self._store_at = None
         self._asked_store_at = None
@@ -208,11 +203,11 @@
         self._failures = 0
         self._store_at = self._loop.now()
         self._take_rows(result.rows)
-        # Of unlike length, so that the nodes that read do not all do so in the same moment.
+        # With jitter, so that the pollers do not all read in the same moment.
         self._loop.call_later(_POLL_SECONDS * self._random.uniform(0.75, 1.0), self._review)
 
     def _review(self):
-        # Without a configuration too: the first ones read it for all that started together.
+        # Also without a configuration: the pollers read it for all that started together.
         others = self._others()
         if is_poller(self._settings.name, others) and self._is_poll_due(others):
             self._read()
--- a/packages/relay/src/camphorshelf_relay/eventlog.py
+++ b/packages/relay/src/camphorshelf_relay/eventlog.py
@@ -13,8 +13,7 @@
 from camphorshelf_core.budget import TokenBucket
 
 _FLUSH_SECONDS = 0.2
-# A node of these deployments answers up to 60 requests a second. A line costs some 10 us, so
-# these rates bound the log at 0.3 % of a core and 50 kB/s.
+# Bounds on the processor time and the bytes of the log.
 _ROUTINE_PER_SECOND = 60
 _NOTABLE_PER_SECOND = 200
 # What standard output does not take is kept up to here, then the oldest lines go.
--- a/packages/relay/src/camphorshelf_relay/listeners.py
+++ b/packages/relay/src/camphorshelf_relay/listeners.py
@@ -7,7 +7,7 @@
 from camphorshelf_node.links import KERNEL_SILENCE_SECONDS, PeerServer
 from camphorshelf_node.streams import listen
 
-# Of a host's 4,100 descriptors, with room left for targets, links, files and the store.
+# Leaves descriptors of the process for targets, links, files and the store.
 _MAX_CALLERS = 3_000
 _PLAIN = ((b"content-type", b"application/json"),)
 _LEAST_SECONDS = 0.005
--- a/packages/relay/src/camphorshelf_relay/metrics.py
+++ b/packages/relay/src/camphorshelf_relay/metrics.py
@@ -1,8 +1,8 @@
 """Counters, gauges and latency histograms, read by OpenTelemetry when somebody pulls them.
 
 Counts stand in plain numbers where they arise and are observed at each pull; only latencies are
-recorded one by one. OpenTelemetry is imported at the first pull: the import takes a tenth of a
-second of processor time, which a node that is started in the middle of the load needs for callers.
+recorded one by one. OpenTelemetry is imported at the first pull: a node that starts under load
+needs the import's processor time for callers.
 """
 
 from collections import deque
@@ -13,8 +13,7 @@
 # Routes come and go with configurations; a series for each that ever was would only grow.
 _MAX_ROUTES = 100
 _OTHER = "other"
-# Latencies of before the first pull that are kept for it. Pulls come every 15 s as a rule; a node
-# that is never read keeps its last half minute, in 0.2 MB. Counts lose nothing.
+# Latencies that are kept until the first pull; bounds the memory of a node that is never read.
 _KEPT_DURATIONS = 2_000
 
 
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -37,7 +37,7 @@
 # Ends itself so long before it would be killed, so that the last answers are out.
 _SPARE_GRACE_SECONDS = 0.4
 _STOP_POLL_SECONDS = 0.05
-# Reading the settings takes 0.1 ms; their bounds hold over windows of ten seconds and more.
+# Short against the windows over which the settings' bounds hold.
 _RELOAD_SECONDS = 3.0
 # A node whose peers are all away is better than none.
 _ALONE_SECONDS = 2.0
@@ -160,7 +160,7 @@
         self._loop.call_every(_RELOAD_SECONDS, lambda: self._reload(asked=False))
         self._log.notable("start", service=self._settings.service, domain=self._settings.domain)
         # What the libraries made at import lives as long as the process; looking through it at
-        # each full collection would stop every request for some 20 ms.
+        # each full collection would delay every request.
         gc.collect()
         gc.freeze()
         gc.set_threshold(_YOUNG_OBJECTS, 10, 10)
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -87,9 +87,8 @@
     def may_overlap(self, request):
         """Tell whether a request may be under way together with others of its connection.
 
-        Load pattern: callers that send several lookups ahead on one connection. Begun only after
-        the answer before it, the third of them had waited twice as long as it ran, and went to
-        no target meanwhile though slots were free.
+        Load pattern: callers that pipeline several lookups on one connection. Begun only after the
+        answer before it, each would wait for all before it though targets have free slots.
 
         :param request: the :class:`~camphorshelf_core.calls.Request`.
         :return: True or False.
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -9,8 +9,8 @@
 
 from .targetlink import Answered, TargetLink
 
-# A host's speed changes every few hundred milliseconds: asked 20 times a second, the answer is
-# 25 ms old on average. Answers to requests carry the same word, so a busy target is asked less.
+# Short against the time for which a host's speed holds. Answers to requests carry the same load
+# report, so a busy target is probed less.
 PROBE_SECONDS = 0.05
 _PROBE_TIMEOUT_SECONDS = 0.25
 _LEAST_PROBE_PAUSE_SECONDS = 0.005
