Tests of failures: one line each that says which failure it guards against

relay_path, relay_changes, retry_budget, slot_limit, limit_log, placement, load_probes, logs and pipelining; steps and bounds are as before. How the mean of the calls of reruns is meant stands at its step.

--- a/packages/core/src/camphorshelf_core/slotlimit.py
+++ b/packages/core/src/camphorshelf_core/slotlimit.py
@@ -3,8 +3,8 @@
 Load pattern: saturation of a target whose last slots slow all work down. Where the bend is differs
 from service to service: with a limit beyond it a target finishes less than it could, and with one
 far below it slots stay empty while callers are refused. So the limit starts at a share of the slots
-that suits most servers, goes down when the last slot costs more than it gives, and one
-slot more is tried for some requests now and then while others wait for a slot.
+that suits most servers, goes down when the last slot costs more than it gives, and one slot more is
+tried for some requests now and then while others wait for a slot.
 """
 
 from collections import defaultdict, deque
--- a/tests/features/load_probes.feature
+++ b/tests/features/load_probes.feature
@@ -4,8 +4,7 @@
   quarter of their speed for some 300 ms at a time. No network: hosts and clock are the test's own.
 
   Scenario: Seldom does a request go to a host that is slow when it arrives
-    # A caller of a lookup waits 640 ms instead of 160 ms when its host is slow. What was heard within
-    # the last second says little about now; three hosts that are asked say it.
+    # Guards against choices by load reports that are out of date.
     Given 25 hosts of one service that slow down at random, heard once a second
     When 4000 requests are sent by what was heard last
     And 4000 requests are sent after asking
@@ -13,8 +12,7 @@
     And fewer than 3 of 100 went to a slow host after asking
 
   Scenario: A burst of choices in one moment is spread
-    # All entry nodes heard the same statuses. If each asked just the two that look best, these would
-    # get all requests of that moment, and turn most of them away.
+    # Guards against entry nodes that all choose the same two targets.
     Given 25 hosts of one service, all idle and heard a second ago
     When 60 entry nodes each choose whom to ask
     Then more than 5 hosts are asked
@@ -35,8 +33,7 @@
     Then the choice went on after 2 ms
 
   Scenario: The choice does not wait for the others when one answer is good
-    # The slowest of three hosts on half a core answers after 5 to 10 ms. Its answer cannot be better
-    # than that of a near host that is fast and has a free slot.
+    # Guards against a choice that waits for answers which cannot be better.
     Given three hosts that are asked
     When one of them answers after 2 ms that it is fast and has room
     Then the choice went on after 2 ms
@@ -47,8 +44,7 @@
     Then the choice went on after 10 ms
 
   Scenario: A host that does not answer holds up nothing, and comes last
-    # Its node is frozen or cut off. The caller's request leaves 10 ms later to another host; from
-    # then on that one gets none until it is heard again.
+    # Guards against requests that wait for a host that is frozen or cut off.
     Given three hosts that are asked
     When all but one answer after 2 ms
     Then the choice went on after 10 ms
--- a/tests/features/logs.feature
+++ b/tests/features/logs.feature
@@ -4,14 +4,13 @@
     Then docs/LOGS.md lists each event with its fields
 
   Scenario: The lines of one request come in the order in which it happened
-    # The clock of the target's host is 3 s ahead: sorted by time, the answer would come before the
-    # request was sent there.
+    # Guards against lines in the wrong order where the clocks of hosts differ.
     Given the logs of a request that was declined by "b" and answered by "c"
     And the clock of "c" is 3 s behind and that of "b" is 3 s ahead
     Then its hops are "b turned_away, a declined, c run_ended, a answered"
 
   Scenario: A standard output that nobody reads holds up nothing
-    # The pipe is full after 64 kB. A write that blocks would stop every request of the node.
+    # Guards against a write to a full pipe that blocks every request of the node.
     Given a log whose reader has stopped reading
     When 20000 lines are logged within 100 s
     Then the log holds at most 600 kB of them
--- a/tests/features/pipelining.feature
+++ b/tests/features/pipelining.feature
@@ -5,7 +5,7 @@
   (POST here) is under way alone.
 
   Scenario: Lookups sent ahead are under way together, and answered in order
-    # The second answer is there first. Sent at once, the caller would take it for the first one's.
+    # Guards against an answer that its caller takes for that of another request.
     Given a caller's connection on which lookups may overlap
     When the caller sends the requests "GET /1, GET /2, GET /3"
     Then the requests "/1, /2, /3" have been begun
@@ -15,7 +15,7 @@
     Then the caller got the answers "/1, /2"
 
   Scenario Outline: Work that must not run twice is under way alone
-    # If the answer before it closed the connection, the caller would send the order again.
+    # Guards against an order that its caller sends again after a close before its answer.
     Given a caller's connection on which lookups may overlap
     When the caller sends the requests "<sent>"
     Then the requests "<first>" have been begun
@@ -29,8 +29,7 @@
       | POST /1, POST /2        | /1    | /1, /2     |
 
   Scenario: What stands behind the last request of a connection is never begun
-    # The caller reads "close" on the first answer and sends the others again. Begun all the same,
-    # they would run for nobody.
+    # Guards against work for a caller that has already sent it elsewhere.
     Given a caller's connection on which lookups may overlap
     When the caller sends the requests "GET /1 close, GET /2, GET /3, POST /4"
     Then the requests "/1" have been begun
@@ -39,7 +38,7 @@
     And the requests "/1" have been begun
 
   Scenario: A caller that sends very many ahead has eight under way
-    # Without a bound one connection would take all slots from other callers, and fill the memory.
+    # Guards against one connection that takes all slots and fills the memory.
     Given a caller's connection on which lookups may overlap
     When the caller sends 100 requests at once
     Then 8 requests have been begun
@@ -79,8 +78,7 @@
     Then the last answer says that the connection closes, and it ends
 
   Scenario Outline: A stopping node begins nothing more of a caller that always sends ahead
-    # Otherwise one more is begun behind each answer, until the process ends and cuts one off. The
-    # caller reads "close" and sends what was not begun to another node.
+    # Guards against a stopping node that cuts off a request it should not have begun.
     Given <a connection>
     When the caller sends the requests "POST /1, GET /2, GET /3"
     And the node finishes the connection
--- a/tests/features/placement.feature
+++ b/tests/features/placement.feature
@@ -8,7 +8,7 @@
     Given work of 100 ms with an objective of 400 ms, asked for in domain "a"
 
   Scenario: A slow host is left alone though it is empty
-    # Sent by load alone, every second request would take 400 ms on the host that is slow now.
+    # Guards against requests sent to a host that is empty because it is slow.
     Given target "slow" in domain "b" with 0 of 7 running and slowness 4.0
     And target "fast" in domain "b" with 3 of 7 running and slowness 1.0
     Then the order is "fast, slow"
@@ -19,8 +19,7 @@
     Then the order is "free, full"
 
   Scenario: A near target that is good enough goes before a faster far one
-    # The caller gains nothing by an answer in 100 ms instead of 130 ms, and each request to
-    # another domain is paid for.
+    # Guards against paid traffic between failure domains that gains its caller nothing.
     Given target "far" in domain "b" with 0 of 7 running and slowness 1.0
     And target "near" in domain "a" with 2 of 7 running and slowness 1.2
     Then the order is "near, far"
@@ -31,7 +30,7 @@
     Then the order is "far, near"
 
   Scenario: A near target keeps its last slot for who is already on the way
-    # Several entry nodes see the same free slot; all but one would be turned away there.
+    # Guards against several entry nodes that take the same free slot.
     Given target "far" in domain "b" with 0 of 7 running and slowness 1.0
     And target "near" in domain "a" with 6 of 7 running and slowness 1.0
     Then the order is "far, near"
@@ -43,7 +42,7 @@
     Then the order is "two, one"
 
   Scenario: A target that is slow without saying so is found by its pace
-    # The target's own figure says nothing of its disk or its database. What its requests took does.
+    # Guards against a target whose reported slowness leaves out its disk or its database.
     Given target "odd" in domain "b" with 0 of 7 running and slowness 1.0
     And target "two" in domain "b" with 3 of 7 running and slowness 1.0
     And target "three" in domain "b" with 3 of 7 running and slowness 1.0
@@ -51,7 +50,7 @@
     Then the first is not "odd"
 
   Scenario: A target that fails half of its requests gets none while another is sound
-    # Failing fast, it looks empty and quick.
+    # Guards against a target that draws requests because it fails fast.
     Given target "broken" in domain "a" with 0 of 7 running and slowness 1.0
     And target "busy" in domain "b" with 8 of 7 running and slowness 2.0
     And "broken" failed 0.6 of its requests
@@ -70,8 +69,7 @@
     Then the order is "warm, cold"
 
   Scenario: A service whose targets all fail a part is not taken for one that is slow
-    # All targets shed half of what they get. A failure is worth several answers in the choice, but
-    # an answer takes as long as ever: held to be late, a lookup with 100 ms left is refused unsent.
+    # Guards against lookups refused unsent because failures of a service make its answers look late.
     Given target "one" in domain "a" with 1 of 7 running and slowness 1.0
     And target "two" in domain "b" with 1 of 7 running and slowness 1.0
     And "one" failed 0.55 of its requests
--- a/tests/features/relay_changes.feature
+++ b/tests/features/relay_changes.feature
@@ -15,7 +15,7 @@
     Then within 2 s every node sends "/look/" to "orders"
 
   Scenario: A node restarted while the store is away serves the newest version
-    # Its memory is gone and the store does not answer; the other nodes tell it everything.
+    # Guards against a restarted node without a configuration while the store is away.
     When version 9 moves "/look/" to "orders"
     And within 2 s every node sends "/look/" to "orders"
     And the store is down
@@ -34,7 +34,7 @@
     Then every node is ready within 3 s
 
   Scenario: A leaving target gets nothing after it was told so
-    # The target says it leaves; from the acknowledgement on all work goes to the other one.
+    # Guards against work that is sent to a target after its leaving was acknowledged.
     Given callers at "a, b, c" send "GET /look/x?work_ms=20" all the time
     When the target of "a" announces that it leaves
     Then from its acknowledgement on it starts nothing new
@@ -52,7 +52,7 @@
     And a caller at "a" is served "POST /order/x" within 2 s
 
   Scenario: A node that is told to stop serves who still comes, and cuts off nobody
-    # Callers learn by two questions, a second apart, that the node is leaving.
+    # Guards against callers that are cut off before they know that the node is leaving.
     Given callers at "a" send "GET /look/x?work_ms=20" all the time
     When the node of "a" is told to stop
     Then it says at once that it is not ready
@@ -65,7 +65,7 @@
     Then within 3 s every node sends "/look/" to "orders"
 
   Scenario: A change that no watch hears of is in force all the same
-    # The store's watches hear nothing for a while, and say so only later or never.
+    # Guards against a change that is not in force because a watch of the store reports nothing.
     Given the watches of the store are deaf
     When version 9 moves "/look/" to "orders"
     Then within 2 s every node sends "/look/" to "orders"
@@ -77,15 +77,13 @@
     Then a caller at "a" is served "POST /order/x" within 3 s
 
   Scenario: A request that crashes its targets is refused before it has ended them all
-    # Its caller sends it again after each failure. The second crash convicts it; the others learn
-    # that, and the targets that come back stay up.
+    # Guards against a request that crashes one target after the other.
     When "POST /order/x?crash=1" is sent by "a" and again each time the target of "c" is back
     Then after the second crash it is refused 503 and the target stays up
     And a caller at "a" is served "POST /order/x" within 2 s
 
   Scenario: Callers that keep coming to a stopping node are never cut off midway
-    # They do not ask whether it is ready. Once it has stopped taking them they find no connection
-    # and go elsewhere; whoever's request was read is answered.
+    # Guards against a request that was read by a stopping node and is then cut off.
     Given callers at "a" send "GET /look/x?work_ms=200" all the time
     When the node of "a" is told to stop
     Then it has ended within 6 s
--- a/tests/features/relay_path.feature
+++ b/tests/features/relay_path.feature
@@ -20,19 +20,18 @@
     Then all are answered 404
 
   Scenario: An order whose target breaks off is not run again, and is not called "not run"
-    # The caller sees 502: it may have run. A second target exists but must not get it.
+    # Guards against an order that runs twice because its answer was lost.
     When a caller at "a" sends "POST /order/x?cut=1"
     Then it is answered 502 without Retry-After
     And it ran once
 
   Scenario: A lookup whose target breaks off goes on to another one
-    # The caller sees the other target's answer.
+    # Guards against a lookup that fails although another target could answer it.
     When the target breaks off while it runs "GET /look/x?cut=1" of a caller at "c"
     Then it ran at two targets
 
   Scenario: An answer that belongs to no request reaches no caller
-    # The target sends a second answer behind the first. On a kept connection the next caller
-    # would get it as the answer to its own request.
+    # Guards against a second answer on a kept connection that reaches the next caller.
     When the "GET /look/x?extra=1" of a caller at "a" is followed by 10 others
     Then each gets the answer to its own request
 
@@ -45,7 +44,7 @@
     Then it is answered 504 after 0.9 to 1.4 s
 
   Scenario: Requests beyond the last slot are turned away or wait, and none is lost
-    # Forty callers at once where two targets take seven each; nobody waits for nothing.
+    # Guards against callers that get no answer when all slots are taken.
     When 40 callers at "a" send "GET /look/x?work_ms=100" at once
     Then each is answered 200, or 503 with Retry-After
     And no refused one ran
@@ -71,13 +70,13 @@
     Then the log of "a" says of it that it was refused with 502 and why
 
   Scenario: A lookup that fails at each target gets the failure, not "not run"
-    # Both targets ran it and failed. "Not run" would be untrue, and there is no third target.
+    # Guards against an untrue "not run" for a lookup that ran and failed everywhere.
     When a caller at "c" sends "GET /look/x?fail=500"
     Then it is answered 500 without Retry-After
     And it ran at two targets
 
   Scenario: A target that says 503 of an order without vouching that it did not run
-    # A caller takes 503 for "did not run" and sends it again.
+    # Guards against an order that its caller sends again after a 503 of its target.
     When a caller at "a" sends "POST /order/x?fail=503"
     Then it is answered 502 without Retry-After
     And it ran once
@@ -87,7 +86,6 @@
     Then it gets the same body back
 
   Scenario: Requests sent ahead on one connection are each answered, in order
-    # The second lookup is done long before the first, and the order stands between two others. An
-    # answer out of turn would be taken for another request's.
+    # Guards against an answer out of turn, which its caller would take for another request's.
     When a caller at "c" sends "GET /look/1?work_ms=300, GET /look/2?work_ms=1, POST /order/3, GET /look/4" ahead
     Then it gets the answers to "/look/1, /look/2, /order/3, /look/4" in this order
--- a/tests/features/retry_budget.feature
+++ b/tests/features/retry_budget.feature
@@ -5,8 +5,7 @@
   doubles what a retry costs.
 
   Scenario Outline: A service that sheds most of its load is not sent twice as much
-    # Callers see refusals with a time to come back. Each request that a target turned away asks
-    # for a retry; at most half of the allowance is granted, for the repeated calls are as many.
+    # Guards against retries that double the load of a service that sheds most of it.
     Given <nodes> nodes that each take <rate> requests a second for 40 s
     When every request asks for a retry
     Then twice the retries of any 10 s stay within 0.2 of the requests and 60 more
@@ -30,12 +29,9 @@
     Then twice the retries of any 10 s stay within 0.2 of the requests and 60 more
 
   Scenario Outline: Lookups that fail for their calls are not run again without end
-    # Every target of the called service sheds half of what it gets, so most lookups with calls fail
-    # at every target. Callers get the failure. Each second run would make both its calls again, and
-    # both count as repeats at the called service, beside the calls that are sent there once more.
-    # The mean is of all requests, of which three in ten are refused before they make a call.
+    # Guards against reruns whose repeated calls break the retry allowance of the called service.
     Given <nodes> nodes that each take <rate> requests a second for 40 s
-    When every request asks for a second run, which makes 2 calls where the mean is 1.0
+    When every request asks for a rerun, which makes 2 calls where the mean is 1.0
     And every call asks for a retry
     Then the repeats of any 10 s stay within 0.2 of the calls and 60 more
 
--- a/tests/features/slot_limit.feature
+++ b/tests/features/slot_limit.feature
@@ -4,8 +4,7 @@
   from service to service. Work of 60 ms, load that swings by half every five seconds.
 
   Scenario Outline: The limit stands where one slot more would cost more than it gives
-    # With a limit beyond the bend each request takes 1.7 times as long, and a quarter fewer are
-    # finished; far below it, callers are refused while slots are free.
+    # Guards against a limit with which a target finishes less than it could.
     Given a target with <slots> slots that slows down by 1.7 beyond <bend>
     When <rate> requests a second come for 40 s
     Then its limit is <limit> at the median, and off by <most> at most on nine of ten seeds
@@ -22,7 +21,7 @@
       | 16    | 16   | 280  | 16    | 4    |
 
   Scenario Outline: Finding it costs little where the starting point is right
-    # One slot more is tried for a few requests, seldom, and the trial ends at the first clear signs.
+    # Guards against trials of the limit that cost more than they find out.
     Given a target with <slots> slots that slows down by 1.7 beyond <bend>
     When <rate> requests a second come for 40 s
     Then at most 4 in 100 requests ran beyond the limit
@@ -40,14 +39,13 @@
     Then it answers in time at least 1.15 of what a fixed limit of 0.8 does
 
   Scenario: A calm target is left alone
-    # No request waits, so no slot more is of use.
+    # Guards against trials of another limit that is of no use.
     Given a target with 8 slots that slows down by 1.7 beyond 6
     When 20 requests a second come for 40 s
     Then at most 0 in 100 requests ran beyond the limit
 
   Scenario: A trial of one slot less ends by itself where too few requests come for a verdict
-    # After a burst hardly any request comes. The next one that finds no slot is let in at once, and
-    # does not wait until one of those that run has ended.
+    # Guards against a request that waits for a trial which never ends.
     Given a limit for 8 slots that has only seen 6 requests at once
     When a request waits for a slot
     Then 5 may run at once
--- a/tests/features/steps/retry_budget_steps.py
+++ b/tests/features/steps/retry_budget_steps.py
@@ -55,17 +55,18 @@
         assert 2 * len(inside) <= allowed, (start, len(inside), allowed)
 
 
-@when("every request asks for a second run, which makes {calls:d} calls where the mean is {mean:f}")
-def all_ask_for_second_runs(context, calls, mean):
-    context.second_runs = []
-    context.calls_of_second_run = calls
+@when("every request asks for a rerun, which makes {calls:d} calls where the mean is {mean:f}")
+def all_ask_for_reruns(context, calls, mean):
+    """The mean is over all requests; those refused before they make a call count as none."""
+    context.reruns = []
+    context.calls_of_rerun = calls
     context.calls_of_request = mean
     for step in range(_SECONDS * context.rate):
         now = step / context.rate
         for budget in context.budgets:
             budget.note_request(now)
             if budget.spend(now, is_rerun=True):
-                context.second_runs.append(now)
+                context.reruns.append(now)
 
 
 @when("every call asks for a retry")
@@ -80,9 +81,9 @@
     for start in range(_SECONDS - 10 + 1):
         runs, retries, calls = (
             sum(start <= at < start + 10 for at in times)
-            for times in (context.second_runs, context.granted, context.requests)
+            for times in (context.reruns, context.granted, context.requests)
         )
-        repeats = runs * context.calls_of_second_run + retries
+        repeats = runs * context.calls_of_rerun + retries
         assert repeats <= 0.2 * calls + 60, (start, repeats, calls)
 
 
