--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/ruff check --quiet $(SOURCES)
+	$(BIN)/python tests/retired_words.py
 
 format: setup
 	$(BIN)/black --quiet $(SOURCES)
