--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -5,31 +5,27 @@
 from camphorshelf_core.errors import ProtocolError
 from camphorshelf_core.messages import ConfigReplyMessage, ConfigRequestMessage
 from camphorshelf_core.routes import RouteTable
-from camphorshelf_core.storereaders import (
-    TRIES_PER_SECOND,
-    keeps_trying,
-    reads_store,
-    try_share,
+from camphorshelf_core.storepollers import (
+    OUTAGE_POLLS_PER_SECOND,
+    first_poll_probability,
+    is_default_poller,
+    is_poller,
 )
 
 from .announcer import Reach
 from .storeport import MAX_WAIT_SECONDS, StoreFailure, wait_after
 
-# A read is always up to date. A watch may report nothing for seconds although there is a change:
-# its connection hangs, or the store compacts its history and says so only later, and the change
-# comes into force too late. So three nodes read once a second, at unlike moments, and nobody
-# watches. A change that comes just after a read is read within 1 s and told within 0.1 s.
-_READ_SECONDS = 1.0
-# A read without an answer for so long speaks against the store, for this node: it says so, and
-# others read in its place. The store answers in 4 ms, and in 85 times that when it is slow.
+# Polled and not watched: a watch whose connection hangs, or whose history the store has compacted,
+# may report nothing for seconds although there is a change.
+_POLL_SECONDS = 1.0
+# A poll without an answer for so long counts as lost store access; longer than a slow store takes.
 _OVERDUE_SECONDS = 0.4
 _REVIEW_SECONDS = 0.25
-# A node that has a configuration and that others can do without asks a store that turns it away
-# so seldom that all of them together ask three times a second: with each asking every second, an
-# outage of 8 s cost 800 calls at 77 hosts.
+# Least pause between polls of a node without store access that has a configuration. It grows with
+# the fleet, so that an outage does not cost a call a second of each node.
 _SELDOM_SECONDS = 4.0
-# A node that starts beside running ones has the configuration from them within 50 ms. Only the
-# first few by the common order read at once, in case that all have started together.
+# A node that starts beside running ones has the configuration from them sooner. Only the default
+# pollers read at once, in case that all have started together.
 _PEERS_FIRST_SECONDS = 0.3
 # A version told in another failure domain is fetched there by the members that forward the news
 # here; the others fetch it from these, or from afar when none near has it by then.
@@ -52,9 +48,8 @@
         self._random = random
         self._log = log
         self._document = None
-        # The same for peers, made when the first of them asks. A document of 1,560 routes is 0.3 MB
-        # and deflates to an eighth: a node that 25 others ask at once sends it to all in 0.8 s over
-        # 10 Mbit/s, where it would take 6 s, longer than a change may take.
+        # The document deflated for peers, made when the first of them asks: many may fetch a large
+        # one from this node at once.
         self._packed = None
         self._store_at = None
         self._asked_store_at = None
@@ -80,11 +75,11 @@
         return -1.0 if self._store_at is None else self._loop.now() - self._store_at
 
     @property
-    def store_denied(self):
-        """Whether the store turns this node away.
+    def lacks_store_access(self):
+        """Whether the store has refused this node's last poll or leaves it without an answer.
 
-        The store may do so to just those nodes that read it. Known only by a growing age, the
-        others would take their places seconds later, and a change would wait for that.
+        The store may do so to just the pollers. Known only by a growing age, others would take
+        over seconds later, and a change would wait for that.
         """
         asked_at = self._asked_store_at
         is_overdue = asked_at is not None and self._loop.now() - asked_at >= _OVERDUE_SECONDS
@@ -115,7 +110,7 @@
         :return: None.
         """
         own = self._settings.name
-        if keeps_trying(own, [(name, False) for name in names if name != own]):
+        if is_default_poller(own, [(name, False) for name in names if name != own]):
             self._begin()
 
     def _begin(self):
@@ -208,26 +203,26 @@
         self._failures = 0
         self._store_at = self._loop.now()
         self._take_rows(result.rows)
-        # Of unlike length, so that the nodes that read do not all do so in the same moment.
-        self._loop.call_later(_READ_SECONDS * self._random.uniform(0.75, 1.0), self._review)
+        # With jitter, so that the pollers do not all read in the same moment.
+        self._loop.call_later(_POLL_SECONDS * self._random.uniform(0.75, 1.0), self._review)
 
     def _review(self):
-        # Without a configuration too: the first ones read it for all that started together.
+        # Also without a configuration: the pollers read it for all that started together.
         others = self._others()
-        if reads_store(self._settings.name, others) and self._takes_turn(others):
+        if is_poller(self._settings.name, others) and self._is_poll_due(others):
             self._read()
         else:
             self._loop.call_later(_REVIEW_SECONDS, self._review)
 
-    def _takes_turn(self, others):
+    def _is_poll_due(self, others):
         has_begun = self._store_at is not None or self._failures
-        if has_begun or keeps_trying(self._settings.name, others):
+        if has_begun or is_default_poller(self._settings.name, others):
             return True
-        return self._random.random() < try_share(others, _REVIEW_SECONDS)
+        return self._random.random() < first_poll_probability(others, _REVIEW_SECONDS)
 
     def _others(self):
         live = self._peers.directory.live(self._loop.now())
-        return [(view.status.host, view.status.store_denied) for view in live]
+        return [(view.status.host, view.status.lacks_store_access) for view in live]
 
     def _on_failure(self, failure):
         self._failures += 1
@@ -239,9 +234,9 @@
 
     def _longest_wait_s(self):
         others = self._others()
-        if self.config is None or keeps_trying(self._settings.name, others):
+        if self.config is None or is_default_poller(self._settings.name, others):
             return MAX_WAIT_SECONDS
-        return max(_SELDOM_SECONDS, len(others) / TRIES_PER_SECOND)
+        return max(_SELDOM_SECONDS, len(others) / OUTAGE_POLLS_PER_SECOND)
 
     def _take_rows(self, rows):
         for row in rows:
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -1,20 +1,21 @@
 """One caller's request on its way: which targets it is offered to, and its one answer."""
 
+from camphorshelf_core.admissionqueue import LatePolicy
 from camphorshelf_core.calls import Response
 from camphorshelf_core.errors import Code, Ran, Refusal
+from camphorshelf_core.hedging import hedge_delays
 from camphorshelf_core.loadprobes import MAX_PROBE_ROUNDS, put_unanswered_last
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage, RelayMessage
 from camphorshelf_core.placement import rank
 from camphorshelf_core.retry import FAILURE_STATUSES
-from camphorshelf_core.returns import retry_after, retry_after_shed
-from camphorshelf_core.secondtry import second_try_times
+from camphorshelf_core.retryafter import retry_after, retry_after_shed
 from camphorshelf_node.headers import strip_hop_by_hop
 
 # Targets' nodes that a request is offered to in turn before it is refused.
 _MAX_OFFERS = 3
 _LEAST_SECONDS = 0.01
-# Up to an eighth of its goal a request may be held and refused all the same: its caller still has
-# most of the time to come back.
+# Up to this share of its latency objective a request may be held and refused all the same: its
+# caller still has most of the time to retry.
 _HELD_SHARE = 0.125
 
 
@@ -31,10 +32,10 @@
         self._facts = router.book.facts(route)
         self._arrived = exchange.received
         wait_s = route.timeout_s if terms.wait_s is None else min(terms.wait_s, route.timeout_s)
-        spent = 0.0 if terms.wait_s is None else self._facts.spent_before(terms.wait_s)
+        elapsed_s = 0.0 if terms.wait_s is None else self._facts.elapsed_before(terms.wait_s)
         self._expires_at = self._arrived + wait_s
-        self._goal_at = self._arrived + route.goal_s - spent
-        self._patience = 1
+        self._objective_at = self._arrived + route.objective_s - elapsed_s
+        self._late_policy = LatePolicy.QUEUE
         self._headers = strip_hop_by_hop(exchange.request.headers)
         self._tried = set()
         self._probed = set()
@@ -47,7 +48,7 @@
         self._maybe_ran = False
         self._failure = None
         self._finished = False
-        self._overdue_timers = []
+        self._hedge_timers = []
         self._timer = None
 
     def start(self):
@@ -86,23 +87,23 @@
 
     def _offer_best(self, candidates, untried):
         now = self._loop.now()
-        in_time = [one for one in untried if now + one.expected_s <= self._goal_at]
+        in_time = [one for one in untried if now + one.expected_s <= self._objective_at]
         if in_time and self._offers < _MAX_OFFERS:
-            self._offer(in_time[0], patience=0)
-        elif self._late_offers < self._patience and (untried or not self._late_offers):
+            self._offer(in_time[0], LatePolicy.REJECT)
+        elif self._late_offers < self._late_policy and (untried or not self._late_offers):
             # None will be in time by what is known here; the best one's node knows better, and
             # has room for some late work.
             self._late_offers += 1
-            self._offer((untried or candidates)[0], self._patience)
+            self._offer((untried or candidates)[0], self._late_policy)
         else:
             self._refuse(Code.QUEUE_FULL, "every target is busy beyond the request's time")
 
     def _rank(self, now):
         router = self._router
-        views, goal_left = router.views(self._service), self._goal_at - now
-        return rank(views, self._facts.work_s, now, router.domain, goal_left)
+        views, objective_left = router.views(self._service), self._objective_at - now
+        return rank(views, self._facts.work_s, now, router.domain, objective_left)
 
-    def _offer(self, candidate, patience):
+    def _offer(self, candidate, late_policy):
         now = self._loop.now()
         self._offers += 1
         self._tried.add(candidate.address)
@@ -117,10 +118,10 @@
             service=self._service,
             idempotent=self._route.idempotent,
             priority=self._route.priority,
-            goal_s=self._goal_at - now,
+            objective_s=self._objective_at - now,
             left_s=self._expires_at - now,
             work_s=self._facts.work_s,
-            patience=patience,
+            late_policy=int(late_policy),
             request_id=self._terms.request_id,
             caller_service=self._router.service,
             method=request.method,
@@ -132,22 +133,23 @@
         if offer in self._running:
             self._running[offer] = cancel
             if self._route.idempotent and self._route.attempts > 1:
-                self._watch_overdue(candidate, now)
-
-    def _watch_overdue(self, candidate, now):
-        self._cancel_overdue()
-        times = second_try_times(
-            candidate.expected_s, self._facts.work_s, self._goal_at - now, self._expires_at - now
+                self._schedule_hedges(candidate, now)
+
+    def _schedule_hedges(self, candidate, now):
+        self._cancel_hedges()
+        delays = hedge_delays(
+            candidate.expected_s,
+            self._facts.work_s,
+            self._objective_at - now,
+            self._expires_at - now,
         )
         guard = self._exchange.guard
-        self._overdue_timers = [
-            self._loop.call_later(wait, guard(self._on_overdue)) for wait in times
-        ]
+        self._hedge_timers = [self._loop.call_later(delay, guard(self._hedge)) for delay in delays]
 
-    def _cancel_overdue(self):
-        for timer in self._overdue_timers:
+    def _cancel_hedges(self):
+        for timer in self._hedge_timers:
             timer.cancel()
-        self._overdue_timers = []
+        self._hedge_timers = []
 
     def on_relayed(self, offer, message):
         """Take a target's answer.
@@ -198,10 +200,10 @@
             known = self._shortest_wait
             self._shortest_wait = wait_s if known is None else min(known, wait_s)
         self._log_step("declined", offer, code=Code(message.code).name, wait_s=round(wait_s, 4))
-        if now - self._arrived > _HELD_SHARE * self._route.goal_s:
+        if now - self._arrived > _HELD_SHARE * self._route.objective_s:
             # It has waited in a queue that became too long. A refusal now would come too late for
-            # its caller to do better elsewhere, so it is treated like one that came back.
-            self._patience = 2
+            # its caller to do better elsewhere, so it is treated like a retry.
+            self._late_policy = LatePolicy.QUEUE_HELD
         if self._running:
             return
         is_final = message.code == Code.QUARANTINED
@@ -222,13 +224,13 @@
             return False
         return self._router.spend_retry(self._service, is_rerun)
 
-    def _on_overdue(self):
+    def _hedge(self):
         if self._finished or len(self._running) != 1:
             return
         if self._reached + 1 >= self._route.attempts:
             return
         now = self._loop.now()
-        due = self._goal_at if now < self._goal_at else self._expires_at
+        due = self._objective_at if now < self._objective_at else self._expires_at
         free = [
             one
             for one in self._rank(now)
@@ -236,8 +238,8 @@
         ]
         if free and self._router.spend_retry(self._service, is_rerun=True):
             (first,) = self._running
-            self._log_step("second_try", first, to=free[0].address)
-            self._offer(free[0], patience=0)
+            self._log_step("hedge", first, to=free[0].address)
+            self._offer(free[0], LatePolicy.REJECT)
 
     def _answer(self, offer, message):
         self._end()
@@ -293,7 +295,9 @@
         random = self._router.random
         if refusal.code is Code.TARGET_SHED:
             return retry_after_shed(random)
-        return retry_after(self._shortest_wait, self._goal_at - now, self._facts.work_s, random)
+        return retry_after(
+            self._shortest_wait, self._objective_at - now, self._facts.work_s, random
+        )
 
     def _on_expiry(self):
         self._timer = None
@@ -310,7 +314,7 @@
 
     def _end(self):
         self._finished = True
-        self._cancel_overdue()
+        self._cancel_hedges()
         if self._timer is not None:
             self._timer.cancel()
         running, self._running = self._running, {}
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -87,9 +87,8 @@
     def may_overlap(self, request):
         """Tell whether a request may be under way together with others of its connection.
 
-        Load pattern: callers that send several lookups ahead on one connection. Begun only after
-        the answer before it, the third of them had waited twice as long as it ran, and went to
-        no target meanwhile though slots were free.
+        Load pattern: callers that pipeline several lookups on one connection. Begun only after the
+        answer before it, each would wait for all before it though targets have free slots.
 
         :param request: the :class:`~camphorshelf_core.calls.Request`.
         :return: True or False.
@@ -208,7 +207,7 @@
             request=self._dialect.read_caller(exchange.request.headers).request_id,
             route=name,
             ms=round(seconds * 1000, 1),
-            goal_ms=0 if route is None else round(route.goal_s * 1000),
+            objective_ms=0 if route is None else round(route.objective_s * 1000),
             config=self._config.version,
             **fields,
         )
