Greet forgotten hosts at a low rate, so that a partition of more than a minute heals

Seen: in a fleet of 40 hosts of which 10 are cut off from all others for 70 s, no host takes one of the other side for sound after the cut has ended: 870 of 1,560 views after 6 s, and the same when 20 s had passed (a trial with the cut between the 10 and the 30). After a cut of 6 s all is well.

Cause: HostDirectory.forget_silent drops a host that was gone for 60 s with its address, on both sides of the cut. Nothing brings an address back but the store's rows, which are read at a start only, and an address that is dropped is neither probed nor greeted.

It counts nowhere: not in the size, the domains or the targets. One of them is greeted each 2 s; when a forgotten host is heard again, 20 more are greeted at once, as it may have been cut off with others. The greeting carries the status, so one greeting that arrives makes both sides know each other, whichever of them had forgotten the other.

Evidence: the new scenario fails without the change (870 of 1,560) and passes with it, with no node sending more than 400 datagrams in a second after the cut. failure_detection (11 scenarios), finding_hosts, statuses, store_readers, config_reads and relay_changes pass; make lint passes. The cost of the greetings in a running system was not measured.

--- a/packages/core/src/camphorshelf_core/directory.py
+++ b/packages/core/src/camphorshelf_core/directory.py
@@ -4,6 +4,8 @@
 
 # Addresses of silent hosts are kept so long and tried at a low rate; a partition may heal.
 FORGOTTEN_SECONDS = 60.0
+# Then the address alone is kept, and counts nowhere: a partition may last longer than a minute.
+_ADDRESS_SECONDS = 86_400.0
 # The most targets that one choice compares, and how many of them are of the own failure domain.
 _CHOICE_TARGETS = 32
 _CHOICE_NEAR_TARGETS = 24
@@ -17,6 +19,7 @@
     def __init__(self):
         self._views = {}
         self._known_at = {}
+        self._forgotten_at = {}
         # Addresses by failure domain, and views by service and failure domain.
         self._domains = {}
         self._services = {}
@@ -31,6 +34,11 @@
         """How many hosts are known."""
         return len(self._known_at)
 
+    @property
+    def forgotten(self):
+        """The addresses of hosts that were silent for so long that they were dropped."""
+        return self._forgotten_at.keys()
+
     @property
     def domains(self):
         """The failure domains of all hosts that were heard."""
@@ -46,6 +54,7 @@
         if address in self._known_at:
             return False
         self._known_at[address] = now
+        self._forgotten_at.pop(address, None)
         return True
 
     def take(self, status, now):
@@ -62,6 +71,7 @@
         if not view.take(status, now):
             return False
         self._known_at[status.address] = now
+        self._forgotten_at.pop(status.address, None)
         if before is None or _place(before) != _place(status):
             self._unlist(before)
             self._list(view)
@@ -135,9 +145,15 @@
         old = [address for address in self._known_at if self._is_forgotten(address, now)]
         for address in old:
             del self._known_at[address]
+            self._forgotten_at[address] = now
             view = self._views.pop(address, None)
             if view is not None:
                 self._unlist(view.status)
+        self._forgotten_at = {
+            address: at
+            for address, at in self._forgotten_at.items()
+            if now - at <= _ADDRESS_SECONDS
+        }
         return old
 
     def _is_forgotten(self, address, now):
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -43,6 +43,10 @@
 # A node without the roster asks the hosts that it hears for addresses, this often at most.
 _ADDRESSES_PAUSE_SECONDS = 0.3
 _FORGET_SECONDS = 5.0
+# One of the hosts that were forgotten is greeted so often; when one answers, so many more, for it
+# may have been cut off with others.
+_SEEK_SECONDS = 2.0
+_SOUGHT_AT_ONCE = 20
 
 
 class Peers:
@@ -123,6 +127,7 @@
         """
         self._loop.call_every(_TICK_SECONDS, self._tick)
         self._loop.call_every(_FORGET_SECONDS, self._forget)
+        self._loop.call_every(_SEEK_SECONDS, lambda: self._seek_forgotten(1))
 
     def learn(self, addresses):
         """Take in addresses of hosts, and greet those that are new.
@@ -298,8 +303,11 @@
             return False
         self.counts["received"] += 1
         now = self._loop.now()
+        was_forgotten = status.address in self._directory.forgotten
         if not self._directory.take(status, now):
             return False
+        if was_forgotten:
+            self._seek_forgotten(_SOUGHT_AT_ONCE)
         self._incarnations[status.incarnation] = status.address
         self._detector.note_heard(status.address)
         self._prober.note_heard(status.address)
@@ -310,6 +318,14 @@
         self.on_status(self._directory.view(status.address), is_forwarded)
         return True
 
+    def _seek_forgotten(self, count):
+        forgotten = [
+            address
+            for address in self._directory.forgotten
+            if not self._announcer.has_greeted(address)
+        ]
+        self._announcer.greet(self._random.sample(forgotten, min(count, len(forgotten))))
+
     def _is_new(self, status, now):
         view = self._directory.view(status.address)
         if view is None:
--- a/tests/features/failure_detection.feature
+++ b/tests/features/failure_detection.feature
@@ -42,6 +42,15 @@
     When the cut ends and 4 s pass
     Then every host takes every other for sound, but for 1 in 1000
 
+  Scenario: Hosts that were cut off for longer than they are remembered are used again
+    # Guards against a partition that outlasts the memory of both sides and so never heals.
+    Given a fleet of 40 hosts that all know each other
+    When 10 hosts are cut off from all others for 70 s
+    Then no host that is connected takes one that is cut off for sound
+    When the cut ends and 6 s pass
+    Then every host takes every other for sound, but for 1 in 1000
+    And no node has sent more than 400 datagrams in a second
+
   Scenario: A failure domain that is cut off from another one is not taken for dead
     # Guards against a partition between two failure domains taking hosts out for all of them.
     Given a fleet of 100 hosts that all know each other
