Order the incarnations of hosts, so that late news cannot displace a successor

Seen: a host restarts, then another one does. News of the first one's old process that reaches the second one late, as from a forwarding member that was frozen, is taken in there.

Cause: incarnations were random and had no order. HostView remembered those that it had held itself, eight of them. One that it had never held counted as new, whatever was held already, and the incarnation that it displaced was put among those of the past.

The fix gives incarnations an order: they begin with the microsecond of the start, in as many characters as before, and a status counts only if its incarnation, or its sequence within the same, is greater than what is held. The list of past ones is no longer needed. Where the process before ran under a clock that was ahead, its successor would be refused; so a process that is probed or suspected under a greater incarnation takes one greater still, with chance in it as several may outbid the same one, and greets all.

--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -6,6 +6,7 @@
 there load is probed at the moment of choice, and a failure detector watches who is alive.
 """
 
+import string
 from typing import NamedTuple
 
 # Pushed to more hosts than this, most reports of load are never used. The two bounds give
@@ -26,7 +27,13 @@
 _ANSWER_SECONDS = 0.1
 # A probed load says something for so long: a host's speed holds for some 300 ms.
 FRESH_SECONDS = 0.04
-_INCARNATIONS_KEPT = 8
+# An incarnation is a number in symbols that sort as their values do: the microsecond of the start,
+# and chance, so that no two hosts that start together share one.
+_SYMBOLS = "".join(sorted(string.ascii_letters + string.digits + "-_"))
+_SYMBOL_BITS = 6
+_SYMBOL_COUNT = 12
+_CHANCE_SYMBOLS = 4
+CHANCE_BITS = 20
 
 
 def is_address(text):
@@ -41,6 +48,26 @@
     return bool(ip) and port.isdigit()
 
 
+def draw_incarnation(started_us, chance):
+    """Name a process of a node; one that starts later at the same address compares greater.
+
+    :param started_us: microseconds since the epoch.
+    :param chance: a random number of :data:`CHANCE_BITS` bits.
+    :return: the incarnation.
+    """
+    return _to_symbols(started_us << CHANCE_BITS | chance, _SYMBOL_COUNT)
+
+
+def outbid_incarnation(other, chance):
+    """Name a process so that it compares greater than one that ran before at its address.
+
+    :param other: the incarnation of that one, whose clock was ahead.
+    :param chance: a random number of :data:`CHANCE_BITS` bits; several may outbid the same one.
+    :return: the incarnation.
+    """
+    return other + _to_symbols(chance, _CHANCE_SYMBOLS)
+
+
 def is_push_size(hosts, is_pushing):
     """Tell whether each host should push its load to all others.
 
@@ -64,7 +91,7 @@
     """One host's word on itself.
 
     :param host: its name.
-    :param incarnation: drawn anew at each start of its node.
+    :param incarnation: drawn anew at each start of its node; a later one compares greater.
     :param sequence: grows with each status of one incarnation.
     :param domain: its failure domain.
     :param address: where its node takes links, as ``ip:port``.
@@ -111,7 +138,7 @@
 class HostView:
     """One other host as this node sees it."""
 
-    __slots__ = ("status", "heard_at", "probed_at", "suspected_at", "unseen", "past")
+    __slots__ = ("status", "heard_at", "probed_at", "suspected_at", "unseen")
 
     def __init__(self):
         self.status = None
@@ -122,7 +149,6 @@
         self.suspected_at = None
         # Own requests sent there since its last status, which cannot count them yet.
         self.unseen = 0
-        self.past = []
 
     @property
     def pushes(self):
@@ -136,16 +162,8 @@
         :param now: seconds on the monotonic clock.
         :return: whether it was newer.
         """
-        held = self.status
-        if held is not None:
-            if status.incarnation == held.incarnation:
-                if status.sequence <= held.sequence:
-                    return False
-            elif status.incarnation in self.past:
-                # A datagram of the process before, overtaken by its successor's.
-                return False
-            else:
-                self.past = [*self.past[1 - _INCARNATIONS_KEPT :], held.incarnation]
+        if self.status is not None and _order(status) <= _order(self.status):
+            return False
         self.status = status
         self.heard_at = now
         self.probed_at = None
@@ -211,3 +229,12 @@
         :return: True or False.
         """
         return self.status.accepting and bool(self.status.instance) and not self.is_gone(now)
+
+
+def _to_symbols(number, count):
+    shifts = range((count - 1) * _SYMBOL_BITS, -1, -_SYMBOL_BITS)
+    return "".join(_SYMBOLS[number >> shift & len(_SYMBOLS) - 1] for shift in shifts)
+
+
+def _order(status):
+    return status.incarnation, status.sequence
--- a/packages/relay/src/camphorshelf_relay/announcer.py
+++ b/packages/relay/src/camphorshelf_relay/announcer.py
@@ -6,12 +6,19 @@
 one, which hand it on in theirs, and announcements of one moment share a datagram.
 """
 
-import os
+import secrets
 from collections import deque
 from enum import Enum
+from time import time_ns
 
 from camphorshelf_core.budget import TokenBucket
-from camphorshelf_core.hosts import is_push_size, repeat_seconds
+from camphorshelf_core.hosts import (
+    CHANCE_BITS,
+    draw_incarnation,
+    is_push_size,
+    outbid_incarnation,
+    repeat_seconds,
+)
 from camphorshelf_core.statusforms import Greeting, News, encode, encode_short, has_same_names
 
 # Changes closer together than this go out as one.
@@ -34,7 +41,7 @@
 _AGAIN_SECONDS = (0.3, 1.0)
 _FORWARDING_MEMBERS = 2
 _ITEMS_PER_DATAGRAM = 7
-_INCARNATION_BYTES = 6
+_NANOSECONDS_PER_MICROSECOND = 1000
 # Work takes a quarter longer or shorter than was told: a change of the choice.
 _SLOWNESS_STEP = 1.25
 _LOAD_STEP = 2
@@ -58,7 +65,9 @@
         self._describe = describe
         self._send_to = send_to
         self._random = random
-        self._incarnation = os.urandom(_INCARNATION_BYTES).hex()
+        self._incarnation = draw_incarnation(
+            time_ns() // _NANOSECONDS_PER_MICROSECOND, _draw_chance()
+        )
         self._sequence = 0
         self._revision = 0
         self._last = None
@@ -165,6 +174,20 @@
             self._refuted_at = now
             self.greet(self._directory.addresses)
 
+    def outbid(self, incarnation):
+        """Take a greater incarnation where another process is known under this address.
+
+        The process before may have run under a clock that was ahead; whoever knows it would take
+        this one for the older.
+
+        :param incarnation: what another host knows; may be that of this process.
+        :return: None.
+        """
+        if incarnation > self._incarnation:
+            self._incarnation = outbid_incarnation(incarnation, _draw_chance())
+            self._told = None
+            self.refute()
+
     def tick(self):
         """Do what falls due with time; called several times a second.
 
@@ -311,6 +334,10 @@
         return encode_short(status)
 
 
+def _draw_chance():
+    return secrets.randbits(CHANCE_BITS)
+
+
 def _standing(status):
     return status.accepting, status.instance, status.crashes, status.store_denied
 
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -250,6 +250,7 @@
             self._datagrams.send(ip, encode(self._announcer.next_status()))
 
     def _on_status_request(self, request, ip):
+        self._announcer.outbid(request.incarnation)
         status = self._announcer.next_status()
         is_known = request.incarnation == status.incarnation
         short = is_known and request.revision == status.revision
@@ -271,14 +272,19 @@
 
     def _on_suspicion(self, suspicion):
         if suspicion.address == self._own_address:
-            if suspicion.incarnation == self._announcer.incarnation:
-                self._announcer.refute()
+            self._on_own_suspicion(suspicion)
             return
         view = self._directory.view(suspicion.address)
         now = self._loop.now()
         if view is not None and view.suspect(suspicion.incarnation, now):
             self._note_suspected(suspicion, "news")
 
+    def _on_own_suspicion(self, suspicion):
+        if suspicion.incarnation == self._announcer.incarnation:
+            self._announcer.refute()
+        else:
+            self._announcer.outbid(suspicion.incarnation)
+
     def _on_probe_request(self, request, ip):
         self._indirect_probes.setdefault(request.address, set()).add(ip)
         self._probe(request.address)
--- a/tests/features/statuses.feature
+++ b/tests/features/statuses.feature
@@ -22,6 +22,11 @@
     When its next process is heard and then a late status of the one before
     Then the next process is held
 
+  Scenario: Incarnations of one address grow, and no two of them are the same
+    # Guards against a restarted host that is taken for older than the process before it.
+    Then an incarnation is greater than one that was drawn a microsecond earlier
+    And one that outbids another is greater, and two that outbid the same one differ
+
   Scenario Outline: Bytes that are no status harm nobody
     When a datagram of <bytes> arrives
     Then nothing of it is held
--- a/tests/features/steps/failure_detection_steps.py
+++ b/tests/features/steps/failure_detection_steps.py
@@ -1,10 +1,16 @@
 """Steps that play a fleet of nodes' peers on a clock of the test's own."""
 
+from time import time_ns
+from unittest.mock import patch
+
 from behave import given, then, when
 
+from camphorshelf_core.statusforms import News, encode
 from standins.fleet import Fleet
 
 _START_SECONDS = 3.0
+_HOUR_NANOSECONDS = 3600 * 10**9
+_STEP_SECONDS = 0.1
 _SECOND = 1.0
 
 
@@ -165,3 +171,42 @@
 def check_joined(context):
     live = context.fleet.live_views(context.changed)
     assert len(live) == len(context.fleet.hosts) - 1, len(live)
+
+
+@when("two hosts restart, and news of the first one's old process reaches the second one late")
+def late_news(context):
+    fleet = context.fleet
+    old = fleet.hosts[0].peers._announcer.next_status()
+    fleet.kill([0, 1])
+    _pass_time(context, 1.0)
+    context.changed, context.observer = fleet.start(0), fleet.start(1)
+    _pass_time(context, 2.0)
+    context.observer.peers.receive(encode(News(False, (old,))), fleet.hosts[2].ip)
+
+
+@then("the second one never loses sight of the first one's new process for {seconds:d} s")
+def check_in_sight(context, seconds):
+    for _ in range(round(seconds / _STEP_SECONDS)):
+        _check_held(context.observer, context.changed)
+        assert context.changed.address in context.fleet.live_views(context.observer)
+        context.fleet.run(_STEP_SECONDS)
+
+
+def _check_held(observer, host):
+    view = observer.peers.directory.view(host.address)
+    assert view.status.incarnation == host.peers._announcer.incarnation, view.status
+
+
+@when("a host is replaced by one whose clock is behind by an hour, and {seconds:g} s pass")
+def replace_behind(context, seconds):
+    behind = time_ns() - _HOUR_NANOSECONDS
+    with patch("camphorshelf_relay.announcer.time_ns", lambda: behind):
+        context.changed = context.fleet.start(0)
+    _pass_time(context, seconds)
+
+
+@then("every host holds its new process")
+def check_all_hold(context):
+    for observer in context.fleet.up():
+        if observer is not context.changed:
+            _check_held(observer, context.changed)
--- a/tests/features/steps/statuses_steps.py
+++ b/tests/features/steps/statuses_steps.py
@@ -5,7 +5,14 @@
 
 from camphorshelf_core.directory import HostDirectory
 from camphorshelf_core.failuredetector import Suspicion
-from camphorshelf_core.hosts import HostStatus, HostView, repeat_seconds
+from camphorshelf_core.hosts import (
+    CHANCE_BITS,
+    HostStatus,
+    HostView,
+    draw_incarnation,
+    outbid_incarnation,
+    repeat_seconds,
+)
 from camphorshelf_core.statusforms import (
     Addresses,
     AddressesRequest,
@@ -115,6 +122,23 @@
     assert _held(context).incarnation == "ffffffffffff"
 
 
+@then("an incarnation is greater than one that was drawn a microsecond earlier")
+def check_drawn(context):
+    chances = 0, 1, 2**CHANCE_BITS - 1
+    for at in (0, 63, 1_780_000_000_000_000, 2**52 - 2):
+        earlier = [draw_incarnation(at, chance) for chance in chances]
+        later = [draw_incarnation(at + 1, chance) for chance in chances]
+        assert max(earlier) < min(later), (earlier, later)
+        assert {len(one) for one in earlier + later} == {len(_USUAL.incarnation)}
+
+
+@then("one that outbids another is greater, and two that outbid the same one differ")
+def check_outbid(context):
+    other = draw_incarnation(1_780_000_000_000_000, 5)
+    outbid = [outbid_incarnation(other, chance) for chance in (0, 1, 2**CHANCE_BITS - 1)]
+    assert min(outbid) > other and len(set(outbid)) == len(outbid), outbid
+
+
 @given("{hosts:d} others are told")
 def others(context, hosts):
     context.others = hosts
