Loop: a cancelled timer no longer wakes the node

Cause: the wait for sockets ended at the first timer of the heap even when that was cancelled.

Change: cancelled timers at the head of the heap are dropped before the wait is computed.

--- a/packages/node/src/camphorshelf_node/loop.py
+++ b/packages/node/src/camphorshelf_node/loop.py
@@ -154,11 +154,19 @@
 
     def _poll_timeout(self, event):
         timeout = event.time_left
+        self._drop_cancelled()
         if not self._timers:
             return timeout if timeout >= 0 else None
         wait = max(0.0, self._timers[0][0] - self.now())
         return wait if timeout < 0 else min(timeout, wait)
 
+    def _drop_cancelled(self):
+        # Most deadlines are cancelled before they are due; waiting for them would wake the process
+        # for nothing.
+        while self._timers and self._timers[0][2].callback is None:
+            heapq.heappop(self._timers)
+            self._cancelled -= 1
+
     def _run_timers(self):
         now = self.now()
         while self._timers and self._timers[0][0] <= now:
--- a/tests/features/loop.feature
+++ b/tests/features/loop.feature
@@ -14,6 +14,13 @@
     When 10000 timers of a minute are set and cancelled, with 10 others between them
     Then fewer than 200 timers are kept and the 10 others among them
 
+  Scenario: A cancelled timer wakes nobody
+    # Nearly every deadline is cancelled. If the loop still woke at each, a node would turn more often
+    # for what is over than for what is due.
+    Given a loop of a node
+    When 20 timers that are due 5 ms apart are cancelled before another one
+    Then the loop wakes only for the other one
+
   Scenario: A listener without descriptors to spare takes the callers later
     # The process has no descriptor left, so a caller can't be taken. The listener stays readable:
     # asked again at once each time, the loop would spin at a full core.
--- a/tests/features/steps/loop_steps.py
+++ b/tests/features/steps/loop_steps.py
@@ -87,6 +87,32 @@
     assert all(timer in kept for timer in context.others)
 
 
+@when("{count:d} timers that are due {milliseconds:d} ms apart are cancelled before another one")
+def cancel_in_turn(context, count, milliseconds):
+    context.turns = 0
+    real = context.loop._turn
+
+    def turn(event):
+        context.turns += 1
+        real(event)
+
+    seconds = milliseconds / 1000
+    timers = [
+        context.loop.call_later(seconds * (number + 1), lambda: None) for number in range(count)
+    ]
+    for timer in timers:
+        timer.cancel()
+    context.loop.call_later(seconds * (count + 1), context.root.stop)
+    with mock.patch.object(context.loop, "_turn", turn):
+        context.root.run()
+
+
+@then("the loop wakes only for the other one")
+def check_turns(context):
+    # One turn for the timer; circuits polls again without waiting while it starts and stops.
+    assert context.turns <= 6, context.turns
+
+
 @when("a caller comes while no descriptor is left")
 def come_without_descriptors(context):
     context.accepted, context.tries = [], 0
