Announcer: look for hosts to greet only among those never heard

Cause: in a large fleet five times a second all known hosts were gone through, two look-ups each, to find those that were never heard; mostly there are none.

Change: the directory keeps the addresses without a view.

--- a/packages/core/src/camphorshelf_core/directory.py
+++ b/packages/core/src/camphorshelf_core/directory.py
@@ -17,6 +17,8 @@
     def __init__(self):
         self._views = {}
         self._known_at = {}
+        # Addresses without a view, in the order in which they were learned.
+        self._unheard = {}
         # Addresses by failure domain, and views by service and failure domain.
         self._domains = {}
         self._services = {}
@@ -26,6 +28,11 @@
         """The addresses of all known hosts."""
         return list(self._known_at)
 
+    @property
+    def unheard(self):
+        """The addresses of the known hosts that were never heard."""
+        return list(self._unheard)
+
     @property
     def size(self):
         """How many hosts are known."""
@@ -46,6 +53,7 @@
         if address in self._known_at:
             return False
         self._known_at[address] = now
+        self._unheard[address] = None
         return True
 
     def take(self, status, now):
@@ -58,6 +66,7 @@
         view = self._views.get(status.address)
         if view is None:
             view = self._views[status.address] = HostView()
+            self._unheard.pop(status.address, None)
         before = view.status
         if not view.take(status, now):
             return False
@@ -135,6 +144,7 @@
         old = [address for address in self._known_at if self._is_forgotten(address, now)]
         for address in old:
             del self._known_at[address]
+            self._unheard.pop(address, None)
             view = self._views.pop(address, None)
             if view is not None:
                 self._unlist(view.status)
--- a/packages/relay/src/camphorshelf_relay/announcer.py
+++ b/packages/relay/src/camphorshelf_relay/announcer.py
@@ -175,7 +175,7 @@
         pause_s = repeat_seconds(self._directory.size) * _REPEAT_SHARE
         if self._is_pushing and now - self._all_told_at >= pause_s:
             self._push(must=True)
-        self.greet([one for one in self._directory.addresses if self._is_greeting_due(one, now)])
+        self.greet([one for one in self._list_unmet(now) if self._is_greeting_due(one, now)])
 
     def forget(self, address):
         """Forget a host.
@@ -196,10 +196,17 @@
             # Whoever counted on repeats would take this host for silent.
             self._announce_own(Reach.ALL)
 
+    def _list_unmet(self, now):
+        directory = self._directory
+        if not self._is_pushing:
+            return directory.unheard
+        return [
+            address
+            for address in directory.addresses
+            if (view := directory.view(address)) is None or view.is_gone(now)
+        ]
+
     def _is_greeting_due(self, address, now):
-        view = self._directory.view(address)
-        if view is not None and not (self._is_pushing and view.is_gone(now)):
-            return False
         if self.has_greeted(address):
             return False
         self._greeted_at[address] = now
