Config keeper: count the nodes before this one only as far as it matters

Cause: each node asks four times a second whether it is one of the three that read the store. For that it listed all live hosts and ranked them all.

Change: hosts are gone through until three stand before this one. Only a node that is one of the three, or may be soon, lists them all.

--- a/packages/core/src/camphorshelf_core/storereaders.py
+++ b/packages/core/src/camphorshelf_core/storereaders.py
@@ -8,6 +8,7 @@
 
 from functools import lru_cache
 from hashlib import blake2b
+from itertools import islice
 
 # Three: one may be gone and one turned away by the store, and a change still comes at once.
 READERS = 3
@@ -25,7 +26,8 @@
     once, and not all in the same moment.
 
     :param name: the node's own name.
-    :param others: pairs of the name of a live node and whether the store turns it away.
+    :param others: pairs of the name of a live node and whether the store turns it away; an iterator
+        is taken only as far as is needed.
     :return: True or False.
     """
     return _count_before(name, (other for other, is_denied in others if not is_denied)) < READERS
@@ -57,8 +59,10 @@
 
 
 def _count_before(name, others):
+    # Counted as far as it matters: most nodes of a large fleet find enough among the first few.
     own = _rank(name)
-    return sum(1 for other in others if _rank(other) < own)
+    before = (other for other in others if _rank(other) < own)
+    return sum(1 for _ in islice(before, READERS))
 
 
 @lru_cache(maxsize=4096)
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -213,21 +213,23 @@
 
     def _review(self):
         # Without a configuration too: the first ones read it for all that started together.
-        others = self._others()
-        if reads_store(self._settings.name, others) and self._takes_turn(others):
+        if reads_store(self._settings.name, self._others()) and self._takes_turn():
             self._read()
         else:
             self._loop.call_later(_REVIEW_SECONDS, self._review)
 
-    def _takes_turn(self, others):
+    def _takes_turn(self):
+        others = list(self._others())
         has_begun = self._store_at is not None or self._failures
         if has_begun or keeps_trying(self._settings.name, others):
             return True
         return self._random.random() < try_share(others, _REVIEW_SECONDS)
 
     def _others(self):
-        live = self._peers.directory.live(self._loop.now())
-        return [(view.status.host, view.status.store_denied) for view in live]
+        now = self._loop.now()
+        for view in self._peers.directory.views():
+            if not view.is_gone(now):
+                yield view.status.host, view.status.store_denied
 
     def _on_failure(self, failure):
         self._failures += 1
@@ -238,7 +240,7 @@
         self._loop.call_later(wait, self._review)
 
     def _longest_wait_s(self):
-        others = self._others()
+        others = list(self._others())
         if self.config is None or keeps_trying(self._settings.name, others):
             return MAX_WAIT_SECONDS
         return max(_SELDOM_SECONDS, len(others) / TRIES_PER_SECOND)
