--- a/packages/core/src/camphorshelf_core/directory.py
+++ b/packages/core/src/camphorshelf_core/directory.py
@@ -20,6 +20,8 @@
         self._views = {}
         self._known_at = {}
         self._forgotten_at = {}
+        # Addresses without a view, in the order in which they were learned.
+        self._unheard = {}
         # Addresses by failure domain, and views by service and failure domain.
         self._domains = {}
         self._services = {}
@@ -29,6 +31,11 @@
         """The addresses of all known hosts."""
         return list(self._known_at)
 
+    @property
+    def unheard(self):
+        """The addresses of the known hosts that were never heard."""
+        return list(self._unheard)
+
     @property
     def size(self):
         """How many hosts are known."""
@@ -55,6 +62,7 @@
             return False
         self._known_at[address] = now
         self._forgotten_at.pop(address, None)
+        self._unheard[address] = None
         return True
 
     def take(self, status, now):
@@ -67,6 +75,7 @@
         view = self._views.get(status.address)
         if view is None:
             view = self._views[status.address] = HostView()
+            self._unheard.pop(status.address, None)
         before = view.status
         if not view.take(status, now):
             return False
@@ -146,6 +155,7 @@
         for address in old:
             del self._known_at[address]
             self._forgotten_at[address] = now
+            self._unheard.pop(address, None)
             view = self._views.pop(address, None)
             if view is not None:
                 self._unlist(view.status)
--- a/packages/core/src/camphorshelf_core/storepollers.py
+++ b/packages/core/src/camphorshelf_core/storepollers.py
@@ -9,6 +9,7 @@
 
 from functools import lru_cache
 from hashlib import blake2b
+from itertools import islice
 
 # Three: one may be gone and one without store access, and a change still comes at once.
 POLLERS = 3
@@ -26,7 +27,8 @@
     not all in the same moment.
 
     :param name: the node's own name.
-    :param others: pairs of the name of a live node and whether it lacks store access.
+    :param others: pairs of the name of a live node and whether it lacks store access; an iterator
+        is taken only as far as is needed.
     :return: True or False.
     """
     return (
@@ -60,8 +62,10 @@
 
 
 def _count_before(name, others):
+    # Counted as far as it matters: most nodes of a large fleet find enough among the first few.
     own = _rank(name)
-    return sum(1 for other in others if _rank(other) < own)
+    before = (other for other in others if _rank(other) < own)
+    return sum(1 for _ in islice(before, POLLERS))
 
 
 @lru_cache(maxsize=4096)
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -208,21 +208,23 @@
 
     def _review(self):
         # Also without a configuration: the pollers read it for all that started together.
-        others = self._others()
-        if is_poller(self._settings.name, others) and self._is_poll_due(others):
+        if is_poller(self._settings.name, self._others()) and self._is_poll_due():
             self._read()
         else:
             self._loop.call_later(_REVIEW_SECONDS, self._review)
 
-    def _is_poll_due(self, others):
+    def _is_poll_due(self):
+        others = list(self._others())
         has_begun = self._store_at is not None or self._failures
         if has_begun or is_default_poller(self._settings.name, others):
             return True
         return self._random.random() < first_poll_probability(others, _REVIEW_SECONDS)
 
     def _others(self):
-        live = self._peers.directory.live(self._loop.now())
-        return [(view.status.host, view.status.lacks_store_access) for view in live]
+        now = self._loop.now()
+        for view in self._peers.directory.views():
+            if not view.is_gone(now):
+                yield view.status.host, view.status.lacks_store_access
 
     def _on_failure(self, failure):
         self._failures += 1
@@ -233,7 +235,7 @@
         self._loop.call_later(wait, self._review)
 
     def _longest_wait_s(self):
-        others = self._others()
+        others = list(self._others())
         if self.config is None or is_default_poller(self._settings.name, others):
             return MAX_WAIT_SECONDS
         return max(_SELDOM_SECONDS, len(others) / OUTAGE_POLLS_PER_SECOND)
