--- a/packages/relay/src/camphorshelf_relay/eventlog.py
+++ b/packages/relay/src/camphorshelf_relay/eventlog.py
@@ -1,14 +1,15 @@
 """Structured logs on standard output: one JSON object a line, bounded, and never in the way.
 
 A line says one decision with the inputs that made it. Lines of requests that went well are the
-first to be left out when there are many; what is left out is counted and said. Lines go straight to
-the descriptor: a logging library would be imported at each start only to hand them on.
+first to be left out when there are many; what is left out is counted and said.
 """
 
 import json
 import os
 import time
 
+import logbook
+
 from camphorshelf_core.budget import TokenBucket
 
 _FLUSH_SECONDS = 0.2
@@ -28,7 +29,8 @@
         self._lines = []
         self._routine = TokenBucket(_ROUTINE_PER_SECOND, _ROUTINE_PER_SECOND, loop.now())
         self._notable = TokenBucket(_NOTABLE_PER_SECOND, _NOTABLE_PER_SECOND, loop.now())
-        self._descriptor = _Descriptor(descriptor)
+        self._handler = _Descriptor(descriptor)
+        self._logger = logbook.Logger(host)
         self._flushing = False
         self.counts = {"rate": 0, "unread": 0}
         self._dropped_said = 0
@@ -36,7 +38,7 @@
     @property
     def unwritten(self):
         """How many bytes wait for a reader of standard output."""
-        return self._descriptor.unwritten
+        return self._handler.unwritten
 
     def routine(self, event, **fields):
         """Note a decision that went well; may be left out under load.
@@ -76,11 +78,12 @@
             self._dropped_said = dropped
         lines, self._lines = self._lines, []
         if lines:
-            self._descriptor.write("\n".join(lines))
+            with self._handler.threadbound():
+                self._logger.info("\n".join(lines))
         else:
-            self._descriptor.go_on()
-        self.counts["unread"] += self._descriptor.take_dropped()
-        if self._descriptor.unwritten:
+            self._handler.go_on()
+        self.counts["unread"] += self._handler.take_dropped()
+        if self._handler.unwritten:
             self._arm()
 
     def _note(self, bucket, event, fields):
@@ -100,11 +103,12 @@
         self._lines.append(json.dumps(line, default=str, separators=(",", ":")))
 
 
-class _Descriptor:
+class _Descriptor(logbook.Handler):
     """Writes whole lines to a descriptor that may be a pipe which nobody reads."""
 
     def __init__(self, descriptor):
-        self._fileno = descriptor
+        super().__init__()
+        self._descriptor = descriptor
         self._waiting = bytearray()
         self._dropped = 0
         self._is_in_line = False
@@ -123,13 +127,13 @@
         dropped, self._dropped = self._dropped, 0
         return dropped
 
-    def write(self, text):
-        """Write lines, or keep them until the reader takes them.
+    def emit(self, record):
+        """Write a record, or keep it until the reader takes it.
 
-        :param text: one or more lines, without the last one's end.
+        :param record: logbook's record; its message is one or more lines.
         :return: None.
         """
-        self._waiting += text.encode() + b"\n"
+        self._waiting += record.message.encode() + b"\n"
         self._write()
         if len(self._waiting) > _MAX_UNWRITTEN:
             self._drop()
@@ -144,7 +148,7 @@
 
     def _write(self):
         try:
-            written = os.write(self._fileno, self._waiting)
+            written = os.write(self._descriptor, self._waiting)
         except BlockingIOError:
             return
         except OSError:
