Limit what a cold target is sent: core module and admission queue

Cause: nothing in the code knows how many requests a cold target bears. After a loss of power nine targets got 20 to 25 requests in a second where 18.5 are allowed and 7 are borne, crashed, came back cold and were flooded again.

Change: core/warmup.py spreads starts over the second and counts what was sent since the target last said that it is warm; the admission queue asks it before each start and tells those it rejects how long they would wait.

--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from .slotlimit import SlotLimit
+from .warmup import WarmUp
 
 # The expected delay of work with a late objective grows with each more urgent request that comes
 # after it and goes ahead. In a long queue all of it starts too late; where few wait, few overtake.
@@ -114,9 +115,13 @@
 
 
 class AdmissionQueue:
-    """Admission at one target: exact counts of what runs, and the queue before it."""
+    """Admission at one target: exact counts of what runs, and the queue before it.
 
-    def __init__(self, slots=0):
+    :param slots: how many requests the target says it works on at once.
+    :param warm_up: the target's :class:`~camphorshelf_core.warmup.WarmUp`.
+    """
+
+    def __init__(self, slots=0, warm_up=None):
         self._order = itertools.count()
         self._queue = []
         self._queued = Counter()
@@ -125,6 +130,7 @@
         self.slowness = 1.0
         self.work_s = 0.0
         self.closed = False
+        self.warm_up = WarmUp(0.0) if warm_up is None else warm_up
         self._limit = SlotLimit(slots)
 
     @property
@@ -161,11 +167,11 @@
             return AdmissionResult(False, 0.0)
         if now + self._run_s(job) * _LEAST_RUN > job.expires_at:
             # It would take a slot and be cancelled at its deadline.
-            return AdmissionResult(False, self.expected_wait(job))
-        if self.running < self._limit.value and not self.queued:
-            self._start(job)
+            return AdmissionResult(False, self.expected_wait(job, now))
+        if not self.queued and self._can_start(now):
+            self._start(job, now)
             return AdmissionResult(True)
-        wait = self.expected_wait(job)
+        wait = self.expected_wait(job, now)
         if not self._can_queue(job, now + wait):
             return AdmissionResult(False, wait)
         self._enqueue(job)
@@ -173,19 +179,38 @@
             self.dispatch(now)
         return AdmissionResult(True)
 
-    def expected_wait(self, job):
+    def expected_wait(self, job, now):
         """Estimate the queueing delay of a job.
 
         :param job: the :class:`Job`.
+        :param now: seconds on the monotonic clock.
         :return: seconds.
         """
         key = _key(job)
-        ahead = sum(
+        ahead = [
             other.work_s
             for at, _, other in self._queue
             if other.state is JobState.QUEUED and at <= key
-        )
-        return self._delay_behind(ahead, job)
+        ]
+        return self._delay_behind(sum(ahead), len(ahead), job, now)
+
+    def start_wait_s(self, now):
+        """Tell when the target may be sent one more request than those that are queued.
+
+        :param now: seconds on the monotonic clock.
+        :return: seconds from now; 0.0 for at once, apart from the slots.
+        """
+        return self.warm_up.wait_s(now, self.queued)
+
+    def next_dispatch_s(self, now):
+        """Tell when the next queued job may start, where only a cold target holds it back.
+
+        :param now: seconds on the monotonic clock.
+        :return: seconds from now; None when nothing is queued or no slot is free.
+        """
+        if not self.queued or self.closed or self.running >= self._limit.value:
+            return None
+        return self.warm_up.wait_s(now)
 
     def finish(self, job, now):
         """Take note that a job left the target, and start what is queued.
@@ -239,34 +264,35 @@
         :param now: seconds on the monotonic clock.
         :return: None.
         """
-        while self._queue and self.running < self._limit.value and not self.closed:
+        while self._queue and self._can_start(now) and not self.closed:
             job = heapq.heappop(self._queue)[2]
             if job.state is not JobState.QUEUED:
                 continue
             self._dequeue(job)
             if self._is_overdue(job, now):
-                self._shed(job)
+                self._shed(job, self.expected_wait(job, now))
             else:
-                self._start(job)
+                self._start(job, now)
 
     def shed_late(self, now):
         """Shed queued jobs that will not start in time any more.
 
-        Called when the target slowed down: the queue takes longer by as much, and its requests
-        still have time to go elsewhere.
+        Called when the target slowed down or turned cold: the queue takes longer by as much, and
+        its requests still have time to go elsewhere.
 
         :param now: seconds on the monotonic clock.
         :return: None.
         """
-        ahead = 0.0
+        ahead, count = 0.0, 0
         queued = [entry for entry in self._queue if entry[2].state is JobState.QUEUED]
         for _, _, job in sorted(queued):
-            wait = self._delay_behind(ahead, job)
+            wait = self._delay_behind(ahead, count, job, now)
             if job.queue_class is not QueueClass.LATE and self._is_late(job, now + wait):
                 self._dequeue(job)
                 self._shed(job, wait)
             else:
                 ahead += job.work_s
+                count += 1
 
     def close(self, now):
         """Admit nothing any more and shed all that is queued.
@@ -279,7 +305,7 @@
         for _, _, job in queue:
             if job.state is JobState.QUEUED:
                 self._dequeue(job)
-                self._shed(job)
+                self._shed(job, self.expected_wait(job, now))
 
     def open(self, now):
         """Admit jobs again.
@@ -290,11 +316,19 @@
         self.closed = False
         self.dispatch(now)
 
-    def _delay_behind(self, work_ahead_s, job):
+    def _can_start(self, now):
+        return self.running < self._limit.value and self.warm_up.wait_s(now) <= 0
+
+    def _delay_behind(self, work_ahead_s, count_ahead, job, now):
+        # A cold target has free slots, and starts what waits at a bounded rate.
+        warm_up_s = self.warm_up.wait_s(now, count_ahead)
+        if self.running < self._limit.value and warm_up_s > 0:
+            return warm_up_s
         # The first slot is free after a slot's part of the mean work, each further one after its
         # part of the work that stands before.
         first = self.work_s or job.work_s
-        return (work_ahead_s + first) / max(1, self.limit) * self.slowness
+        slot_s = (work_ahead_s + first) / max(1, self.limit) * self.slowness
+        return max(slot_s, warm_up_s)
 
     def _can_queue(self, job, start_at):
         if not self._is_late(job, start_at):
@@ -317,9 +351,10 @@
         is_bound = job.queue_class is QueueClass.LATE or job.late_policy is LatePolicy.REJECT
         return is_bound and now + self._run_s(job) * 0.5 > job.due_at
 
-    def _start(self, job):
+    def _start(self, job, now):
         job.state = JobState.RUNNING
         self.running += 1
+        self.warm_up.note_start(now)
         job.concurrency_at_start = self.running
         job.start()
 
@@ -337,9 +372,9 @@
             self._late_work_s = max(0.0, left) if self._queued[QueueClass.LATE] else 0.0
         job.state = JobState.DEQUEUED
 
-    def _shed(self, job, wait=None):
+    def _shed(self, job, wait):
         job.state = JobState.DONE
-        job.reject(self.expected_wait(job) if wait is None else wait)
+        job.reject(wait)
 
 
 def _key(job):
--- /dev/null
+++ b/packages/core/src/camphorshelf_core/warmup.py
@@ -0,0 +1,200 @@
+"""Limits the requests that a target gets while it is cold.
+
+Failure pattern: a target that has just started takes few requests a second and crashes under the
+load that it carries when warm. Sent all its work at once, it crashes, comes back cold and crashes
+again, for as long as the load lasts.
+
+Only the node beside a target sends to it, so the limit needs no agreement between nodes. What a
+node can't know is what its own predecessor sent in the second before it ended.
+"""
+
+import math
+from typing import NamedTuple
+
+# The window over which the limit holds.
+_WINDOW_SECONDS = 1.0
+# Part of the limit that is left unused, for requests that reach the target closer together than
+# they were sent.
+_JITTER_SHARE = 0.1
+# Requests that may start back to back; the rest of the limit is spread over the window, so that
+# urgent work never waits long for the next start.
+_BURST = 3
+
+
+class WarmUpBounds(NamedTuple):
+    """What a cold target bears beyond its configured rate.
+
+    :param factor: times the rate.
+    :param slack: requests beyond that, in any second.
+    """
+
+    factor: float = 1.0
+    slack: float = 0.0
+
+
+def starts_per_window(rate_per_s, bounds):
+    """Tell how many requests may be sent to a cold target within any second.
+
+    :param rate_per_s: the rate that is configured for its service.
+    :param bounds: the :class:`WarmUpBounds`.
+    :return: a whole number, 1 at least.
+    """
+    most = rate_per_s * bounds.factor + bounds.slack
+    return max(1, math.floor(most * (1 - _JITTER_SHARE)))
+
+
+class WarmUp:
+    """Whether a target is cold, and when it may be sent the next request.
+
+    A target is taken as cold until it has said that it is warm, and again from the moment at which
+    it may have been replaced by a new process.
+
+    :param now: seconds on the monotonic clock.
+    """
+
+    def __init__(self, now):
+        self._rate_per_s = None
+        self._starts = 0
+        self._gap_s = 0.0
+        self._burst = _BURST
+        # None while the target has not told.
+        self._cold_until = None
+        # The process before this one may have sent as much as is allowed just before it ended.
+        self._closed_until = now + _WINDOW_SECONDS
+        # When the next start would be due without a burst.
+        self._due_at = now
+        # Requests sent since the target last said that it is warm: it may have turned cold since.
+        self._unconfirmed = 0
+        self._unconfirmed_at_probe = 0
+
+    @property
+    def rate_per_s(self):
+        """The configured rate of a cold target; None for no limit."""
+        return self._rate_per_s
+
+    def configure(self, rate_per_s, bounds, now):
+        """Take what is configured.
+
+        :param rate_per_s: requests a second that a cold target of the service bears; None for no
+            limit.
+        :param bounds: the :class:`WarmUpBounds`.
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        self._rate_per_s = rate_per_s
+        if rate_per_s is None:
+            return
+        starts = starts_per_window(rate_per_s, bounds)
+        if starts < self._starts:
+            # More than is allowed now may have been sent a moment ago.
+            self._closed_until = max(self._closed_until, now + _WINDOW_SECONDS)
+        self._starts = starts
+        self._burst = min(_BURST, starts)
+        self._gap_s = _WINDOW_SECONDS / max(1, starts - self._burst)
+
+    @property
+    def is_known(self):
+        """Whether the process that runs now has told whether it is cold."""
+        return self._cold_until is not None
+
+    def is_cold(self, now):
+        """Tell whether the target is cold, or may be.
+
+        :param now: seconds on the monotonic clock.
+        :return: True or False.
+        """
+        return self._cold_until is None or now < self._cold_until
+
+    def is_limited(self, now):
+        """Tell whether starts are limited now.
+
+        :param now: seconds on the monotonic clock.
+        :return: True or False.
+        """
+        return self._rate_per_s is not None and self.is_cold(now)
+
+    def cold_left_s(self, now):
+        """Tell for how long the target stays cold.
+
+        :param now: seconds on the monotonic clock.
+        :return: seconds; 0.0 also when the target has not told.
+        """
+        return 0.0 if self._cold_until is None else max(0.0, self._cold_until - now)
+
+    def note_probe(self):
+        """Take in that the target is asked now.
+
+        :return: None.
+        """
+        self._unconfirmed_at_probe = self._unconfirmed
+
+    def note_told(self, cold_left_s, now):
+        """Take in what the target has answered.
+
+        :param cold_left_s: seconds for which it stays cold, 0.0 when it is warm; None when it
+            doesn't say, which is believed unless it has announced that it is cold.
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        if cold_left_s is None:
+            cold_left_s = self.cold_left_s(now)
+        if cold_left_s > 0:
+            self.note_announced(cold_left_s, now)
+            return
+        self._cold_until = now
+        # What was sent after the question may reach a target that has turned cold since.
+        self._unconfirmed -= self._unconfirmed_at_probe
+        self._unconfirmed_at_probe = 0
+
+    def note_announced(self, cold_left_s, now):
+        """Take in what the target announces of itself, which may be old where it says "warm".
+
+        :param cold_left_s: seconds for which it stays cold; 0.0 when it is warm.
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        if cold_left_s > 0:
+            self._turn_cold(now)
+            self._cold_until = now + cold_left_s
+
+    def note_replaced(self, now):
+        """Take in that another process may run at the target's address by now.
+
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        self._turn_cold(now)
+        self._cold_until = None
+
+    def wait_s(self, now, ahead=0):
+        """Tell when the next request may be sent.
+
+        :param now: seconds on the monotonic clock.
+        :param ahead: requests that will be sent before it.
+        :return: seconds from now; 0.0 for at once.
+        """
+        if not self.is_limited(now):
+            return 0.0
+        due_at = self._due_at - (self._burst - 1 - ahead) * self._gap_s
+        wait_s = max(0.0, due_at - now, self._closed_until + ahead * self._gap_s - now)
+        return min(wait_s, self._until_warm_s(now))
+
+    def note_start(self, now):
+        """Count a request that is sent to the target.
+
+        :param now: seconds on the monotonic clock.
+        :return: None.
+        """
+        self._unconfirmed += 1
+        if self.is_limited(now):
+            self._due_at = max(self._due_at, now) + self._gap_s
+
+    def _until_warm_s(self, now):
+        return math.inf if self._cold_until is None else max(0.0, self._cold_until - now)
+
+    def _turn_cold(self, now):
+        if self.is_cold(now):
+            return
+        sent = min(self._unconfirmed, self._starts)
+        self._due_at = max(self._due_at, now) + sent * self._gap_s
+        self._unconfirmed = self._unconfirmed_at_probe = 0
