Keep to what cold targets bear, and send nothing to evacuated failure domains

Evacuations are read with the configuration, told to peers by the store's version of their last change, and fetched with the configuration, so that a node knows of them before it takes requests. The target's node refuses, sheds its queue and withdraws what is not written yet; entry nodes leave the domain's targets out.

--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -111,6 +111,8 @@
     :param repeat_s: the longest time between two statuses that it pushes; 0.0 when it is to be
         probed.
     :param crashes: pairs of a request's fingerprint and how often the target crashed under it.
+    :param start_wait_s: when a cold target may get one request more; 0.0 for at once.
+    :param evacuation_version: the version of the last change of evacuations known there.
     """
 
     host: str
@@ -133,6 +135,8 @@
     revision: int
     repeat_s: float
     crashes: tuple = ()
+    start_wait_s: float = 0.0
+    evacuation_version: int = 0
 
 
 class HostView:
--- a/packages/core/src/camphorshelf_core/instances.py
+++ b/packages/core/src/camphorshelf_core/instances.py
@@ -54,6 +54,11 @@
         """The id of the process that requests are for; empty when none is known."""
         return self._instance
 
+    @property
+    def started_ms(self):
+        """When that process started, Unix milliseconds; None when it doesn't say."""
+        return self._started_ms
+
     @property
     def leaving(self):
         """Whether it wants no more work."""
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -6,6 +6,7 @@
 
 from .calls import AttemptId, Response
 from .errors import Code, ProtocolError, Ran, Refusal
+from .evacuation import Evacuations
 from .load import LoadReport
 
 
@@ -236,7 +237,7 @@
 
 
 class ConfigRequestMessage(NamedTuple):
-    """Asks a peer for its configuration if it is newer than a version."""
+    """Asks a peer for its configuration if it is newer than a version, and for evacuations."""
 
     call_id: int
     version: int
@@ -246,11 +247,13 @@
     """Carries a peer's version, and the document unless it is no newer than asked for.
 
     :param packed: the document, deflated.
+    :param evacuations: the :class:`~camphorshelf_core.evacuation.Evacuations` that it knows of.
     """
 
     call_id: int
     version: int
     packed: bytes | None
+    evacuations: Evacuations = Evacuations()
 
 
 class PieceMessage(NamedTuple):
@@ -361,6 +364,8 @@
         return message._replace(load=LoadReport(*message.load))
     if isinstance(message, RelayMessage | RelayedMessage):
         return message._replace(headers=_pairs(message.headers))
+    if isinstance(message, ConfigReplyMessage):
+        return message._replace(evacuations=_read_evacuations(*message.evacuations))
     if isinstance(message, DeclinedMessage):
         Code(message.code)
         Ran(message.ran)
@@ -372,5 +377,11 @@
     return message
 
 
+def _read_evacuations(as_of, changed_at, domains):
+    if not all(isinstance(number, int) for number in (as_of, changed_at, *domains.values())):
+        raise ValueError("a version of evacuations is not a whole number")
+    return Evacuations(as_of, changed_at, domains)
+
+
 def _pairs(headers):
     return tuple((name, value) for name, value in headers)
--- a/packages/core/src/camphorshelf_core/placement.py
+++ b/packages/core/src/camphorshelf_core/placement.py
@@ -113,9 +113,9 @@
     limit = max(1, status.limit)
     outstanding = _outstanding(view, now)
     mean = status.work_s or work_s
-    wait = 0.0
+    wait = status.start_wait_s if _is_load_known(view, now) else 0.0
     if outstanding >= limit:
-        wait = (outstanding - limit + 1) / limit * mean * slowness
+        wait = max(wait, (outstanding - limit + 1) / limit * mean * slowness)
     run = work_s * pace * (1 + _CROWDING * min(1.0, outstanding / limit))
     return wait, run
 
@@ -129,7 +129,9 @@
     """
     # What is pushed may be a tenth of a second old, and several entry nodes see the same free slot.
     spare = _SPARE_SLOTS if view.pushes else 0
-    return view.status.accepting and _outstanding(view, now) + spare < view.status.limit
+    status = view.status
+    is_open = status.accepting and status.start_wait_s <= 0
+    return is_open and _outstanding(view, now) + spare < status.limit
 
 
 def _is_load_known(view, now):
--- a/packages/core/src/camphorshelf_core/routes.py
+++ b/packages/core/src/camphorshelf_core/routes.py
@@ -46,9 +46,11 @@
     """What is configured for one service.
 
     :param health_path: the path that tells a target's health and load.
+    :param cold_rate_per_s: requests a second that a cold target bears; None for no limit.
     """
 
     health_path: str
+    cold_rate_per_s: float | None = None
 
 
 class EdgeLimits(NamedTuple):
--- a/packages/core/src/camphorshelf_core/statusforms.py
+++ b/packages/core/src/camphorshelf_core/statusforms.py
@@ -15,7 +15,7 @@
 _WHOLE, _SHORT, _STATUS_REQUEST, _GREETING, _NEWS, _SUSPICION = range(6)
 _PROBE_REQUEST, _ADDRESSES_REQUEST, _ADDRESSES = range(6, 9)
 _HUNDREDTHS, _THOUSANDTHS = 100, 1000
-_SHORT_FIELDS = 12
+_SHORT_FIELDS = 14
 _MAX_CRASHES = 16
 _ADDRESSES_PER_DATAGRAM = 60
 # Where the numbers of a whole status stand, apart from its sequence.
@@ -113,6 +113,8 @@
             round(status.failing * _THOUSANDTHS),
             status.config_version,
             status.lacks_store_access,
+            round(status.start_wait_s * _THOUSANDTHS),
+            status.evacuation_version,
         )
     )
 
@@ -207,7 +209,7 @@
 
 def _fill_in(held, fields):
     _, sequence, revision, accepting, limit, running, queued, *rest = fields
-    slowness, work, failing, version, lacks_store_access = rest
+    slowness, work, failing, version, lacks_store_access, start_wait, evacuation_version = rest
     if held is None or held.revision != revision:
         return UnknownShort()
     return held._replace(
@@ -221,6 +223,8 @@
         failing=failing / _THOUSANDTHS,
         config_version=version,
         lacks_store_access=bool(lacks_store_access),
+        start_wait_s=start_wait / _THOUSANDTHS,
+        evacuation_version=evacuation_version,
     )
 
 
@@ -232,7 +236,8 @@
     texts = status.host, status.incarnation, status.domain, status.address, status.service
     if not all(isinstance(text, str) for text in (*texts, status.instance)):
         return None
-    if not _are_numbers((*status[_NUMBERS], status.sequence)):
+    numbers = *status[_NUMBERS], status.sequence, status.start_wait_s, status.evacuation_version
+    if not _are_numbers(numbers):
         return None
     if len(status.crashes) > _MAX_CRASHES or not all(map(_is_crash, status.crashes)):
         return None
--- a/packages/relay/src/camphorshelf_relay/announcer.py
+++ b/packages/relay/src/camphorshelf_relay/announcer.py
@@ -350,4 +350,5 @@
 
 
 def _pushed_standing(status):
-    return *_standing(status), status.config_version, status.limit
+    versions = status.config_version, status.evacuation_version
+    return *_standing(status), *versions, status.limit
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -1,8 +1,10 @@
-"""The configuration in force: from the store or from whoever has a newer one, and never back."""
+"""The configuration and the evacuations in force: from the store or from whoever has newer ones."""
 
 import zlib
+from typing import NamedTuple
 
 from camphorshelf_core.errors import ProtocolError
+from camphorshelf_core.evacuation import EvacuationRecord
 from camphorshelf_core.messages import ConfigReplyMessage, ConfigRequestMessage
 from camphorshelf_core.routes import RouteTable
 from camphorshelf_core.storepollers import (
@@ -36,15 +38,37 @@
 _MAX_DOCUMENT_BYTES = 32 * 1024 * 1024
 
 
-class ConfigKeeper:
-    """Holds the newest configuration that this node has seen."""
+class DocumentReaders(NamedTuple):
+    """How what operators write is read; plain functions that the adapter provides.
+
+    :param configuration: takes the document's bytes, gives the
+        :class:`~camphorshelf_core.routes.RoutingConfig`.
+    :param evacuations: takes the table's rows, gives the versions of the rows of evacuated failure
+        domains, by domain.
+    """
+
+    configuration: object
+    evacuations: object
 
-    def __init__(self, loop, settings, store, peers, read_document, random, log):
+
+class ConfigKeeper:
+    """Holds the newest configuration and evacuations that this node has seen.
+
+    :param loop: the node's loop.
+    :param settings: the :class:`~camphorshelf_relay.settings.NodeSettings`.
+    :param store: the platform's store.
+    :param peers: the :class:`~camphorshelf_relay.peers.Peers`.
+    :param readers: the :class:`DocumentReaders`.
+    :param random: the source of random numbers.
+    :param log: the :class:`~camphorshelf_relay.eventlog.EventLog`.
+    """
+
+    def __init__(self, loop, settings, store, peers, readers, random, log):
         self._loop = loop
         self._settings = settings
         self._store = store
         self._peers = peers
-        self._read_document = read_document
+        self._readers = readers
         self._random = random
         self._log = log
         self._document = None
@@ -57,10 +81,12 @@
         self._failures = 0
         self._asked_at = {}
         self._on_change = []
+        self._on_evacuation = []
         self._fetch_timer = None
         # Who has not heard of the version in force from another node.
         self.reach = Reach.NOBODY
         self.config = None
+        self.evacuations = EvacuationRecord()
         self.table = RouteTable(())
         self.table_name, self.row_key = "", ""
 
@@ -93,6 +119,14 @@
         """
         self._on_change.append(callback)
 
+    def on_evacuation(self, callback):
+        """Say what to do when other failure domains are evacuated than before.
+
+        :param callback: takes no argument.
+        :return: None.
+        """
+        self._on_evacuation.append(callback)
+
     def start(self, table_name, row_key):
         """Begin to read, unless other nodes have the configuration.
 
@@ -119,14 +153,14 @@
             self._review()
 
     def hear(self, view, is_forwarded=False):
-        """Take in a peer's status; asks for its configuration when it is newer.
+        """Take in a peer's status; asks for what it knows when that is newer.
 
         :param view: the peer's :class:`~camphorshelf_core.hosts.HostView`.
         :param is_forwarded: whether this node hands the status on in its failure domain.
         :return: None.
         """
         status = view.status
-        if status.config_version <= self.version:
+        if not self._is_newer(status):
             return
         is_near = status.domain == self._settings.domain
         if self.config is None or is_near or is_forwarded or view.pushes:
@@ -139,19 +173,24 @@
     def _fetch_from_afar(self, address):
         self._fetch_timer = None
         view = self._peers.directory.view(address)
-        if view is not None and view.status.config_version > self.version:
+        if view is not None and self._is_newer(view.status):
             self._fetch(view.status)
 
+    def _is_newer(self, status):
+        is_evacuation = self.evacuations.is_newer(status.evacuation_version)
+        return is_evacuation or status.config_version > self.version
+
     def _fetch(self, status):
         now = self._loop.now()
-        version, asked_at = self._asked_at.get(status.address, (0, 0.0))
-        if version == status.config_version and now - asked_at < _ASK_AGAIN_SECONDS:
+        wanted = status.config_version, status.evacuation_version
+        asked, asked_at = self._asked_at.get(status.address, ((0, 0), 0.0))
+        if asked == wanted and now - asked_at < _ASK_AGAIN_SECONDS:
             return
-        recent = [at for of, at in self._asked_at.values() if of >= status.config_version]
+        recent = [at for of, at in self._asked_at.values() if _covers(of, wanted)]
         if recent and now - max(recent) < _ASK_AGAIN_SECONDS / 4:
             # One peer at a time: a change is heard from all of them within a moment.
             return
-        self._asked_at[status.address] = status.config_version, now
+        self._asked_at[status.address] = wanted, now
         is_near = status.domain == self._settings.domain
         reach = Reach.NOBODY if is_near else Reach.DOMAIN
         link = self._peers.link(status.address)
@@ -171,10 +210,14 @@
             if self._packed is None:
                 self._packed = zlib.compress(self._document)
             packed = self._packed
-        reply(ConfigReplyMessage(0, self.version, packed))
+        reply(ConfigReplyMessage(0, self.version, packed, self.evacuations.held))
 
     def _on_reply(self, message, reach):
-        if not isinstance(message, ConfigReplyMessage) or message.packed is None:
+        if not isinstance(message, ConfigReplyMessage):
+            return
+        # Before the configuration, by which this node begins to take requests.
+        self._take_evacuations(lambda now: self.evacuations.take(message.evacuations, now), reach)
+        if message.packed is None:
             return
         try:
             document = _unpack(message.packed)
@@ -202,6 +245,10 @@
             self._log.notable("store_regained", failures=self._failures)
         self._failures = 0
         self._store_at = self._loop.now()
+        domains = self._readers.evacuations(result.rows)
+        self._take_evacuations(
+            lambda now: self.evacuations.take_rows(domains, result.version, now), Reach.ALL
+        )
         self._take_rows(result.rows)
         # With jitter, so that the pollers do not all read in the same moment.
         self._loop.call_later(_POLL_SECONDS * self._random.uniform(0.75, 1.0), self._review)
@@ -245,11 +292,28 @@
             if row.key == self.row_key:
                 self._take(row.value, "store", Reach.ALL)
 
+    def _take_evacuations(self, take, reach):
+        before = self.evacuations.held
+        if not take(self._loop.now()):
+            return
+        held = self.evacuations.held
+        for domain in sorted(before.domains.keys() ^ held.domains.keys()):
+            self._log.notable(
+                "evacuation",
+                domain=domain,
+                evacuated=domain in held.domains,
+                row_version=held.domains.get(domain, before.domains.get(domain)),
+                as_of=held.as_of,
+            )
+        self.reach = reach
+        for callback in self._on_evacuation:
+            callback()
+
     def _take(self, document, source, reach):
         if document == self._document:
             return
         try:
-            config = self._read_document(document)
+            config = self._readers.configuration(document)
         except ProtocolError as error:
             self._log.notable("config_refused", source=source, reason=str(error))
             return
@@ -271,6 +335,10 @@
             callback(config)
 
 
+def _covers(asked, wanted):
+    return all(one >= other for one, other in zip(asked, wanted, strict=True))
+
+
 def _unpack(packed):
     unpacker = zlib.decompressobj()
     document = unpacker.decompress(packed, _MAX_DOCUMENT_BYTES)
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -8,6 +8,10 @@
 
 from .targetconnection import Answered
 
+# A request that is written so long after its start, for its connection opened late, is checked
+# once more.
+_LATE_WRITE_SECONDS = 0.1
+
 
 class Gate:
     """Admission at the target: all work for it passes here."""
@@ -21,6 +25,7 @@
         self.target = target
         self.log = log
         self.counts = {}
+        self._pace_timer = None
         self.on_answer = lambda waited_s, ran_s: None
 
     def run(self, message, reply):
@@ -39,9 +44,25 @@
             run.decline(Code.QUARANTINED, "targets crash under this request", Ran.NOT_RUN)
             return None
         cancel = run.offer()
+        self.keep_pace()
         self.target.on_change()
         return cancel
 
+    def keep_pace(self):
+        """Start what is queued for a cold target when it may get more.
+
+        :return: None.
+        """
+        wait = self.admission.next_dispatch_s(self._loop.now())
+        if wait is None or self._pace_timer is not None:
+            return
+        self._pace_timer = self._loop.call_later(wait, self._on_paced)
+
+    def _on_paced(self):
+        self._pace_timer = None
+        self.admission.dispatch(self._loop.now())
+        self.keep_pace()
+
     def count(self, outcome):
         """Count what became of a request.
 
@@ -145,17 +166,31 @@
         )
         request = Request(message.method, message.path, headers, message.body)
         self._abort = target.link.send(
-            request, message.request_id, message.idempotent, self._on_result
+            request, message.request_id, message.idempotent, self._on_result, self._is_still_wanted
         )
 
+    def _is_still_wanted(self):
+        now = self._loop.now()
+        if now - self._started <= _LATE_WRITE_SECONDS:
+            return True
+        if not self._gate.target.accepting:
+            return False
+        # Connections that open late all at once would bring a cold target a second's requests in
+        # one moment: each counts again when it is written.
+        self._gate.admission.warm_up.note_start(now)
+        return True
+
     def _on_result(self, result):
         self._abort = None
         if self._reply is None:
             return
         if isinstance(result, Answered):
             self._on_answer(result)
+        elif result.withdrawn:
+            self.decline(Code.NO_TARGET, result.reason, Ran.NOT_RUN)
         elif result.sent:
             self._gate.target.note_outcome(True)
+            self._gate.target.note_lost()
             if result.crashed:
                 self._gate.crashes.note_lost(self.fingerprint)
             self.decline(Code.TARGET_LOST, result.reason, Ran.OUTCOME_UNKNOWN, reached=True)
@@ -255,4 +290,5 @@
             self._abort = None
         if not self._gate.admission.cancel(self._job):
             self._gate.admission.finish(self._job, self._loop.now())
+        self._gate.keep_pace()
         self._gate.target.on_change()
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -11,6 +11,7 @@
 from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.hosts import HostStatus, HostView
 from camphorshelf_core.messages import ConfigRequestMessage
+from camphorshelf_core.warmup import WarmUp
 from camphorshelf_node.loop import Loop
 
 from .configkeeper import ConfigKeeper
@@ -50,7 +51,7 @@
 
     :param store: makes the store's client from a loop and its address.
     :param dialect: a :class:`~camphorshelf_relay.settings.Dialect`.
-    :param read_document: takes the operators' document, gives the configuration.
+    :param readers: the :class:`~camphorshelf_relay.configkeeper.DocumentReaders`.
     :param document_table: the store's table that the document lies in.
     :param document_key: its key there.
     :param answer_target: takes a call of the target, the node's :class:`Target` and its log, and
@@ -60,7 +61,7 @@
 
     store: object
     dialect: Dialect
-    read_document: object
+    readers: object
     document_table: str
     document_key: str
     answer_target: object
@@ -82,7 +83,7 @@
         log = self._log = EventLog(loop, settings.name)
         loop.on_error = log.fault
         self._started_at = loop.now()
-        self._admission = AdmissionQueue()
+        self._admission = AdmissionQueue(warm_up=WarmUp(loop.now()))
         self._target = Target(loop, settings, ports.dialect, self._admission, log)
         self._crashes = CrashWatch(loop, settings.name, log)
         self._target.on_crash = self._crashes.note_crash
@@ -93,7 +94,7 @@
         store = ports.store(loop, settings.addresses.store)
         self._store = store
         self._config = ConfigKeeper(
-            loop, settings, store, self._peers, ports.read_document, self._random, log
+            loop, settings, store, self._peers, ports.readers, self._random, log
         )
         self._discovery = Discovery(loop, settings, store, self._peers, self._random, log)
         self._discovery.on_done = self._config.begin_among
@@ -131,6 +132,7 @@
         self._watch_metrics()
         self._target.on_change = self._peers.tell
         self._peers.on_status = self._hear
+        self._config.on_evacuation(self._on_evacuation)
         self._config.on_change(self._on_config)
 
     @property
@@ -199,6 +201,9 @@
         watch("target.slowness", "How long work takes, 1 as usual.", lambda: target.slowness)
         watch("target.failing", "Share of failed requests.", lambda: target.failing)
         watch("target.accepting", "1 while work is let in.", lambda: int(target.accepting))
+        watch("target.cold", "1 while starts are limited.", lambda: int(target.is_limited))
+        evacuations = self._config.evacuations
+        watch("evacuated", "Evacuated failure domains.", lambda: len(evacuations.held.domains))
         watch("ready", "1 while callers should come.", lambda: int(self.ready))
         watch("config.version", "The configuration in force.", lambda: self._config.version)
         watch("store.age", "Seconds since the store answered.", lambda: self._config.store_age_s)
@@ -230,6 +235,8 @@
             revision=0,
             repeat_s=0.0,
             crashes=self._crashes.told,
+            start_wait_s=round(admission.start_wait_s(self._loop.now()), 3),
+            evacuation_version=self._config.evacuations.changed_at,
         )
 
     def _hear(self, view, is_forwarded):
@@ -246,6 +253,10 @@
         self._target.configure(config.services.get(self._settings.service))
         self._peers.tell_version(self._config.reach)
 
+    def _on_evacuation(self):
+        self._target.evacuate(self._config.evacuations.is_evacuated(self._settings.domain))
+        self._peers.tell_version(self._config.reach)
+
     def _answer_readiness(self, _request):
         if self.ready:
             return _READY
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -116,7 +116,8 @@
             own = self._own_view()
             if own.is_usable(now):
                 views.append(own)
-        return views
+        is_evacuated = self._config.evacuations.is_evacuated
+        return [view for view in views if not is_evacuated(view.status.domain)]
 
     def send(self, address, message, on_done):
         """Send a request to a target's node.
--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from camphorshelf_core.retrybudget import RetryTerms
+from camphorshelf_core.warmup import WarmUpBounds
 
 
 class Endpoint(NamedTuple):
@@ -51,6 +52,7 @@
     :param grace_s: seconds from SIGTERM until the process is killed.
     :param probes_per_s: the most health questions to the target, a second.
     :param is_first_start: whether the whole system starts for the first time.
+    :param warm_up: the :class:`~camphorshelf_core.warmup.WarmUpBounds` of every service.
     """
 
     name: str
@@ -61,6 +63,7 @@
     grace_s: float
     probes_per_s: float
     is_first_start: bool = True
+    warm_up: WarmUpBounds = WarmUpBounds()
 
 
 class CallerTerms(NamedTuple):
@@ -89,6 +92,7 @@
     :param idle_s: how long it keeps an idle connection; None when it does not say.
     :param encoded: whether the body is not as the target's service made it.
     :param signed: whether the answer bears the target's signature, as every success does.
+    :param cold_left_s: for how long it stays cold, 0.0 when it is warm; None when it doesn't say.
     """
 
     request_id: str
@@ -102,6 +106,7 @@
     idle_s: float | None
     encoded: bool
     signed: bool
+    cold_left_s: float | None = None
 
 
 class Dialect(NamedTuple):
--- a/packages/relay/src/camphorshelf_relay/storeport.py
+++ b/packages/relay/src/camphorshelf_relay/storeport.py
@@ -48,10 +48,12 @@
 
     :param key: its key.
     :param value: its bytes.
+    :param version: the store's version at its last change.
     """
 
     key: str
     value: bytes
+    version: int = 0
 
 
 class StoreRows(NamedTuple):
@@ -59,7 +61,9 @@
 
     :param rows: a tuple of :class:`StoredRow`.
     :param is_whole: whether these are all rows that were asked for.
+    :param version: the store's version of that moment.
     """
 
     rows: tuple
     is_whole: bool = True
+    version: int = 0
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -20,6 +20,8 @@
 _DOWN_PROBE_SECONDS = 0.2
 # The health path answers at once. Two questions without an answer are half a second's silence.
 _SILENT_PROBES = 2
+# A target may turn cold at any moment, and only its health says so.
+_COLD_PROBE_SECONDS = 0.1
 _FAILURE_WEIGHT = 0.08
 # A share of failures halves within this time, so a target that gets no work for its failures is
 # tried again.
@@ -33,6 +35,7 @@
         self._loop = loop
         self._settings = settings
         self._admission = admission
+        self._warm_up = admission.warm_up
         self._log = log
         self._record = InstanceRecord()
         self._link = TargetLink(loop, settings.addresses.target, dialect)
@@ -42,10 +45,13 @@
         self._load_at = 0.0
         self._probed_at = 0.0
         self._probing = False
+        self._probe_timer = None
         self._silent_probes = 0
         self._failing = 0.0
         self._failing_at = 0.0
         self._stopping = False
+        self._is_configured = False
+        self._is_evacuated = False
         # What the target says of its speed includes its slow start.
         self.tells_slowness = False
         self.slowness = 1.0
@@ -55,7 +61,7 @@
         self.on_change = _do_nothing
         # Told when the target's process has ended without a word.
         self.on_crash = _do_nothing
-        loop.call_later(PROBE_SECONDS, self._probe)
+        self._probe_timer = loop.call_later(PROBE_SECONDS, self._probe)
 
     @property
     def record(self):
@@ -70,7 +76,13 @@
     @property
     def accepting(self):
         """Whether new work is let in."""
-        return self._record.usable and not self._stopping and self._admission.limit > 0
+        is_wanted = self._is_configured and not self._is_evacuated and not self._stopping
+        return is_wanted and self._record.usable and self._admission.limit > 0
+
+    @property
+    def is_limited(self):
+        """Whether requests are held back because the target is cold, or may be."""
+        return self._warm_up.is_limited(self._loop.now())
 
     @property
     def warming_s(self):
@@ -97,7 +109,21 @@
         :param terms: :class:`~camphorshelf_core.routes.ServiceTerms`, or None.
         :return: None.
         """
+        self._is_configured = True
         self._health_path = terms.health_path if terms is not None else None
+        rate = terms.cold_rate_per_s if terms is not None else None
+        self._warm_up.configure(rate, self._settings.warm_up, self._loop.now())
+        self._settle("configuration")
+
+    def evacuate(self, is_evacuated):
+        """Take in whether the target's failure domain is evacuated.
+
+        :param is_evacuated: whether it is.
+        :return: None.
+        """
+        if is_evacuated != self._is_evacuated:
+            self._is_evacuated = is_evacuated
+            self._settle("evacuation")
 
     def stop(self):
         """Let no more work in; what runs goes on.
@@ -117,7 +143,10 @@
             self._log.notable("heartbeat_refused", instance=heartbeat.instance, reason="service")
             return False
         before = self._record.instance, self._record.leaving
+        started_ms = self._record.started_ms
         taken = self._record.beat(heartbeat, self._loop.now())
+        if taken:
+            self._note_announced(heartbeat, before[0], started_ms)
         if taken and heartbeat.slots != self._admission.slots:
             self._admission.resize(heartbeat.slots)
         if (self._record.instance, self._record.leaving) != before:
@@ -169,11 +198,21 @@
         self._failing = share + _FAILURE_WEIGHT * (value - share)
         self._failing_at = self._loop.now()
 
+    def note_lost(self):
+        """Take in that a connection broke off: another process may run there by now.
+
+        :return: None.
+        """
+        self._warm_up.note_replaced(self._loop.now())
+        if self._warm_up.rate_per_s is not None:
+            self._probe_at_once()
+
     def note_unreachable(self):
         """Take in that the target took no connection.
 
         :return: None.
         """
+        self._warm_up.note_replaced(self._loop.now())
         if not self._record.down:
             if not self._record.leaving:
                 self.on_crash()
@@ -187,6 +226,7 @@
         :return: None.
         """
         self._record.seen_elsewhere(instance)
+        self.note_lost()
         self._settle("another process")
 
     def _note_dial(self):
@@ -197,21 +237,44 @@
         instance = self._record.instance
         self._log.notable("stray_answer", request=request_id, place=place, instance=instance)
 
+    def _note_announced(self, heartbeat, instance, started_ms):
+        now = self._loop.now()
+        if (self._record.instance, self._record.started_ms) != (instance, started_ms):
+            self._warm_up.note_replaced(now)
+        self._warm_up.note_announced(heartbeat.warming_s, now)
+        if self._warm_up.is_limited(now):
+            self._admission.shed_late(now)
+
+    def _probe_at_once(self):
+        self._probe_timer.cancel()
+        self._probe()
+
     def _probe(self):
         wait = PROBE_SECONDS
         if not self._probing and self._health_path is not None:
             pause = _DOWN_PROBE_SECONDS if self._record.down else PROBE_SECONDS
             pause = max(pause, 1 / self._settings.probes_per_s)
             # Answers to requests tell the load too; the next probe is due after the last of them.
-            wait = max(self._load_at, self._probed_at) + pause - self._loop.now()
+            wait = self._probe_due_at(pause) - self._loop.now()
             if wait <= 0:
                 self._send_probe(self._loop.now())
                 wait = pause
-        self._loop.call_later(max(_LEAST_PROBE_PAUSE_SECONDS, wait), self._probe)
+        self._probe_timer = self._loop.call_later(
+            max(_LEAST_PROBE_PAUSE_SECONDS, wait), self._probe
+        )
+
+    def _probe_due_at(self, pause):
+        due_at = max(self._load_at, self._probed_at) + pause
+        if self._warm_up.rate_per_s is None:
+            return due_at
+        if not self._warm_up.is_known and not self._record.down:
+            return self._probed_at + 1 / self._settings.probes_per_s
+        return min(due_at, self._probed_at + max(pause, _COLD_PROBE_SECONDS))
 
     def _send_probe(self, now):
         self._probing = True
         self._probed_at = now
+        self._warm_up.note_probe()
         self.counts["probe"] += 1
         host = self._settings.addresses.target.text
         request = Request("GET", self._health_path.encode(), ((b"host", host.encode()),), b"")
@@ -233,7 +296,9 @@
         timer.cancel()
         self._probing = False
         if not isinstance(result, Answered):
-            if not result.sent:
+            if result.sent:
+                self.note_lost()
+            else:
                 self.note_unreachable()
             return
         self._silent_probes = 0
@@ -242,10 +307,27 @@
             self._record.seen_healthy(result.word.instance)
         else:
             self._record.seen_unhealthy(result.word.instance)
+        self._note_told(result.word, before[1])
         self.note_word(result.word)
         if (self._record.usable, self._record.instance) != before:
             self._settle("health")
 
+    def _note_told(self, word, instance_before):
+        now = self._loop.now()
+        if self._record.instance != instance_before:
+            self._warm_up.note_replaced(now)
+        if word.instance and word.instance != self._record.instance:
+            return
+        was_limited = self._warm_up.is_limited(now)
+        self._warm_up.note_told(word.cold_left_s, now)
+        if self._warm_up.is_limited(now):
+            if not was_limited:
+                self._admission.shed_late(now)
+                self.on_change()
+        elif was_limited:
+            self._admission.dispatch(now)
+            self.on_change()
+
     def _settle(self, cause):
         self._refresh()
         record = self._record
@@ -256,6 +338,8 @@
             accepting=self.accepting,
             leaving=record.leaving,
             down=record.down,
+            evacuated=self._is_evacuated,
+            cold=self.is_limited,
         )
         self.on_change()
 
--- a/packages/relay/src/camphorshelf_relay/targetconnection.py
+++ b/packages/relay/src/camphorshelf_relay/targetconnection.py
@@ -49,11 +49,13 @@
     :param reason: one sentence.
     :param sent: whether it may have run.
     :param crashed: whether the connection broke off while the target had the request.
+    :param withdrawn: whether it was not sent because it was not wanted any more.
     """
 
     reason: str
     sent: bool
     crashed: bool = False
+    withdrawn: bool = False
 
 
 class TargetConnection:
@@ -71,6 +73,7 @@
         self._stream = stream
         self._dialect = dialect
         self._on_done = None
+        self._is_wanted = None
         self._request = None
         self._request_id = ""
         self._connected = False
@@ -97,8 +100,9 @@
         """
         return request_id in self._carried
 
-    def run(self, request, request_id, on_done):
+    def run(self, request, request_id, on_done, is_wanted):
         """Send a request; parameters as of the link's ``send``."""
+        self._is_wanted = is_wanted
         self._request = request
         self._request_id = request_id
         self._on_done = on_done
@@ -129,8 +133,12 @@
 
     def _on_connect(self):
         self._connected = True
-        if self._on_done is not None:
+        if self._on_done is None:
+            return
+        if self._is_wanted():
             self._write()
+        else:
+            self._fail(Lost("the target takes no work any more", sent=False, withdrawn=True))
 
     def _write(self):
         self._sent = True
--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -30,13 +30,15 @@
         self.on_stray = _ignore_stray
         loop.call_every(_SWEEP_SECONDS, self._sweep)
 
-    def send(self, request, request_id, idempotent, on_done):
+    def send(self, request, request_id, idempotent, on_done, is_wanted=None):
         """Send a request.
 
         :param request: the :class:`~camphorshelf_core.calls.Request`, complete.
         :param request_id: what the answer must name; empty when it need not.
         :param idempotent: whether it may go over a connection that was idle for a while.
         :param on_done: takes an :class:`Answered` or a :class:`Lost`, once.
+        :param is_wanted: asked when a new connection is open; where it says no the request is
+            withdrawn.
         :return: a function that breaks the request off; ``on_done`` is not called then.
         """
         connection = self._take(request_id, idempotent) or self._dial()
@@ -44,7 +46,7 @@
             lost = Lost("no connection could be opened", sent=False)
             self._loop.call_later(0, lambda: on_done(lost))
             return _do_nothing
-        connection.run(request, request_id, on_done)
+        connection.run(request, request_id, on_done, is_wanted or _is_always_wanted)
         return connection.abort
 
     def close_idle(self):
@@ -106,6 +108,10 @@
             self._idle[0].close()
 
 
+def _is_always_wanted():
+    return True
+
+
 def _do_nothing():
     """Stands for breaking off what was never sent."""
 
--- a/tests/features/steps/limit_log_steps.py
+++ b/tests/features/steps/limit_log_steps.py
@@ -47,7 +47,7 @@
         self.slowness = 1.0
         self.link = self
 
-    def send(self, request, request_id, idempotent, on_done):
+    def send(self, request, request_id, idempotent, on_done, is_wanted):
         self._running += 1
         work = _WORK * max(0.2, self._random.gauss(1.0, 0.3))
         if self._running > self._bend:
