Count exactly what a cold target can have been sent

Cause: after a loss of power every cold target was sent nothing for a second after its node's start, for a predecessor might have sent as much as is allowed just before; and all that was sent since the last word 'warm' counted although a new process had begun.

Change: the target tells for how long it stays cold and its service how long that lasts; from both follows since when it is cold. Only starts since then count, and of a predecessor only what it can have sent between then and the start of the own process, whose moment is taken before the imports. The health is asked as soon as it is configured. The next free start that entry nodes are told is that of the most urgent request.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -2,8 +2,12 @@
 
 import gc
 import sys
+import time
 from pathlib import Path
 
+# Importing takes up to a second on a small host.
+_STARTED_AT = time.clock_gettime(time.CLOCK_BOOTTIME)
+
 # Nearly all that is made while importing lives as long as the process; the node goes on collecting
 # once it has started.
 gc.disable()
@@ -23,4 +27,4 @@
 
 from camphorshelf_platform.main import main  # noqa: E402
 
-main()
+main(_STARTED_AT)
--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -200,7 +200,7 @@
         :param now: seconds on the monotonic clock.
         :return: seconds from now; 0.0 for at once, apart from the slots.
         """
-        return self.warm_up.wait_s(now, self.queued)
+        return self.warm_up.wait_s(now)
 
     def next_dispatch_s(self, now):
         """Tell when the next queued job may start, where only a cold target holds it back.
--- a/packages/core/src/camphorshelf_core/routes.py
+++ b/packages/core/src/camphorshelf_core/routes.py
@@ -47,10 +47,12 @@
 
     :param health_path: the path that tells a target's health and load.
     :param cold_rate_per_s: requests a second that a cold target bears; None for no limit.
+    :param cold_s: seconds for which a target stays cold; 0.0 when that is not configured.
     """
 
     health_path: str
     cold_rate_per_s: float | None = None
+    cold_s: float = 0.0
 
 
 class EdgeLimits(NamedTuple):
--- a/packages/core/src/camphorshelf_core/warmup.py
+++ b/packages/core/src/camphorshelf_core/warmup.py
@@ -9,6 +9,7 @@
 """
 
 import math
+from collections import deque
 from typing import NamedTuple
 
 # The window over which the limit holds.
@@ -16,6 +17,10 @@
 # Part of the limit that is left unused, for requests that reach the target closer together than
 # they were sent.
 _JITTER_SHARE = 0.1
+# Requests are on their way to the target for so long at most.
+_PATH_SECONDS = 0.05
+# More than any limit, so that whatever is left out is more than enough to wait for.
+_REMEMBERED_STARTS = 256
 # Requests that may start back to back; the rest of the limit is spread over the window, so that
 # urgent work never waits long for the next start.
 _BURST = 3
@@ -49,39 +54,43 @@
     A target is taken as cold until it has said that it is warm, and again from the moment at which
     it may have been replaced by a new process.
 
-    :param now: seconds on the monotonic clock.
+    :param started_at: when the own process started, seconds on the monotonic clock.
     """
 
-    def __init__(self, now):
+    def __init__(self, started_at):
+        self._started_at = started_at
         self._rate_per_s = None
+        self._cold_s = 0.0
         self._starts = 0
         self._gap_s = 0.0
         self._burst = _BURST
         # None while the target has not told.
         self._cold_until = None
         # The process before this one may have sent as much as is allowed just before it ended.
-        self._closed_until = now + _WINDOW_SECONDS
+        self._closed_until = started_at + _WINDOW_SECONDS
+        self._is_predecessor_counted = False
         # When the next start would be due without a burst.
-        self._due_at = now
-        # Requests sent since the target last said that it is warm: it may have turned cold since.
-        self._unconfirmed = 0
-        self._unconfirmed_at_probe = 0
+        self._due_at = started_at
+        # When the latest requests were sent: some may have reached the target after it turned cold
+        # and before it told.
+        self._recent = deque(maxlen=_REMEMBERED_STARTS)
 
     @property
     def rate_per_s(self):
         """The configured rate of a cold target; None for no limit."""
         return self._rate_per_s
 
-    def configure(self, rate_per_s, bounds, now):
+    def configure(self, rate_per_s, cold_s, bounds, now):
         """Take what is configured.
 
         :param rate_per_s: requests a second that a cold target of the service bears; None for no
             limit.
+        :param cold_s: how long a target stays cold, in seconds; 0.0 when that is not known.
         :param bounds: the :class:`WarmUpBounds`.
         :param now: seconds on the monotonic clock.
         :return: None.
         """
-        self._rate_per_s = rate_per_s
+        self._rate_per_s, self._cold_s = rate_per_s, cold_s
         if rate_per_s is None:
             return
         starts = starts_per_window(rate_per_s, bounds)
@@ -121,13 +130,6 @@
         """
         return 0.0 if self._cold_until is None else max(0.0, self._cold_until - now)
 
-    def note_probe(self):
-        """Take in that the target is asked now.
-
-        :return: None.
-        """
-        self._unconfirmed_at_probe = self._unconfirmed
-
     def note_told(self, cold_left_s, now):
         """Take in what the target has answered.
 
@@ -142,9 +144,6 @@
             self.note_announced(cold_left_s, now)
             return
         self._cold_until = now
-        # What was sent after the question may reach a target that has turned cold since.
-        self._unconfirmed -= self._unconfirmed_at_probe
-        self._unconfirmed_at_probe = 0
 
     def note_announced(self, cold_left_s, now):
         """Take in what the target announces of itself, which may be old where it says "warm".
@@ -154,8 +153,11 @@
         :return: None.
         """
         if cold_left_s > 0:
-            self._turn_cold(now)
+            since = now + cold_left_s - self._cold_s if self._cold_s else -math.inf
+            if not self.is_known or now >= self._cold_until:
+                self._count_sent_since(since, now)
             self._cold_until = now + cold_left_s
+            self._count_predecessor(since)
 
     def note_replaced(self, now):
         """Take in that another process may run at the target's address by now.
@@ -163,7 +165,7 @@
         :param now: seconds on the monotonic clock.
         :return: None.
         """
-        self._turn_cold(now)
+        self._due_at = max(self._due_at, now)
         self._cold_until = None
 
     def wait_s(self, now, ahead=0):
@@ -185,16 +187,27 @@
         :param now: seconds on the monotonic clock.
         :return: None.
         """
-        self._unconfirmed += 1
+        self._recent.append(now)
         if self.is_limited(now):
             self._due_at = max(self._due_at, now) + self._gap_s
 
     def _until_warm_s(self, now):
         return math.inf if self._cold_until is None else max(0.0, self._cold_until - now)
 
-    def _turn_cold(self, now):
-        if self.is_cold(now):
+    def _count_predecessor(self, since):
+        # What it can have sent between the moment at which the target turned cold and its own end.
+        passed = self._started_at + _PATH_SECONDS - since
+        if self._is_predecessor_counted or self._rate_per_s is None:
+            return
+        if passed >= _WINDOW_SECONDS:
             return
-        sent = min(self._unconfirmed, self._starts)
-        self._due_at = max(self._due_at, now) + sent * self._gap_s
-        self._unconfirmed = self._unconfirmed_at_probe = 0
+        self._is_predecessor_counted = True
+        self._closed_until = self._started_at
+        if passed > 0:
+            sent = self._burst + math.ceil(passed / self._gap_s)
+            self._due_at = max(self._due_at, self._started_at + sent * self._gap_s)
+
+    def _count_sent_since(self, since, now):
+        first = max(since - _PATH_SECONDS, now - _WINDOW_SECONDS)
+        sent = min(self._starts, sum(at >= first for at in self._recent))
+        self._due_at = max(self._due_at, now + sent * self._gap_s)
--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -79,7 +79,7 @@
     Event(
         "target",
         "What the node believes of its target changed; `cause` tells what told it.",
-        "cause instance accepting leaving down",
+        "cause instance accepting leaving down evacuated cold",
     ),
     Event("heartbeat_refused", "A heartbeat was not understood or is not for this host.", "reason"),
     Event("crash_blamed", "The target ended while it had this request.", "fingerprint refused"),
@@ -88,6 +88,11 @@
         "Another version is in force; `source` is the store or a peer.",
         "version before source routes",
     ),
+    Event(
+        "evacuation",
+        "A failure domain is evacuated, or not any more, by the operators' row of that version.",
+        "domain evacuated row_version as_of",
+    ),
     Event("config_refused", "A document could not be used; nothing changed.", "source reason"),
     Event("store_lost", "The store does not answer as it should.", "trouble reason"),
     Event("store_regained", "The store answers again.", "failures"),
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -69,11 +69,16 @@
 
 
 class Node(Component):
-    """Everything that runs in one node process."""
+    """Everything that runs in one node process.
+
+    :param settings: the :class:`~camphorshelf_relay.settings.NodeSettings`.
+    :param ports: the :class:`Ports`.
+    :param started_at: when the process started, on the loop's clock; None for now.
+    """
 
     channel = "node"
 
-    def __init__(self, settings, ports):
+    def __init__(self, settings, ports, started_at=None):
         super().__init__()
         self._settings = settings
         self._ports = ports
@@ -83,7 +88,8 @@
         log = self._log = EventLog(loop, settings.name)
         loop.on_error = log.fault
         self._started_at = loop.now()
-        self._admission = AdmissionQueue(warm_up=WarmUp(loop.now()))
+        process_started_at = self._started_at if started_at is None else started_at
+        self._admission = AdmissionQueue(warm_up=WarmUp(process_started_at))
         self._target = Target(loop, settings, ports.dialect, self._admission, log)
         self._crashes = CrashWatch(loop, settings.name, log)
         self._target.on_crash = self._crashes.note_crash
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -112,8 +112,11 @@
         self._is_configured = True
         self._health_path = terms.health_path if terms is not None else None
         rate = terms.cold_rate_per_s if terms is not None else None
-        self._warm_up.configure(rate, self._settings.warm_up, self._loop.now())
+        cold_s = terms.cold_s if terms is not None else 0.0
+        self._warm_up.configure(rate, cold_s, self._settings.warm_up, self._loop.now())
         self._settle("configuration")
+        if rate is not None and not self._warm_up.is_known:
+            self._probe_at_once()
 
     def evacuate(self, is_evacuated):
         """Take in whether the target's failure domain is evacuated.
@@ -274,7 +277,6 @@
     def _send_probe(self, now):
         self._probing = True
         self._probed_at = now
-        self._warm_up.note_probe()
         self.counts["probe"] += 1
         host = self._settings.addresses.target.text
         request = Request("GET", self._health_path.encode(), ((b"host", host.encode()),), b"")
