Open a full queue to more urgent work

Cause: the bound on queued requests looks at none of them. Where calls of less urgent work had filled the queue of a service, a more urgent request was turned away although it would have started next.

Change: it displaces the least urgent of those that are queued in time, which is rejected with the wait that it would have had.

--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -172,7 +172,7 @@
             self._start(job, now)
             return AdmissionResult(True)
         wait = self.expected_wait(job, now)
-        if not self._can_queue(job, now + wait):
+        if not self._can_queue(job, now + wait, now):
             return AdmissionResult(False, wait)
         self._enqueue(job)
         if self._limit.consider_trial(now):
@@ -330,12 +330,28 @@
         slot_s = (work_ahead_s + first) / max(1, self.limit) * self.slowness
         return max(slot_s, warm_up_s)
 
-    def _can_queue(self, job, start_at):
+    def _can_queue(self, job, start_at, now):
         if not self._is_late(job, start_at):
-            return self._queued[QueueClass.IN_TIME] < self.limit * _QUEUE_PER_SLOT
+            is_full = self._queued[QueueClass.IN_TIME] >= self.limit * _QUEUE_PER_SLOT
+            return not is_full or self._displace_for(job, now)
         job.queue_class, job.due_at = QueueClass.LATE, job.expires_at
         return self._is_late_queue_open(job) and not self._is_late(job, start_at)
 
+    def _displace_for(self, job, now):
+        # Less urgent work that came first must not close the queue to more urgent work.
+        less_urgent = [
+            entry
+            for entry in self._queue
+            if _is_queued_in_time(entry[2]) and entry[2].priority > job.priority
+        ]
+        if not less_urgent:
+            return False
+        last = max(less_urgent)[2]
+        wait = self.expected_wait(last, now)
+        self._dequeue(last)
+        self._shed(last, wait)
+        return True
+
     def _is_late_queue_open(self, job):
         capacity_s = self.limit * _LATE_PER_SLOT * (self.work_s or job.work_s)
         # What has waited elsewhere already is queued where a new request is not.
@@ -377,6 +393,10 @@
         job.reject(wait)
 
 
+def _is_queued_in_time(job):
+    return job.state is JobState.QUEUED and job.queue_class is QueueClass.IN_TIME
+
+
 def _key(job):
     # What is late already goes behind everything that is not; then the more important; then
     # what is due first.
--- a/tests/features/admission_queue.feature
+++ b/tests/features/admission_queue.feature
@@ -26,6 +26,14 @@
     When a request with priority 0 comes
     Then it starts before any of the queued ones
 
+  Scenario: A queue full of less urgent work is open to more urgent work
+    # Guards against urgent requests that are refused because less urgent ones came first.
+    Given a target with 9 slots
+    And 40 requests of 100 ms with priority 2 and 2.0 s that came first
+    When a request with priority 0 comes
+    Then one queued request of priority 2 was shed for it
+    And it starts before any of the queued ones
+
   Scenario: A host that slows down under its queue sheds the queue at once
     # Guards against queued requests that wait for a slow host while others have slots.
     Given a target with 9 slots
--- a/tests/features/steps/admission_queue_steps.py
+++ b/tests/features/steps/admission_queue_steps.py
@@ -81,6 +81,11 @@
     context.jobs = [context.play.offer(number) for number in range(count)]
 
 
+@given("{count:d} requests of 100 ms with priority 2 and {objective:f} s that came first")
+def come_with_time(context, count, objective):
+    context.jobs = [context.play.offer(number, objective=objective) for number in range(count)]
+
+
 @when("{rate:d} requests a second come for 10 s")
 def come_steadily(context, rate):
     for number in range(rate * 10):
@@ -288,3 +293,11 @@
 def orders_answered(context, rate):
     answered = len(_waits(context, "order"))
     assert answered >= rate * context.seconds, answered
+
+
+@then("one queued request of priority 2 was shed for it")
+def check_displaced(context):
+    # The queue was full: its next place went to the urgent request.
+    assert len(context.play.shed) == 1, context.play.shed
+    ((_, wait),) = context.play.shed
+    assert wait > 0
--- a/tests/standins/coldfleet.py
+++ b/tests/standins/coldfleet.py
@@ -1,7 +1,7 @@
 """Plays two services whose targets all restart cold under full load; one calls the other.
 
-No network: every decision is made by the modules of the core, on a clock of its own. Hosts know each
-other's load of the moment, as after a probe.
+No network: every decision is made by the modules of the core, on a clock of its own. Hosts know
+each other's load of the moment, as after a probe.
 """
 
 import heapq
@@ -84,13 +84,13 @@
 
     :param kind: its name.
     :param came_at: when it came first.
-    :param seconds: until its end.
+    :param last_try_s: seconds from its caller's last try until its end.
     :param result: ``in time``, ``late``, ``refused``, ``failed`` or ``deadline``.
     """
 
     kind: str
     came_at: float
-    seconds: float
+    last_try_s: float
     result: str
 
 
@@ -145,7 +145,7 @@
         return sum(one.result == "in time" for one in came) / len(came)
 
     def _finish(self, request, result):
-        seconds = self.now - request.came_at
+        seconds = self.now - request.tried_at
         self.outcomes.append(Outcome(request.kind.name, request.came_at, seconds, result))
 
     def _restart_all(self):
@@ -259,7 +259,7 @@
         self.fleet = fleet
         self.kind = kind
         self.origin = origin
-        self.came_at = fleet.now
+        self.came_at = self.tried_at = fleet.now
         self._on_done = on_done
         self._expires_at = fleet.now + kind.deadline_s
         if expires_at is not None:
@@ -268,10 +268,12 @@
         self._retries = kind.retries
         self._calls = kind.calls if fleet.random.random() < kind.calling_share else 0
         self._offers = 0
+        self._tried = set()
         self._is_done = False
 
     def start(self):
         """Offer it to the best targets in turn."""
+        self.tried_at = self.fleet.now
         self._offers = 0
         self._tried = set()
         self._offer_next(None)
