Send work to the target of a stopping node for two seconds more

Cause: a node that was told to stop let nothing more in to its target, although the target goes on. Callers were refused from 2.6 s on, the target's own runs among them, whose calls then failed too.

Change: the target is sent work for two seconds more, as far as it will have ended before the node does, and callers are served until the target's runs have ended.

--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -26,6 +26,7 @@
         self.log = log
         self.counts = {}
         self._pace_timer = None
+        self._ends_at = None
         self.on_answer = lambda waited_s, ran_s: None
 
     def run(self, message, reply):
@@ -40,6 +41,9 @@
         if not self.target.accepting or message.service != self._settings.service:
             run.decline(Code.NO_TARGET, "the target takes no work", Ran.NOT_RUN)
             return None
+        if self._ends_at is not None and self._loop.now() + message.left_s > self._ends_at:
+            run.decline(Code.NO_TARGET, "the node may end before the request", Ran.NOT_RUN)
+            return None
         if self.crashes.is_refused(run.fingerprint):
             run.decline(Code.QUARANTINED, "targets crash under this request", Ran.NOT_RUN)
             return None
@@ -48,6 +52,14 @@
         self.target.on_change()
         return cancel
 
+    def end_work_by(self, moment):
+        """Let in only what will have ended by a moment.
+
+        :param moment: seconds on the loop's clock.
+        :return: None.
+        """
+        self._ends_at = moment
+
     def keep_pace(self):
         """Start what is queued for a cold target when it may get more.
 
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -35,9 +35,15 @@
 # Callers are told to go elsewhere by two failed questions, a second apart; until then they still
 # come, and are served.
 _LEAVING_SECONDS = 2.6
+# The target goes on without its node. It is sent work meanwhile, so that a rolling restart costs a
+# service the time of a start and not that of a stop.
+_TARGET_LEAVING_SECONDS = 2.0
 # Ends itself so long before it would be killed, so that the last answers are out.
 _SPARE_GRACE_SECONDS = 0.4
 _STOP_POLL_SECONDS = 0.05
+# Callers whose requests are under way get so long for their answers when the target's runs do not
+# end.
+_LAST_CALLERS_SECONDS = 1.0
 # Short against the windows over which the settings' bounds hold.
 _RELOAD_SECONDS = 3.0
 # A node whose peers are all away is better than none.
@@ -304,10 +310,18 @@
         self._log.notable(
             "stop", running=self._admission.running, callers=self._callers.connections
         )
-        self._target.stop()
         latest = self._loop.now() + self._settings.grace_s - _SPARE_GRACE_SECONDS
-        self._loop.call_later(_LEAVING_SECONDS, self._callers.finish)
-        self._loop.call_later(_LEAVING_SECONDS, lambda: self._end_when_idle(latest))
+        self._gate.end_work_by(latest)
+        self._loop.call_later(_TARGET_LEAVING_SECONDS, self._target.stop)
+        self._loop.call_later(_LEAVING_SECONDS, lambda: self._finish_callers(latest))
+
+    def _finish_callers(self, latest):
+        # What runs at the target makes its own calls through this node.
+        if self._admission.running and self._loop.now() < latest - _LAST_CALLERS_SECONDS:
+            self._loop.call_later(_STOP_POLL_SECONDS, lambda: self._finish_callers(latest))
+            return
+        self._callers.finish()
+        self._end_when_idle(latest)
 
     def _end_when_idle(self, latest):
         busy = self._callers.busy or self._links.busy or self._admission.running
--- a/tests/features/evacuation.feature
+++ b/tests/features/evacuation.feature
@@ -88,6 +88,13 @@
     And the target's connections have had 2.0 s
     Then the request was declined as not run and never sent
 
+  Scenario: A stopping node lets in only what ends before it does
+    # Guards against requests that are cut off by the end of the node beside their target.
+    Given a target that takes work and runs 1 requests with 9 slots
+    When its node ends within 4.0 s
+    Then a request whose caller waits for 3.0 s is let in
+    And a request whose caller waits for 5.0 s is declined as not run
+
   Scenario: An entry node sends nothing to an evacuated domain
     # Guards against the last status of a host that was cut off before it knew.
     Given an entry node that has heard of targets in "south-a" and "south-b"
--- a/tests/features/relay_changes.feature
+++ b/tests/features/relay_changes.feature
@@ -59,6 +59,12 @@
     And callers that come within 2 s are all served
     And it has ended within 6 s
 
+  Scenario: The only target of a service gets work while its node stops
+    # Guards against a rolling restart that takes a service away for as long as its nodes stop.
+    When the node of "c" is told to stop
+    Then for 1.5 s each "POST /order/x" at "a" is served
+    And it has ended within 6 s
+
   Scenario: A store that forgets its history is read anew
     Given the store has forgotten its history
     When version 9 moves "/look/" to "orders"
--- a/tests/features/steps/evacuation_steps.py
+++ b/tests/features/steps/evacuation_steps.py
@@ -224,11 +224,24 @@
     context.answers = []
 
 
-def _let_in(context, name):
+def _let_in(context, name, left_s=5.0):
     message = RelayMessage(
-        0, 0.0, "counter", True, 1, 1.0, 5.0, 0.1, int(LatePolicy.REJECT), name, "x", "GET",
-        b"/a/", (), b"",
-    )  # fmt: skip
+        call_id=0,
+        sent_at=0.0,
+        service="counter",
+        idempotent=True,
+        priority=1,
+        objective_s=1.0,
+        left_s=left_s,
+        work_s=0.1,
+        late_policy=int(LatePolicy.REJECT),
+        request_id=name,
+        caller_service="x",
+        method="GET",
+        path=b"/a/",
+        headers=(),
+        body=b"",
+    )
     context.gate.run(message, lambda answer: context.answers.append((name, answer)))
     context.loop.advance(0.01)
 
@@ -324,6 +337,26 @@
     _check_never_sent(context, name)
 
 
+@when("its node ends within {seconds:f} s")
+def end_node(context, seconds):
+    context.gate.end_work_by(context.loop.now() + seconds)
+
+
+@then("a request whose caller waits for {seconds:f} s is let in")
+def check_let_in(context, seconds):
+    before = context.gate.admission.running
+    _let_in(context, "short", seconds)
+    assert context.gate.admission.running == before + 1
+
+
+@then("a request whose caller waits for {seconds:f} s is declined as not run")
+def check_declined(context, seconds):
+    _let_in(context, "long", seconds)
+    name, answer = context.answers[-1]
+    assert name == "long" and answer.ran == Ran.NOT_RUN.value
+    _check_never_sent(context, "long")
+
+
 @given('an entry node that has heard of targets in "{first}" and "{second}"')
 def give_entry(context, first, second):
     context.keeper = _make_keeper()
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -498,6 +498,14 @@
     context.relays.wait_until(lambda: not context.relays.is_ready(context.stopped), 1.0)
 
 
+@then('for {seconds:f} s each "{line}" at "{name}" is served')
+def each_served(context, seconds, line, name):
+    statuses = []
+    while time.time() < context.stopped_at + seconds:
+        statuses.append(context.relays.send(name, *_split(line)).status)
+    assert statuses and set(statuses) == {200}, statuses
+
+
 @then("callers that come within {seconds:d} s are all served")
 def served_meanwhile(context, seconds):
     time.sleep(seconds)
