Doubt what a cold target has said after half a second; tell why work is refused

Cause: a node that was suspended while its target was replaced took the new process for warm until it had told otherwise, and could release what it held at once. And from a refusal nobody could see that its target was cold or its failure domain evacuated.

--- a/packages/core/src/camphorshelf_core/warmup.py
+++ b/packages/core/src/camphorshelf_core/warmup.py
@@ -17,6 +17,9 @@
 # Part of the limit that is left unused, for requests that reach the target closer together than
 # they were sent.
 _JITTER_SHARE = 0.1
+# What the target has said holds for so long. A node that was suspended, or that hears nothing, does
+# not know whether a warm target has been replaced since.
+_WORD_SECONDS = 0.5
 # Requests are on their way to the target for so long at most.
 _PATH_SECONDS = 0.05
 # More than any limit, so that whatever is left out is more than enough to wait for.
@@ -64,8 +67,9 @@
         self._starts = 0
         self._gap_s = 0.0
         self._burst = _BURST
-        # None while the target has not told.
-        self._cold_until = None
+        self._cold_until = -math.inf
+        # None while the process that runs now has not told whether it is cold.
+        self._told_at = None
         # The process before this one may have sent as much as is allowed just before it ended.
         self._closed_until = started_at + _WINDOW_SECONDS
         self._is_predecessor_counted = False
@@ -101,10 +105,13 @@
         self._burst = min(_BURST, starts)
         self._gap_s = _WINDOW_SECONDS / max(1, starts - self._burst)
 
-    @property
-    def is_known(self):
-        """Whether the process that runs now has told whether it is cold."""
-        return self._cold_until is not None
+    def is_known(self, now):
+        """Tell whether the process that runs now has told lately whether it is cold.
+
+        :param now: seconds on the monotonic clock.
+        :return: True or False.
+        """
+        return self._told_at is not None and now - self._told_at <= _WORD_SECONDS
 
     def is_cold(self, now):
         """Tell whether the target is cold, or may be.
@@ -112,7 +119,7 @@
         :param now: seconds on the monotonic clock.
         :return: True or False.
         """
-        return self._cold_until is None or now < self._cold_until
+        return now < self._cold_until or not self.is_known(now)
 
     def is_limited(self, now):
         """Tell whether starts are limited now.
@@ -128,7 +135,7 @@
         :param now: seconds on the monotonic clock.
         :return: seconds; 0.0 also when the target has not told.
         """
-        return 0.0 if self._cold_until is None else max(0.0, self._cold_until - now)
+        return max(0.0, self._cold_until - now)
 
     def note_told(self, cold_left_s, now):
         """Take in what the target has answered.
@@ -142,8 +149,9 @@
             cold_left_s = self.cold_left_s(now)
         if cold_left_s > 0:
             self.note_announced(cold_left_s, now)
-            return
-        self._cold_until = now
+        else:
+            self._cold_until = now
+        self._told_at = now
 
     def note_announced(self, cold_left_s, now):
         """Take in what the target announces of itself, which may be old where it says "warm".
@@ -154,7 +162,7 @@
         """
         if cold_left_s > 0:
             since = now + cold_left_s - self._cold_s if self._cold_s else -math.inf
-            if not self.is_known or now >= self._cold_until:
+            if now >= self._cold_until:
                 self._count_sent_since(since, now)
             self._cold_until = now + cold_left_s
             self._count_predecessor(since)
@@ -165,8 +173,8 @@
         :param now: seconds on the monotonic clock.
         :return: None.
         """
-        self._due_at = max(self._due_at, now)
-        self._cold_until = None
+        self._cold_until = -math.inf
+        self._told_at = None
 
     def wait_s(self, now, ahead=0):
         """Tell when the next request may be sent.
@@ -179,7 +187,9 @@
             return 0.0
         due_at = self._due_at - (self._burst - 1 - ahead) * self._gap_s
         wait_s = max(0.0, due_at - now, self._closed_until + ahead * self._gap_s - now)
-        return min(wait_s, self._until_warm_s(now))
+        if not self.is_known(now):
+            return wait_s
+        return min(wait_s, self._cold_until - now)
 
     def note_start(self, now):
         """Count a request that is sent to the target.
@@ -191,9 +201,6 @@
         if self.is_limited(now):
             self._due_at = max(self._due_at, now) + self._gap_s
 
-    def _until_warm_s(self, now):
-        return math.inf if self._cold_until is None else max(0.0, self._cold_until - now)
-
     def _count_predecessor(self, since):
         # What it can have sent between the moment at which the target turned cold and its own end.
         passed = self._started_at + _PATH_SECONDS - since
--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -47,12 +47,12 @@
     Event(
         "turned_away",
         "The target's node did not let a request in or sent it away from the queue: not run.",
-        "request code ran wait_ms running queued limit slowness instance held_ms",
+        "request code ran wait_ms running queued limit slowness cold instance held_ms",
     ),
     Event(
         "run_failed",
         "A request that was handed to the target got no answer from it.",
-        "request code ran wait_ms running queued limit slowness instance held_ms",
+        "request code ran wait_ms running queued limit slowness cold instance held_ms",
     ),
     Event(
         "run_cancelled",
--- a/packages/relay/src/camphorshelf_relay/gate.py
+++ b/packages/relay/src/camphorshelf_relay/gate.py
@@ -39,7 +39,7 @@
         """
         run = _Run(self, self._loop, message, reply)
         if not self.target.accepting or message.service != self._settings.service:
-            run.decline(Code.NO_TARGET, "the target takes no work", Ran.NOT_RUN)
+            run.decline(Code.NO_TARGET, self.target.closed_reason, Ran.NOT_RUN)
             return None
         if self._ends_at is not None and self._loop.now() + message.left_s > self._ends_at:
             run.decline(Code.NO_TARGET, "the node may end before the request", Ran.NOT_RUN)
@@ -147,6 +147,7 @@
             queued=gate.admission.queued,
             limit=gate.admission.limit,
             slowness=gate.target.slowness,
+            cold=gate.target.is_limited,
             instance=gate.target.record.instance,
             held_ms=round((self._loop.now() - self._arrived) * 1000, 1),
         )
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -70,10 +70,16 @@
         candidates = self._rank(self._loop.now())
         untried = [one for one in candidates if one.address not in self._tried]
         if not candidates:
-            self._refuse(Code.NO_TARGET, "no target of the service takes work")
+            self._refuse(Code.NO_TARGET, self._missing_target_reason())
         elif not self._probe(untried):
             self._offer_best(candidates, put_unanswered_last(untried, self._probed))
 
+    def _missing_target_reason(self):
+        evacuated = self._router.list_evacuated()
+        if evacuated:
+            return f"no target outside the evacuated {', '.join(evacuated)} takes work"
+        return "no target of the service takes work"
+
     def _probe(self, untried):
         if self._rounds >= MAX_PROBE_ROUNDS:
             return False
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -119,6 +119,13 @@
         is_evacuated = self._config.evacuations.is_evacuated
         return [view for view in views if not is_evacuated(view.status.domain)]
 
+    def list_evacuated(self):
+        """List the failure domains that are evacuated.
+
+        :return: their names.
+        """
+        return sorted(self._config.evacuations.held.domains)
+
     def send(self, address, message, on_done):
         """Send a request to a target's node.
 
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -79,6 +79,13 @@
         is_wanted = self._is_configured and not self._is_evacuated and not self._stopping
         return is_wanted and self._record.usable and self._admission.limit > 0
 
+    @property
+    def closed_reason(self):
+        """Why no work is let in, in one sentence."""
+        if self._is_evacuated:
+            return "the target's failure domain is evacuated"
+        return "the target takes no work"
+
     @property
     def is_limited(self):
         """Whether requests are held back because the target is cold, or may be."""
@@ -115,7 +122,7 @@
         cold_s = terms.cold_s if terms is not None else 0.0
         self._warm_up.configure(rate, cold_s, self._settings.warm_up, self._loop.now())
         self._settle("configuration")
-        if rate is not None and not self._warm_up.is_known:
+        if rate is not None and not self._warm_up.is_known(self._loop.now()):
             self._probe_at_once()
 
     def evacuate(self, is_evacuated):
@@ -270,7 +277,7 @@
         due_at = max(self._load_at, self._probed_at) + pause
         if self._warm_up.rate_per_s is None:
             return due_at
-        if not self._warm_up.is_known and not self._record.down:
+        if not self._warm_up.is_known(self._loop.now()) and not self._record.down:
             return self._probed_at + 1 / self._settings.probes_per_s
         return min(due_at, self._probed_at + max(pause, _COLD_PROBE_SECONDS))
 
--- a/tests/features/steps/limit_log_steps.py
+++ b/tests/features/steps/limit_log_steps.py
@@ -45,6 +45,7 @@
         self.record = InstanceRecord()
         self.accepting = True
         self.slowness = 1.0
+        self.is_limited = False
         self.link = self
 
     def send(self, request, request_id, idempotent, on_done, is_wanted):
--- a/tests/features/steps/warm_up_steps.py
+++ b/tests/features/steps/warm_up_steps.py
@@ -9,6 +9,7 @@
 _RATE_PER_S = 7.0
 _COLD_SECONDS = 3.0
 _STEP = 0.001
+_WORD_EACH = 0.1
 _JUST_STARTED = 1_000.0
 
 
@@ -20,6 +21,8 @@
         self.warm_up = WarmUp(self.now)
         self.warm_up.configure(_RATE_PER_S, _COLD_SECONDS, _BOUNDS, self.now)
         self.now += age
+        self.told_at = None
+        self.cold_until = 0.0
         self.starts = []
         self.waits = []
         self.mark = 0
@@ -28,6 +31,7 @@
         """Let requests come evenly, and start each as soon as it may be sent."""
         end, next_at, waiting = self.now + seconds, self.now, []
         while self.now < end:
+            self._repeat()
             while next_at <= self.now:
                 waiting.append(next_at)
                 next_at += 1 / per_s
@@ -36,6 +40,16 @@
                 self.start()
             self.now += _STEP
 
+    def say(self, cold_left_s):
+        """Let the target tell, and go on telling, whether it is cold."""
+        self.cold_until = self.now + cold_left_s
+        self.told_at = self.now
+        self.warm_up.note_told(cold_left_s, self.now)
+
+    def _repeat(self):
+        if self.told_at is not None and self.now - self.told_at >= _WORD_EACH:
+            self.say(max(0.0, self.cold_until - self.now))
+
     def start(self):
         """Start one request."""
         self.warm_up.note_start(self.now)
@@ -45,13 +59,13 @@
 @given("a target that has told it is cold for {seconds:f} s")
 def told_cold(context, seconds):
     context.play = Play(age=5.0)
-    context.play.warm_up.note_told(seconds, context.play.now)
+    context.play.say(seconds)
 
 
 @given("a target that has told it is warm")
 def told_warm(context):
     context.play = Play(age=5.0)
-    context.play.warm_up.note_told(0.0, context.play.now)
+    context.play.say(0.0)
 
 
 @given("a target that has told nothing")
@@ -71,17 +85,18 @@
 
 @when("it is away for {seconds:f} s")
 def pass_time(context, seconds):
+    context.play.told_at = None
     context.play.now += seconds
 
 
 @when("it tells that it is cold for {seconds:f} s")
 def tell_cold(context, seconds):
-    context.play.warm_up.note_told(seconds, context.play.now)
+    context.play.say(seconds)
 
 
 @when("it tells that it is warm")
 def tell_warm(context):
-    context.play.warm_up.note_told(0.0, context.play.now)
+    context.play.say(0.0)
 
 
 @when("it announces that it is cold for {seconds:f} s")
@@ -96,6 +111,7 @@
 
 @when("its connection breaks off")
 def break_off(context):
+    context.play.told_at = None
     context.play.warm_up.note_replaced(context.play.now)
 
 
@@ -172,7 +188,7 @@
 @given("a cold target whose queue holds {count:d} requests of priority 2")
 def cold_queue(context, count):
     play = context.play = Play(age=5.0)
-    play.warm_up.note_told(3.0, play.now)
+    play.say(3.0)
     context.admission = AdmissionQueue(9, play.warm_up)
     context.order = []
     while context.admission.queued < count:
--- a/tests/features/warm_up.feature
+++ b/tests/features/warm_up.feature
@@ -83,6 +83,13 @@
     And 40 requests a second come for 0.5 s
     Then at least 25 requests have started
 
+  Scenario: What a target has said does not hold for long
+    # Guards against a node that was suspended while its target was replaced, and releases what it held.
+    Given a target that has told it is warm
+    When it is away for 4.0 s
+    And 40 requests a second come for 0.5 s
+    Then at most 10 requests have started
+
   Scenario: A target that announces that it is cold while its health says nothing of it
     Given a target that has told nothing
     When it announces that it is cold for 3.0 s
--- a/tests/standins/coldfleet.py
+++ b/tests/standins/coldfleet.py
@@ -21,6 +21,7 @@
 _COLD_PACE = 2.0
 _HOP_SECONDS = 0.002
 _PROBE_SECONDS = 0.05
+_WORD_SECONDS = 0.1
 _MAX_OFFERS = 3
 # Callers come back after a refusal at most after this share of the time that they have left.
 _PATIENCE = 1 / 3
@@ -168,7 +169,7 @@
         self._pace_at = None
         self.warm_up = WarmUp(-10.0)
         self.warm_up.configure(fleet.rate_per_s, fleet.settings.cold_s, _BOUNDS, 0.0)
-        self.warm_up.note_told(0.0, 0.0)
+        fleet.at(0.0, self._tell)
         self.admission = AdmissionQueue(_SLOTS, self.warm_up)
 
     @property
@@ -229,7 +230,9 @@
         if now < self.down_until:
             return
         self.warm_up.note_told(max(0.0, self.cold_until - now), now)
-        self.admission.open(now)
+        if self.admission.closed:
+            self.admission.open(now)
+        self.fleet.at(now + _WORD_SECONDS, self._tell)
 
     def _end(self, job, result):
         on_end = self._running.pop(job, None)
