--- a/tests/features/platform_formats.feature
+++ b/tests/features/platform_formats.feature
@@ -21,6 +21,30 @@
       | a timeout of 0           |
       | a text as version        |
       | an empty split           |
+      | a cold rate below 0      |
+      | a text as cold rate      |
+
+  Scenario: What a cold target bears is read from the document and the settings
+    Given good settings of the platform
+    Then with "terms.bounds.cold_over=1.5" a cold target bears 1.5 times its rate
+    When the operators' document says that cold targets bear 7.0 a second for 3.0 s
+    Then the service has that rate and time
+
+  Scenario Outline: What a target says of being cold
+    When a target's health says "<value>" of being cold
+    Then it is cold for <seconds> s
+
+    Examples:
+      | value | seconds |
+      | 2500  | 2.5     |
+      | 0     | 0.0     |
+      | -1    | None    |
+      | warm  | None    |
+      | nan   | None    |
+
+  Scenario: Evacuations are the keys of rows beside the document
+    When the operators' rows are "config, evacuate/a, evacuate/, evacuation, evacuate/b/c"
+    Then the failure domains "a, b/c" are evacuated
 
   Scenario: Parts of weight nothing get nothing
     When the operators' document splits a route 90, 0 and 10
--- a/tests/features/relay_changes.feature
+++ b/tests/features/relay_changes.feature
@@ -65,6 +65,24 @@
     Then for 1.5 s each "POST /order/x" at "a" is served
     And it has ended within 6 s
 
+  Scenario: An evacuated failure domain gets no requests, whoever restarts and though the store is away
+    # Guards against requests to an evacuated domain from a node that has forgotten the evacuation.
+    When failure domain "fd-b" is evacuated
+    Then within 3 s the target of "b" is closed
+    And 20 requests "GET /look/x" sent by "a, b, c" are served, none by the target of "b"
+    When the store is down
+    And the node of "b" is killed and started again
+    Then "b" is ready within 3 s
+    And 20 requests "GET /look/x" sent by "a, b, c" are served, none by the target of "b"
+    When the store is back
+    And the evacuation of "fd-b" is taken back
+    Then within 3 s the target of "b" is open
+
+  Scenario: All failure domains of a service are evacuated
+    # Guards against requests that wait for a target which operators have taken away.
+    When failure domain "fd-a" is evacuated
+    Then within 3 s an order at "b" is answered 503 with Retry-After
+
   Scenario: A store that forgets its history is read anew
     Given the store has forgotten its history
     When version 9 moves "/look/" to "orders"
--- a/tests/features/steps/platform_formats_steps.py
+++ b/tests/features/steps/platform_formats_steps.py
@@ -6,9 +6,10 @@
 from behave import given, then, when
 
 from camphorshelf_core.errors import Code, ProtocolError, Ran, Refusal
-from camphorshelf_platform.documents import read_document
+from camphorshelf_platform.documents import read_document, read_evacuations
 from camphorshelf_platform.headers import read_target, write_refusal
 from camphorshelf_platform.settings import SettingsError, parse_settings
+from camphorshelf_relay.storeport import StoredRow
 from standins.relays import make_document
 
 _GOOD = """
@@ -71,6 +72,14 @@
     return make_document(9, {"/look/": {"service": "counter", "kind": "idempotent", **changes}})
 
 
+def _document_with(**terms):
+    document = _route()
+    for entry in document["resources"]:
+        if entry["type"] == "services":
+            entry["spec"].update(terms)
+    return document
+
+
 _FAULTS = {
     "half of its bytes": lambda: json.dumps(_route())[:200],
     "a route without a host": lambda: json.dumps(_route(host="")),
@@ -78,6 +87,8 @@
     "an unknown service": lambda: json.dumps(_route(service="nobody")),
     "a timeout of 0": lambda: json.dumps(_route(timeout_s=0)),
     "a text as version": lambda: json.dumps({**_route(), "version": "9"}),
+    "a cold rate below 0": lambda: json.dumps(_document_with(cold_per_s=-1)),
+    "a text as cold rate": lambda: json.dumps(_document_with(cold_per_s="7")),
     "an empty split": lambda: json.dumps(_route(service=None, split=[])),
 }
 
@@ -96,6 +107,46 @@
     raise AssertionError("it was taken")
 
 
+@then('with "{line}" a cold target bears {factor:f} times its rate')
+def bears(context, line, factor):
+    assert parse_settings(context.settings).warm_up.factor == 1.0
+    assert parse_settings(context.settings + line + "\n").warm_up.factor == factor
+
+
+@when("the operators' document says that cold targets bear {rate:f} a second for {seconds:f} s")
+def cold_terms(context, rate, seconds):
+    context.cold = rate, seconds
+    document = _document_with(cold_per_s=rate, cold_s=seconds)
+    context.routing = read_document(json.dumps(document).encode())
+
+
+@then("the service has that rate and time")
+def has_cold_terms(context):
+    terms = context.routing.services["counter"]
+    assert (terms.cold_rate_per_s, terms.cold_s) == context.cold, terms
+
+
+@when('a target\'s health says "{value}" of being cold')
+def cold_header(context, value):
+    context.word = read_target(200, [(b"cold-ms", value.encode())])
+
+
+@then("it is cold for {seconds} s")
+def is_cold_for(context, seconds):
+    assert str(context.word.cold_left_s) == seconds, context.word
+
+
+@when('the operators\' rows are "{keys}"')
+def operators_rows(context, keys):
+    rows = [StoredRow(key, b"", number) for number, key in enumerate(keys.split(", "))]
+    context.evacuated = read_evacuations(rows)
+
+
+@then('the failure domains "{names}" are evacuated')
+def are_evacuated(context, names):
+    assert list(context.evacuated) == names.split(", "), context.evacuated
+
+
 @when("the operators' document splits a route {weights}")
 def split(context, weights):
     numbers = [int(part) for part in weights.replace(" and", ",").split(",")]
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -359,6 +359,37 @@
     context.relays.set_faults(down=[context.relays.ip(name)])
 
 
+@when('failure domain "{domain}" is evacuated')
+def evacuate(context, domain):
+    context.relays.evacuate(domain)
+
+
+@when('the evacuation of "{domain}" is taken back')
+def take_back(context, domain):
+    context.relays.evacuate(domain, is_evacuated=False)
+
+
+@then('within {seconds:d} s the target of "{name}" is {state}')
+def target_state(context, seconds, name, state):
+    wanted = f'"accepting":{"true" if state == "open" else "false"}'
+
+    def is_told():
+        lines = context.relays.log(f"node-{name}").splitlines()
+        told = [line for line in lines if '"event":"target"' in line]
+        return bool(told) and wanted in told[-1]
+
+    context.relays.wait_until(is_told, seconds)
+
+
+@then('{count:d} requests "{line}" sent by "{names}" are served, none by the target of "{name}"')
+def served_elsewhere(context, count, line, names, name):
+    since = time.time()
+    for number in range(count):
+        sender = _names(names)[number % len(_names(names))]
+        assert context.relays.send(sender, *_split(line)).status == 200
+    assert not [at for at in context.relays.run_times(name) if at > since]
+
+
 @when("the store is down")
 def store_down(context):
     context.relays.set_faults(down=True)
--- a/tests/standins/relays.py
+++ b/tests/standins/relays.py
@@ -101,6 +101,12 @@
         row = {"table": "op", "key": "config", "value": encode_value(document)}
         call(self.store, "POST", "store", "/_put", body=json.dumps(row).encode())
 
+    def evacuate(self, domain, is_evacuated=True):
+        """Write the operators' row that evacuates a failure domain, or take it back."""
+        value = encode_value(b"{}") if is_evacuated else None
+        row = {"table": "op", "key": f"evacuate/{domain}", "value": value}
+        call(self.store, "POST", "store", "/_put", body=json.dumps(row).encode())
+
     def set_faults(self, **faults):
         """Set the store's faults, replacing all earlier ones."""
         call(self.store, "POST", "store", "/_faults", body=json.dumps(faults).encode())
