Split the target's probes, a request's run, jobs, evacuations and a node's metrics into modules

Change: healthprobe.py, run.py, jobs.py, evacuations.py and nodemetrics.py; Target and TargetLink take their callbacks as constructor arguments. No behaviour changes.

--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -13,9 +13,9 @@
 import heapq
 import itertools
 from collections import Counter
-from enum import Enum, IntEnum
 from typing import NamedTuple
 
+from .jobs import JobState, LatePolicy, QueueClass
 from .slotlimit import SlotLimit
 from .warmup import WarmUp
 
@@ -42,78 +42,6 @@
     wait_s: float = 0.0
 
 
-class QueueClass(Enum):
-    """The terms on which a job is queued."""
-
-    IN_TIME = "in time"
-    LATE = "late"
-
-
-class LatePolicy(IntEnum):
-    """What becomes of a job that will miss its latency objective.
-
-    The number goes over links, and late work is granted so many times the usual room and offers.
-    """
-
-    REJECT = 0
-    # An answer after the objective is still wanted: queued as late while there is room.
-    QUEUE = 1
-    # It was held so long that a rejection would come too late.
-    QUEUE_HELD = 2
-
-
-class JobState(Enum):
-    """Where a job is between its offer and its end."""
-
-    NEW = "new"
-    QUEUED = "queued"
-    DEQUEUED = "dequeued"
-    RUNNING = "running"
-    DONE = "done"
-
-
-class Job:
-    """One request that is offered to the target.
-
-    :param priority: 0 goes first.
-    :param objective_at: when its latency objective ends, seconds on the monotonic clock.
-    :param expires_at: when nobody waits for it any more.
-    :param work_s: how long such work runs where the slowness is 1.0.
-    :param late_policy: its :class:`LatePolicy`.
-    :param start: called when its slot is there.
-    :param reject: called with the expected wait when it was queued and is shed.
-    """
-
-    __slots__ = (
-        "priority",
-        "objective_at",
-        "expires_at",
-        "work_s",
-        "late_policy",
-        "start",
-        "reject",
-        "state",
-        "queue_class",
-        "due_at",
-        "concurrency_at_start",
-    )
-
-    def __init__(self, priority, objective_at, expires_at, work_s, late_policy, start, reject):
-        self.priority = priority
-        self.objective_at = objective_at
-        self.expires_at = expires_at
-        self.work_s = work_s
-        self.late_policy = late_policy
-        self.start = start
-        self.reject = reject
-        self.state = JobState.NEW
-        self.queue_class = QueueClass.IN_TIME
-        # Until when its answer is wanted here.
-        self.due_at = objective_at
-        # How many ran when it started, itself included.
-        self.concurrency_at_start = 0
-
-
 class AdmissionQueue:
     """Admission at one target: exact counts of what runs, and the queue before it.
 
@@ -159,7 +87,7 @@
     def offer(self, job, now):
         """Start, queue or reject a job.
 
-        :param job: the :class:`Job`.
+        :param job: the :class:`~camphorshelf_core.jobs.Job`.
         :param now: seconds on the monotonic clock.
         :return: a :class:`AdmissionResult`.
         """
@@ -182,7 +110,7 @@
     def expected_wait(self, job, now):
         """Estimate the queueing delay of a job.
 
-        :param job: the :class:`Job`.
+        :param job: the :class:`~camphorshelf_core.jobs.Job`.
         :param now: seconds on the monotonic clock.
         :return: seconds.
         """
@@ -215,7 +143,7 @@
     def finish(self, job, now):
         """Take note that a job left the target, and start what is queued.
 
-        :param job: the :class:`Job`.
+        :param job: the :class:`~camphorshelf_core.jobs.Job`.
         :param now: seconds on the monotonic clock.
         :return: None.
         """
@@ -227,7 +155,7 @@
     def cancel(self, job):
         """Cancel a queued job.
 
-        :param job: the :class:`Job`.
+        :param job: the :class:`~camphorshelf_core.jobs.Job`.
         :return: whether it was queued.
         """
         if job.state is not JobState.QUEUED:
@@ -248,7 +176,7 @@
     def note_run(self, job, seconds, now):
         """Take in how long a job ran at the target, before it is finished.
 
-        :param job: the :class:`Job`.
+        :param job: the :class:`~camphorshelf_core.jobs.Job`.
         :param seconds: its time, as if the slowness had been 1.0.
         :param now: seconds on the monotonic clock.
         :return: None.
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -189,7 +189,7 @@
     """Asks the node beside a target to run a request; ``call_id`` is never reused on its link.
 
     Times are seconds from the moment at which it was sent. ``late_policy`` is the number
-    of a :class:`~camphorshelf_core.admissionqueue.LatePolicy`; ``work_s`` is how long such work
+    of a :class:`~camphorshelf_core.jobs.LatePolicy`; ``work_s`` is how long such work
     usually runs.
     """
 
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from camphorshelf_core.errors import ProtocolError
-from camphorshelf_core.evacuation import EvacuationRecord
 from camphorshelf_core.messages import ConfigReplyMessage, ConfigRequestMessage
 from camphorshelf_core.routes import RouteTable
 from camphorshelf_core.storepollers import (
@@ -15,6 +14,7 @@
 )
 
 from .announcer import Reach
+from .evacuations import EvacuationKeeper
 from .storeport import MAX_WAIT_SECONDS, StoreFailure, wait_after
 
 # Polled and not watched: a watch whose connection hangs, or whose history the store has compacted,
@@ -81,12 +81,11 @@
         self._failures = 0
         self._asked_at = {}
         self._on_change = []
-        self._on_evacuation = []
         self._fetch_timer = None
         # Who has not heard of the version in force from another node.
         self.reach = Reach.NOBODY
         self.config = None
-        self.evacuations = EvacuationRecord()
+        self.evacuations = EvacuationKeeper(loop, log)
         self.table = RouteTable(())
         self.table_name, self.row_key = "", ""
 
@@ -119,14 +118,6 @@
         """
         self._on_change.append(callback)
 
-    def on_evacuation(self, callback):
-        """Say what to do when other failure domains are evacuated than before.
-
-        :param callback: takes no argument.
-        :return: None.
-        """
-        self._on_evacuation.append(callback)
-
     def start(self, table_name, row_key):
         """Begin to read, unless other nodes have the configuration.
 
@@ -216,7 +207,7 @@
         if not isinstance(message, ConfigReplyMessage):
             return
         # Before the configuration, by which this node begins to take requests.
-        self._take_evacuations(lambda now: self.evacuations.take(message.evacuations, now), reach)
+        self.evacuations.take(message.evacuations, reach)
         if message.packed is None:
             return
         try:
@@ -245,10 +236,7 @@
             self._log.notable("store_regained", failures=self._failures)
         self._failures = 0
         self._store_at = self._loop.now()
-        domains = self._readers.evacuations(result.rows)
-        self._take_evacuations(
-            lambda now: self.evacuations.take_rows(domains, result.version, now), Reach.ALL
-        )
+        self.evacuations.take_rows(self._readers.evacuations(result.rows), result.version)
         self._take_rows(result.rows)
         # With jitter, so that the pollers do not all read in the same moment.
         self._loop.call_later(_POLL_SECONDS * self._random.uniform(0.75, 1.0), self._review)
@@ -292,23 +280,6 @@
             if row.key == self.row_key:
                 self._take(row.value, "store", Reach.ALL)
 
-    def _take_evacuations(self, take, reach):
-        before = self.evacuations.held
-        if not take(self._loop.now()):
-            return
-        held = self.evacuations.held
-        for domain in sorted(before.domains.keys() ^ held.domains.keys()):
-            self._log.notable(
-                "evacuation",
-                domain=domain,
-                evacuated=domain in held.domains,
-                row_version=held.domains.get(domain, before.domains.get(domain)),
-                as_of=held.as_of,
-            )
-        self.reach = reach
-        for callback in self._on_evacuation:
-            callback()
-
     def _take(self, document, source, reach):
         if document == self._document:
             return
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -27,6 +27,7 @@
     serve_questions,
 )
 from .metrics import CONTENT_TYPE, Metrics
+from .nodemetrics import NodeParts, watch
 from .peers import Peers
 from .router import Router
 from .settings import Dialect
@@ -96,15 +97,21 @@
         self._started_at = loop.now()
         process_started_at = self._started_at if started_at is None else started_at
         self._admission = AdmissionQueue(warm_up=WarmUp(process_started_at))
-        self._target = Target(loop, settings, ports.dialect, self._admission, log)
         self._crashes = CrashWatch(loop, settings.name, log)
-        self._target.on_crash = self._crashes.note_crash
+        self._peers = Peers(loop, settings, self._describe, log, self._random)
+        self._target = Target(
+            loop,
+            settings,
+            ports.dialect,
+            self._admission,
+            log,
+            on_change=self._peers.tell,
+            on_crash=self._crashes.note_crash,
+        )
         self._gate = Gate(
             loop, settings, ports.dialect, self._admission, self._target, self._crashes, log
         )
-        self._peers = Peers(loop, settings, self._describe, log, self._random)
         store = ports.store(loop, settings.addresses.store)
-        self._store = store
         self._config = ConfigKeeper(
             loop, settings, store, self._peers, ports.readers, self._random, log
         )
@@ -141,10 +148,22 @@
         )
         self._limits = limits
         self._metrics = Metrics()
-        self._watch_metrics()
-        self._target.on_change = self._peers.tell
+        parts = NodeParts(
+            loop,
+            self._target,
+            self._admission,
+            self._gate,
+            self._router,
+            self._peers,
+            self._config,
+            self._callers,
+            store,
+            log,
+            lambda: self.ready,
+        )
+        watch(self._metrics, parts)
         self._peers.on_status = self._hear
-        self._config.on_evacuation(self._on_evacuation)
+        self._config.evacuations.on_change(self._on_evacuation)
         self._config.on_change(self._on_config)
 
     @property
@@ -183,46 +202,6 @@
         headers = (CONTENT_TYPE,)
         serve_questions(self._loop, address, self._limits, answer, self._log.fault, headers)
 
-    def _watch_metrics(self):
-        metrics, target, admission = self._metrics, self._target, self._admission
-        self._router.on_outcome = metrics.note_request
-        self._gate.on_answer = metrics.note_run
-        count, watch = metrics.count, metrics.watch
-        count(
-            "offers",
-            "Requests offered to the target's node, by outcome.",
-            self._gate.counts,
-            "outcome",
-        )
-        count("retries", "Retries by service and verdict.", self._router.retries, "service verdict")
-        count("store.calls", "Calls to the store.", self._store.counts, "kind outcome")
-        count("statuses", "Statuses of hosts.", self._peers.counts, "outcome")
-        count("datagrams", "Datagrams to other hosts.", self._peers.datagram_counts, "outcome")
-        count(
-            "load.probes",
-            "Probes of the load of other hosts.",
-            self._peers.prober.counts,
-            "outcome",
-        )
-        count("target.contacts", "Probes and connections.", target.counts, "kind")
-        count("target.strays", "Answers that belong to no request.", target.strays, "place")
-        count("log.dropped", "Log lines left out.", self._log.counts, "reason")
-        watch("target.running", "Requests that run at the target.", lambda: admission.running)
-        watch("target.queued", "Requests that wait for a slot.", lambda: admission.queued)
-        watch("target.limit", "Requests that may run at once.", lambda: admission.limit)
-        watch("target.slowness", "How long work takes, 1 as usual.", lambda: target.slowness)
-        watch("target.failing", "Share of failed requests.", lambda: target.failing)
-        watch("target.accepting", "1 while work is let in.", lambda: int(target.accepting))
-        watch("target.cold", "1 while starts are limited.", lambda: int(target.is_limited))
-        evacuations = self._config.evacuations
-        watch("evacuated", "Evacuated failure domains.", lambda: len(evacuations.held.domains))
-        watch("ready", "1 while callers should come.", lambda: int(self.ready))
-        watch("config.version", "The configuration in force.", lambda: self._config.version)
-        watch("store.age", "Seconds since the store answered.", lambda: self._config.store_age_s)
-        watch("callers", "Connections of callers.", lambda: self._callers.connections)
-        live = self._peers.directory.live
-        watch("hosts", "Other hosts heard lately.", lambda: len(live(self._loop.now())))
-
     def _describe(self):
         target, admission = self._target, self._admission
         record = target.record
@@ -265,9 +244,9 @@
         self._target.configure(config.services.get(self._settings.service))
         self._peers.tell_version(self._config.reach)
 
-    def _on_evacuation(self):
+    def _on_evacuation(self, reach):
         self._target.evacuate(self._config.evacuations.is_evacuated(self._settings.domain))
-        self._peers.tell_version(self._config.reach)
+        self._peers.tell_version(reach)
 
     def _answer_readiness(self, _request):
         if self.ready:
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -1,9 +1,9 @@
 """One caller's request on its way: which targets it is offered to, and its one answer."""
 
-from camphorshelf_core.admissionqueue import LatePolicy
 from camphorshelf_core.calls import Response
 from camphorshelf_core.errors import Code, Ran, Refusal
 from camphorshelf_core.hedging import hedge_delays
+from camphorshelf_core.jobs import LatePolicy
 from camphorshelf_core.loadprobes import MAX_PROBE_ROUNDS, put_unanswered_last
 from camphorshelf_core.messages import DeclinedMessage, RelayedMessage, RelayMessage
 from camphorshelf_core.placement import rank
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -4,49 +4,46 @@
 and be right, and end all new work at one point when the target leaves.
 """
 
-from camphorshelf_core.calls import Request
 from camphorshelf_core.instances import InstanceRecord
+from camphorshelf_core.routes import ServiceTerms
 
-from .targetconnection import Answered
+from .healthprobe import HealthProbe, ProbeHandlers
 from .targetlink import TargetLink
 
-# Short against the time for which a host's speed holds. Answers to requests carry the same load
-# report, so a busy target is probed less.
-PROBE_SECONDS = 0.05
-_PROBE_TIMEOUT_SECONDS = 0.25
-_LEAST_PROBE_PAUSE_SECONDS = 0.005
-# Asked less while nothing is known of the configuration or the target is down: a connection that
-# is refused costs as much as one that is not.
-_DOWN_PROBE_SECONDS = 0.2
-# The health path answers at once. Two questions without an answer are half a second's silence.
-_SILENT_PROBES = 2
-# A target may turn cold at any moment, and only its health says so.
-_COLD_PROBE_SECONDS = 0.1
 _FAILURE_WEIGHT = 0.08
 # A share of failures halves within this time, so a target that gets no work for its failures is
 # tried again.
 _FAILURE_HALF_LIFE = 1.5
 
 
-class Target:
-    """What the node knows of its target, and the connections to it."""
+def _do_nothing():
+    """Stands for nobody who wants to know."""
+
 
-    def __init__(self, loop, settings, dialect, admission, log):
+class Target:
+    """What the node knows of its target, and the connections to it.
+
+    :param loop: the node's loop.
+    :param settings: the :class:`~camphorshelf_relay.settings.NodeSettings`.
+    :param dialect: how the target is spoken to.
+    :param admission: the :class:`~camphorshelf_core.admissionqueue.AdmissionQueue`.
+    :param log: the :class:`~camphorshelf_relay.eventlog.EventLog`.
+    :param on_change: told after every change that others may want to know of.
+    :param on_crash: told when the target's process has ended without a word.
+    """
+
+    def __init__(
+        self, loop, settings, dialect, admission, log, on_change=_do_nothing, on_crash=_do_nothing
+    ):
         self._loop = loop
         self._settings = settings
         self._admission = admission
         self._warm_up = admission.warm_up
         self._log = log
         self._record = InstanceRecord()
-        self._link = TargetLink(loop, settings.addresses.target, dialect)
-        self._link.on_dial = self._note_dial
-        self._link.on_stray = self._note_stray
-        self._health_path = None
-        self._load_at = 0.0
-        self._probed_at = 0.0
-        self._probing = False
-        self._probe_timer = None
-        self._silent_probes = 0
+        self._link = TargetLink(
+            loop, settings.addresses.target, dialect, self._note_dial, self._note_stray
+        )
         self._failing = 0.0
         self._failing_at = 0.0
         self._stopping = False
@@ -55,13 +52,19 @@
         # What the target says of its speed includes its slow start.
         self.tells_slowness = False
         self.slowness = 1.0
-        self.counts = {"probe": 0, "silent_probe": 0, "connection": 0}
         self.strays = {"ahead": 0, "behind": 0, "idle": 0}
-        # Told after every change that others may want to know of.
-        self.on_change = _do_nothing
-        # Told when the target's process has ended without a word.
-        self.on_crash = _do_nothing
-        self._probe_timer = loop.call_later(PROBE_SECONDS, self._probe)
+        self.on_change = on_change
+        self._on_crash = on_crash
+        handlers = ProbeHandlers(
+            on_answer=self._on_health,
+            on_lost=self.note_lost,
+            on_unreachable=self.note_unreachable,
+            is_down=lambda: self._record.down,
+            is_doubted=lambda: not self._warm_up.is_known(loop.now()),
+        )
+        self._probe = HealthProbe(loop, settings, self._link, handlers)
+        self.counts = self._probe.counts
+        self.counts["connection"] = 0
 
     @property
     def record(self):
@@ -109,6 +112,7 @@
         :return: None.
         """
         self._settings = settings
+        self._probe.take_settings(settings)
 
     def configure(self, terms):
         """Take what is configured for the target's service.
@@ -117,13 +121,11 @@
         :return: None.
         """
         self._is_configured = True
-        self._health_path = terms.health_path if terms is not None else None
-        rate = terms.cold_rate_per_s if terms is not None else None
-        cold_s = terms.cold_s if terms is not None else 0.0
-        self._warm_up.configure(rate, cold_s, self._settings.warm_up, self._loop.now())
+        terms = terms or ServiceTerms(None)
+        rate = terms.cold_rate_per_s
+        self._warm_up.configure(rate, terms.cold_s, self._settings.warm_up, self._loop.now())
         self._settle("configuration")
-        if rate is not None and not self._warm_up.is_known(self._loop.now()):
-            self._probe_at_once()
+        self._probe.configure(terms.health_path, may_be_cold=rate is not None)
 
     def evacuate(self, is_evacuated):
         """Take in whether the target's failure domain is evacuated.
@@ -161,7 +163,7 @@
             self._admission.resize(heartbeat.slots)
         if (self._record.instance, self._record.leaving) != before:
             if before[0] and before[0] != self._record.instance and not before[1]:
-                self.on_crash()
+                self._on_crash()
             self._settle("heartbeat")
         elif taken:
             self._refresh()
@@ -186,7 +188,7 @@
         if word.running is None:
             return
         now = self._loop.now()
-        self._load_at = now
+        self._probe.note_load_told()
         if word.slots and word.slots != self._admission.slots:
             self._admission.resize(word.slots)
         self.tells_slowness = word.slowness is not None
@@ -214,8 +216,7 @@
         :return: None.
         """
         self._warm_up.note_replaced(self._loop.now())
-        if self._warm_up.rate_per_s is not None:
-            self._probe_at_once()
+        self._probe.ask_if_doubted()
 
     def note_unreachable(self):
         """Take in that the target took no connection.
@@ -225,7 +226,7 @@
         self._warm_up.note_replaced(self._loop.now())
         if not self._record.down:
             if not self._record.leaving:
-                self.on_crash()
+                self._on_crash()
             self._record.seen_down()
             self._settle("unreachable")
 
@@ -255,69 +256,15 @@
         if self._warm_up.is_limited(now):
             self._admission.shed_late(now)
 
-    def _probe_at_once(self):
-        self._probe_timer.cancel()
-        self._probe()
-
-    def _probe(self):
-        wait = PROBE_SECONDS
-        if not self._probing and self._health_path is not None:
-            pause = _DOWN_PROBE_SECONDS if self._record.down else PROBE_SECONDS
-            pause = max(pause, 1 / self._settings.probes_per_s)
-            # Answers to requests tell the load too; the next probe is due after the last of them.
-            wait = self._probe_due_at(pause) - self._loop.now()
-            if wait <= 0:
-                self._send_probe(self._loop.now())
-                wait = pause
-        self._probe_timer = self._loop.call_later(
-            max(_LEAST_PROBE_PAUSE_SECONDS, wait), self._probe
-        )
-
-    def _probe_due_at(self, pause):
-        due_at = max(self._load_at, self._probed_at) + pause
-        if self._warm_up.rate_per_s is None:
-            return due_at
-        if not self._warm_up.is_known(self._loop.now()) and not self._record.down:
-            return self._probed_at + 1 / self._settings.probes_per_s
-        return min(due_at, self._probed_at + max(pause, _COLD_PROBE_SECONDS))
-
-    def _send_probe(self, now):
-        self._probing = True
-        self._probed_at = now
-        self.counts["probe"] += 1
-        host = self._settings.addresses.target.text
-        request = Request("GET", self._health_path.encode(), ((b"host", host.encode()),), b"")
-        timer = self._loop.call_later(_PROBE_TIMEOUT_SECONDS, lambda: self._on_silence(abort))
-        abort = self._link.send(request, "", True, lambda result: self._on_probe(result, timer))
-
-    def _on_silence(self, abort):
-        abort()
-        # Connections can go silent all at once while new ones work: one that says nothing speaks
-        # against all kept ones, and the next question finds out by a new one.
-        self._link.close_idle()
-        self._probing = False
-        self._silent_probes += 1
-        self.counts["silent_probe"] += 1
-        if self._silent_probes >= _SILENT_PROBES:
-            self.note_unreachable()
-
-    def _on_probe(self, result, timer):
-        timer.cancel()
-        self._probing = False
-        if not isinstance(result, Answered):
-            if result.sent:
-                self.note_lost()
-            else:
-                self.note_unreachable()
-            return
-        self._silent_probes = 0
+    def _on_health(self, answered):
+        word = answered.word
         before = self._record.usable, self._record.instance
-        if result.response.status == 200 and result.word.instance:
-            self._record.seen_healthy(result.word.instance)
+        if answered.response.status == 200 and word.instance:
+            self._record.seen_healthy(word.instance)
         else:
-            self._record.seen_unhealthy(result.word.instance)
-        self._note_told(result.word, before[1])
-        self.note_word(result.word)
+            self._record.seen_unhealthy(word.instance)
+        self._note_told(word, before[1])
+        self.note_word(word)
         if (self._record.usable, self._record.instance) != before:
             self._settle("health")
 
@@ -359,7 +306,3 @@
                 self._admission.open(now)
         elif not self._admission.closed:
             self._admission.close(now)
-
-
-def _do_nothing():
-    """Stands for nobody who wants to know."""
--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -14,20 +14,34 @@
 _SWEEP_SECONDS = 1.0
 
 
-class TargetLink:
-    """All connections to one address."""
+def _do_nothing():
+    """Stands for breaking off what was never sent, and for nobody who wants to know."""
+
+
+def _ignore_stray(request_id, place):
+    """Stands for nobody who wants to know of stray bytes."""
 
-    def __init__(self, loop, address, dialect):
+
+class TargetLink:
+    """All connections to one address.
+
+    :param loop: the node's loop.
+    :param address: the target's :class:`~camphorshelf_relay.settings.Endpoint`.
+    :param dialect: how the target is spoken to.
+    :param on_dial: told of each connection that is opened.
+    :param on_stray: told of bytes that belong to no request: the id of the request on the
+        connection (empty for none), and where they came: ``ahead`` of its answer, ``behind`` it or
+        ``idle``.
+    """
+
+    def __init__(self, loop, address, dialect, on_dial=_do_nothing, on_stray=_ignore_stray):
         self._loop = loop
         self._address = address
         self._dialect = dialect
         self._idle = []
         self.idle_s = _DEFAULT_IDLE_SECONDS
-        # Told of each connection that is opened.
-        self.on_dial = _do_nothing
-        # Told of bytes that belong to no request: the id of the request on the connection (empty
-        # for none), and where they came: ``ahead`` of its answer, ``behind`` it or ``idle``.
-        self.on_stray = _ignore_stray
+        self._on_dial = on_dial
+        self.on_stray = on_stray
         loop.call_every(_SWEEP_SECONDS, self._sweep)
 
     def send(self, request, request_id, idempotent, on_done, is_wanted=None):
@@ -99,7 +113,7 @@
             stream = dial(self._loop, self._address)
         except OSError:
             return None
-        self.on_dial()
+        self._on_dial()
         return TargetConnection(self._loop, stream, self._dialect, self)
 
     def _sweep(self):
@@ -110,11 +124,3 @@
 
 def _is_always_wanted():
     return True
-
-
-def _do_nothing():
-    """Stands for breaking off what was never sent."""
-
-
-def _ignore_stray(request_id, place):
-    """Stands for nobody who wants to know of stray bytes."""
--- a/tests/features/steps/admission_queue_steps.py
+++ b/tests/features/steps/admission_queue_steps.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, when
 
-from camphorshelf_core.admissionqueue import AdmissionQueue, Job, JobState, LatePolicy
+from camphorshelf_core.admissionqueue import AdmissionQueue
+from camphorshelf_core.jobs import Job, JobState, LatePolicy
 
 _WORK = 0.1
 _OBJECTIVE = 0.3
--- a/tests/features/steps/evacuation_steps.py
+++ b/tests/features/steps/evacuation_steps.py
@@ -7,10 +7,11 @@
 
 from behave import given, then, when
 
-from camphorshelf_core.admissionqueue import AdmissionQueue, LatePolicy
+from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.directory import HostDirectory
 from camphorshelf_core.errors import Ran
 from camphorshelf_core.instances import Heartbeat
+from camphorshelf_core.jobs import LatePolicy
 from camphorshelf_core.messages import (
     ConfigReplyMessage,
     DeclinedMessage,
@@ -219,7 +220,7 @@
     context.gate = Gate(loop, _SETTINGS, DIALECT, admission, context.target, crashes, _Log())
     # Without a health path it is not probed, so that only requests open connections.
     context.target.configure(ServiceTerms(""))
-    context.target._health_path = None
+    context.target._probe.configure(None, may_be_cold=False)
     context.target.beat(Heartbeat("i-1", 1, 1, "counter", "127.0.0.1:1", 9, False, 0.0))
     context.answers = []
 
--- a/tests/features/steps/limit_log_steps.py
+++ b/tests/features/steps/limit_log_steps.py
@@ -4,9 +4,10 @@
 
 from behave import given, then, when
 
-from camphorshelf_core.admissionqueue import AdmissionQueue, LatePolicy
+from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.calls import Response
 from camphorshelf_core.instances import InstanceRecord
+from camphorshelf_core.jobs import LatePolicy
 from camphorshelf_core.messages import RelayMessage
 from camphorshelf_platform.headers import DIALECT, read_target
 from camphorshelf_relay.crashes import CrashWatch
--- a/tests/features/steps/warm_up_steps.py
+++ b/tests/features/steps/warm_up_steps.py
@@ -2,7 +2,8 @@
 
 from behave import given, then, when
 
-from camphorshelf_core.admissionqueue import AdmissionQueue, Job, LatePolicy
+from camphorshelf_core.admissionqueue import AdmissionQueue
+from camphorshelf_core.jobs import Job, LatePolicy
 from camphorshelf_core.warmup import WarmUp, WarmUpBounds
 
 _BOUNDS = WarmUpBounds(1.5, 8.0)
--- a/tests/standins/bending.py
+++ b/tests/standins/bending.py
@@ -3,7 +3,8 @@
 import heapq
 import random
 
-from camphorshelf_core.admissionqueue import AdmissionQueue, Job, LatePolicy
+from camphorshelf_core.admissionqueue import AdmissionQueue
+from camphorshelf_core.jobs import Job, LatePolicy
 
 _WORK = 0.06
 _SPREAD = 0.3
--- a/tests/standins/coldfleet.py
+++ b/tests/standins/coldfleet.py
@@ -10,7 +10,8 @@
 from collections import Counter, deque
 from typing import NamedTuple
 
-from camphorshelf_core.admissionqueue import AdmissionQueue, Job, LatePolicy
+from camphorshelf_core.admissionqueue import AdmissionQueue
+from camphorshelf_core.jobs import Job, LatePolicy
 from camphorshelf_core.placement import rank
 from camphorshelf_core.retryafter import retry_after
 from camphorshelf_core.warmup import WarmUp, WarmUpBounds
