--- a/packages/core/src/camphorshelf_core/warmup.py
+++ b/packages/core/src/camphorshelf_core/warmup.py
@@ -23,7 +23,7 @@
 # Requests are on their way to the target for so long at most.
 _PATH_SECONDS = 0.05
 # More than any limit, so that whatever is left out is more than enough to wait for.
-_REMEMBERED_STARTS = 256
+_REMEMBERED_STARTS = 2048
 # Requests that may start back to back; the rest of the limit is spread over the window, so that
 # urgent work never waits long for the next start.
 _BURST = 3
