--- a/tests/standins/simulated.py
+++ b/tests/standins/simulated.py
@@ -267,7 +267,7 @@
     def held(self):
         return self
 
-    def is_leaving(self, service, target):
+    def is_leaving(self, service, target, domain):
         """Let all stay."""
         return False
 
