Wait for the evacuation itself before checking that nothing is sent

Its step waited for a log line that says the target takes nothing; the target's first line says so too, before its configuration is known, and logs are written with a delay. So requests were sent before the evacuation was read (the step had passed in 0.000 s).

Change: the step waits for the line whose cause is the evacuation. The check that nothing reaches the target is as it was.

--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -371,11 +371,12 @@
 
 @then('within {seconds:d} s the target of "{name}" is {state}')
 def target_state(context, seconds, name, state):
-    wanted = f'"accepting":{"true" if state == "open" else "false"}'
+    wanted = f'"evacuated":{"false" if state == "open" else "true"}'
 
     def is_told():
         lines = context.relays.log(f"node-{name}").splitlines()
-        told = [line for line in lines if '"event":"target"' in line]
+        # A target that takes no work yet says so at the start too.
+        told = [line for line in lines if '"cause":"evacuation"' in line]
         return bool(told) and wanted in told[-1]
 
     context.relays.wait_until(is_told, seconds)
