Hold evacuations in one place, and drop what the warm-up made twice

Cause: on reading the change again. EvacuationKeeper forwarded to a record that held the same value and a 'since' that nobody read; WarmUp.rate_per_s and cold_left_s and AdmissionQueue.start_wait_s had no use of their own; each choice of a target asked two objects about each of its hosts although nothing is evacuated as a rule; an intent's failure domain was read by a branch beside the table that reads such fields.

Change: the keeper holds the Evacuations itself, which say by which version they change; the three members are gone; a choice looks once whether anything is evacuated; the table reads domains too. nodemetrics.watch, which hid itself, is watch_node. Behaviour is as it was.

Measured: linter and the features of these parts, 212 passed, 0 failed.

--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -122,14 +122,6 @@
         ]
         return self._delay_behind(sum(ahead), len(ahead), job, now)
 
-    def start_wait_s(self, now):
-        """Tell when the target may be sent one more request than those that are queued.
-
-        :param now: seconds on the monotonic clock.
-        :return: seconds from now; 0.0 for at once, apart from the slots.
-        """
-        return self.warm_up.wait_s(now)
-
     def next_dispatch_s(self, now):
         """Tell when the next queued job may start, where only a cold target holds it back.
 
--- a/packages/core/src/camphorshelf_core/intents.py
+++ b/packages/core/src/camphorshelf_core/intents.py
@@ -128,9 +128,7 @@
         return config.owner
     if field in ("state", "weight"):
         return getattr(config.targets.get(name, TargetIntent()), field)
-    if field == "domain":
-        return config.domains.get(name, TAKE)
-    return getattr(config, _TABLES[field]).get(name)
+    return getattr(config, _TABLES[field]).get(name, _DEFAULTS.get(field))
 
 
 def apply_changes(services, changes):
@@ -166,7 +164,7 @@
     return config._replace(**{table: {**getattr(config, table), change.name: change.after}})
 
 
-_TABLES = {"idempotent": "idempotent", "class": "classes", "share": "shares"}
+_TABLES = {"idempotent": "idempotent", "class": "classes", "share": "shares", "domain": "domains"}
 _DEFAULTS = {"state": TAKE, "weight": FULL_WEIGHT, "domain": TAKE}
 
 
--- a/packages/core/src/camphorshelf_core/warmup.py
+++ b/packages/core/src/camphorshelf_core/warmup.py
@@ -79,11 +79,6 @@
         # and before it told.
         self._recent = deque(maxlen=_REMEMBERED_STARTS)
 
-    @property
-    def rate_per_s(self):
-        """The configured rate of a cold target; None for no limit."""
-        return self._rate_per_s
-
     def configure(self, rate_per_s, cold_s, bounds, now):
         """Take what is configured.
 
@@ -129,14 +124,6 @@
         """
         return self._rate_per_s is not None and self.is_cold(now)
 
-    def cold_left_s(self, now):
-        """Tell for how long the target stays cold.
-
-        :param now: seconds on the monotonic clock.
-        :return: seconds; 0.0 also when the target has not told.
-        """
-        return max(0.0, self._cold_until - now)
-
     def note_told(self, cold_left_s, now):
         """Take in what the target has answered.
 
@@ -146,7 +133,7 @@
         :return: None.
         """
         if cold_left_s is None:
-            cold_left_s = self.cold_left_s(now)
+            cold_left_s = self._cold_until - now
         if cold_left_s > 0:
             self.note_announced(cold_left_s, now)
         else:
--- a/packages/relay/src/camphorshelf_relay/configkeeper.py
+++ b/packages/relay/src/camphorshelf_relay/configkeeper.py
@@ -85,7 +85,7 @@
         # Who has not heard of the version in force from another node.
         self.reach = Reach.NOBODY
         self.config = None
-        self.evacuations = EvacuationKeeper(loop, log)
+        self.evacuations = EvacuationKeeper(log)
         self.table = RouteTable(())
         self.table_name, self.row_key = "", ""
 
@@ -168,8 +168,8 @@
             self._fetch(view.status)
 
     def _is_newer(self, status):
-        is_evacuation = self.evacuations.is_newer(status.evacuation_version)
-        return is_evacuation or status.config_version > self.version
+        has_evacuation = self.evacuations.held.lacks(status.evacuation_version)
+        return has_evacuation or status.config_version > self.version
 
     def _fetch(self, status):
         now = self._loop.now()
--- a/packages/relay/src/camphorshelf_relay/evacuations.py
+++ b/packages/relay/src/camphorshelf_relay/evacuations.py
@@ -1,6 +1,6 @@
 """The evacuations in force: from the store or from another node that knows of a newer change."""
 
-from camphorshelf_core.evacuation import EvacuationRecord
+from camphorshelf_core.evacuation import Evacuations
 
 from .announcer import Reach
 
@@ -8,41 +8,18 @@
 class EvacuationKeeper:
     """Holds what this node knows of evacuations, and tells of changes.
 
-    :param loop: the node's loop.
     :param log: the :class:`~camphorshelf_relay.eventlog.EventLog`.
     """
 
-    def __init__(self, loop, log):
-        self._loop = loop
+    def __init__(self, log):
         self._log = log
-        self._record = EvacuationRecord()
+        self._held = Evacuations()
         self._on_change = []
 
     @property
     def held(self):
         """The :class:`~camphorshelf_core.evacuation.Evacuations` in force."""
-        return self._record.held
-
-    @property
-    def changed_at(self):
-        """The store's version of the last change that is known here."""
-        return self._record.changed_at
-
-    def is_evacuated(self, domain):
-        """Tell whether no target of a failure domain may get a request.
-
-        :param domain: its name.
-        :return: True or False.
-        """
-        return self._record.is_evacuated(domain)
-
-    def is_newer(self, changed_at):
-        """Tell whether another node knows of a change that is not known here.
-
-        :param changed_at: the version of the last change that it knows of.
-        :return: True or False.
-        """
-        return self._record.is_newer(changed_at)
+        return self._held
 
     def on_change(self, callback):
         """Say what to do when other failure domains are evacuated than before.
@@ -60,24 +37,25 @@
         :param version: the store's version for which they hold.
         :return: None.
         """
-        before = self.held
-        if self._record.take_rows(domains, version, self._loop.now()):
-            self._tell(before, Reach.ALL)
+        self.take(self._held.renew(domains, version), Reach.ALL)
 
     def take(self, evacuations, reach):
-        """Take in what another node knows.
+        """Take in what another node knows, unless this one knows of a later version.
 
         :param evacuations: its :class:`~camphorshelf_core.evacuation.Evacuations`.
         :param reach: the :class:`~camphorshelf_relay.announcer.Reach` of those that have not heard
             of it.
         :return: None.
         """
-        before = self.held
-        if self._record.take(evacuations, self._loop.now()):
+        before = self._held
+        if evacuations.as_of <= before.as_of:
+            return
+        self._held = evacuations
+        if evacuations.domains != before.domains:
             self._tell(before, reach)
 
     def _tell(self, before, reach):
-        held = self.held
+        held = self._held
         for domain in sorted(before.domains.keys() ^ held.domains.keys()):
             self._log.notable(
                 "evacuation",
--- a/packages/relay/src/camphorshelf_relay/healthprobe.py
+++ b/packages/relay/src/camphorshelf_relay/healthprobe.py
@@ -8,7 +8,7 @@
 
 # Short against the time for which a host's speed holds. Answers to requests carry the same load
 # report, so a busy target is probed less.
-PROBE_SECONDS = 0.05
+_PROBE_SECONDS = 0.05
 _TIMEOUT_SECONDS = 0.25
 _LEAST_PAUSE_SECONDS = 0.005
 # Asked less while nothing is known of the configuration or the target is down: a connection that
@@ -58,7 +58,7 @@
         self._is_under_way = False
         self._silent = 0
         self.counts = {"probe": 0, "silent_probe": 0}
-        self._timer = loop.call_later(PROBE_SECONDS, self._review)
+        self._timer = loop.call_later(_PROBE_SECONDS, self._review)
 
     def take_settings(self, settings):
         """Take changed bounds.
@@ -96,9 +96,9 @@
         self._load_at = self._loop.now()
 
     def _review(self):
-        wait = PROBE_SECONDS
+        wait = _PROBE_SECONDS
         if not self._is_under_way and self._path is not None:
-            pause = _DOWN_SECONDS if self._handlers.is_down() else PROBE_SECONDS
+            pause = _DOWN_SECONDS if self._handlers.is_down() else _PROBE_SECONDS
             pause = max(pause, 1 / self._settings.probes_per_s)
             wait = self._due_at(pause) - self._loop.now()
             if wait <= 0:
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -27,7 +27,7 @@
     serve_questions,
 )
 from .metrics import CONTENT_TYPE, Metrics
-from .nodemetrics import NodeParts, watch
+from .nodemetrics import NodeParts, watch_node
 from .peers import Peers
 from .router import Router
 from .settings import Dialect
@@ -161,7 +161,7 @@
             log,
             lambda: self.ready,
         )
-        watch(self._metrics, parts)
+        watch_node(self._metrics, parts)
         self._peers.on_status = self._hear
         self._config.evacuations.on_change(self._on_evacuation)
         self._config.on_change(self._on_config)
@@ -226,8 +226,8 @@
             revision=0,
             repeat_s=0.0,
             crashes=self._crashes.told,
-            start_wait_s=round(admission.start_wait_s(self._loop.now()), 3),
-            evacuation_version=self._config.evacuations.changed_at,
+            start_wait_s=round(admission.warm_up.wait_s(self._loop.now()), 3),
+            evacuation_version=self._config.evacuations.held.changed_at,
         )
 
     def _hear(self, view, is_forwarded):
@@ -245,7 +245,7 @@
         self._peers.tell_version(self._config.reach)
 
     def _on_evacuation(self, reach):
-        self._target.evacuate(self._config.evacuations.is_evacuated(self._settings.domain))
+        self._target.evacuate(self._settings.domain in self._config.evacuations.held.domains)
         self._peers.tell_version(reach)
 
     def _answer_readiness(self, _request):
--- a/packages/relay/src/camphorshelf_relay/nodemetrics.py
+++ b/packages/relay/src/camphorshelf_relay/nodemetrics.py
@@ -32,7 +32,7 @@
     is_ready: object
 
 
-def watch(metrics, parts):
+def watch_node(metrics, parts):
     """Let a node's parts be observed.
 
     :param metrics: the :class:`~camphorshelf_relay.metrics.Metrics`.
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -116,8 +116,10 @@
             own = self._own_view()
             if own.is_usable(now):
                 views.append(own)
-        is_evacuated = self._config.evacuations.is_evacuated
-        return [view for view in views if not is_evacuated(view.status.domain)]
+        evacuated = self._config.evacuations.held.domains
+        if not evacuated:
+            return views
+        return [view for view in views if view.status.domain not in evacuated]
 
     def list_evacuated(self):
         """List the failure domains that are evacuated.
--- a/packages/relay/src/camphorshelf_relay/targetlink.py
+++ b/packages/relay/src/camphorshelf_relay/targetlink.py
@@ -22,6 +22,11 @@
     """Stands for nobody who wants to know of stray bytes."""
 
 
+def _is_always_wanted():
+    """Stands for requests that are never withdrawn."""
+    return True
+
+
 class TargetLink:
     """All connections to one address.
 
@@ -44,7 +49,7 @@
         self.on_stray = on_stray
         loop.call_every(_SWEEP_SECONDS, self._sweep)
 
-    def send(self, request, request_id, idempotent, on_done, is_wanted=None):
+    def send(self, request, request_id, idempotent, on_done, is_wanted=_is_always_wanted):
         """Send a request.
 
         :param request: the :class:`~camphorshelf_core.calls.Request`, complete.
@@ -60,7 +65,7 @@
             lost = Lost("no connection could be opened", sent=False)
             self._loop.call_later(0, lambda: on_done(lost))
             return _do_nothing
-        connection.run(request, request_id, on_done, is_wanted or _is_always_wanted)
+        connection.run(request, request_id, on_done, is_wanted)
         return connection.abort
 
     def close_idle(self):
@@ -120,7 +125,3 @@
         oldest = self._loop.now() - self.idle_s * _IDLE_SHARE
         while self._idle and self._idle[0].idle_since < oldest:
             self._idle[0].close()
-
-
-def _is_always_wanted():
-    return True
--- a/tests/features/steps/evacuation_steps.py
+++ b/tests/features/steps/evacuation_steps.py
@@ -122,7 +122,7 @@
 
 @then("it tells others of version {version:d}")
 def check_told(context, version):
-    assert context.keeper.evacuations.changed_at == version
+    assert context.keeper.evacuations.held.changed_at == version
 
 
 @given(
@@ -154,7 +154,7 @@
 @when("the node hears the other one's status")
 def hear_other(context):
     keeper, other = context.keeper, context.other
-    version = other.evacuations.changed_at
+    version = other.evacuations.held.changed_at
     status = make_status("h2", config_version=0, evacuation_version=version)
     keeper._peers.directory.take(status, keeper._loop.now())
     keeper.hear(keeper._peers.directory.view("h2"))
--- a/tests/standins/coldfleet.py
+++ b/tests/standins/coldfleet.py
@@ -185,7 +185,7 @@
             running=admission.running,
             queued=admission.queued,
             work_s=admission.work_s,
-            start_wait_s=admission.start_wait_s(self.fleet.now),
+            start_wait_s=self.warm_up.wait_s(self.fleet.now),
             slowness=_COLD_PACE if self.fleet.now < self.cold_until else 1.0,
         )
 
