Share readers and settings of a node's parts between the steps that make them up

Cause: on reading the change again, the readers of operators' rows stood in three step files and the same settings of a node in two.

Change: standins/relayparts.py has both. No assertion changes.

--- a/tests/features/steps/config_reads_steps.py
+++ b/tests/features/steps/config_reads_steps.py
@@ -10,16 +10,15 @@
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_core.routes import RoutingConfig
 from camphorshelf_core.storepollers import POLLERS, is_poller
-from camphorshelf_platform.documents import read_document, read_evacuations
 from camphorshelf_relay.announcer import Reach
-from camphorshelf_relay.configkeeper import ConfigKeeper, DocumentReaders
+from camphorshelf_relay.configkeeper import ConfigKeeper
 from camphorshelf_relay.storeport import StoredRow, StoreFailure, StoreRows, Trouble
 from standins.fakes import FakeLoop
 from standins.hosts import make_status
+from standins.relayparts import READERS
 from standins.relays import make_document
 
 _ANSWER_SECONDS = 0.004
-_READERS = DocumentReaders(read_document, read_evacuations)
 
 
 class _SilentStore:
@@ -74,7 +73,7 @@
         store = _SilentStore(loop)
         chance = random.Random(seed)
         context.peers = _Peers()
-        keeper = ConfigKeeper(loop, _Settings(), store, context.peers, _READERS, chance, _Log())
+        keeper = ConfigKeeper(loop, _Settings(), store, context.peers, READERS, chance, _Log())
         keeper.start("op", "config")
         context.keeper = keeper
         context.loops.append(loop)
@@ -157,7 +156,7 @@
     log = _Log()
     chance = random.Random(1)
     store = _SilentStore(loop)
-    keeper = ConfigKeeper(loop, _Settings(), store, _Peers(), _READERS, chance, log)
+    keeper = ConfigKeeper(loop, _Settings(), store, _Peers(), READERS, chance, log)
     return keeper, log
 
 
@@ -247,7 +246,7 @@
         store.answers = False
         settings = SimpleNamespace(name=name, domain="d0")
         chance = random.Random(number)
-        keeper = ConfigKeeper(loop, settings, store, peers, _READERS, chance, _Log())
+        keeper = ConfigKeeper(loop, settings, store, peers, READERS, chance, _Log())
         keeper.config = RoutingConfig(1, (), {}, None)
         for other in names:
             if other != name:
--- a/tests/features/steps/evacuation_steps.py
+++ b/tests/features/steps/evacuation_steps.py
@@ -20,27 +20,20 @@
     decode,
     encode,
 )
-from camphorshelf_core.retrybudget import RetryTerms
 from camphorshelf_core.routes import ServiceTerms
-from camphorshelf_platform.documents import read_document, read_evacuations
 from camphorshelf_platform.headers import DIALECT
 from camphorshelf_relay import targetlink
-from camphorshelf_relay.configkeeper import ConfigKeeper, DocumentReaders
+from camphorshelf_relay.configkeeper import ConfigKeeper
 from camphorshelf_relay.crashes import CrashWatch
 from camphorshelf_relay.gate import Gate
 from camphorshelf_relay.router import Router
-from camphorshelf_relay.settings import Addresses, Endpoint, NodeSettings
 from camphorshelf_relay.storeport import StoredRow, StoreRows
 from camphorshelf_relay.target import Target
 from standins.fakes import FakeLoop, FakeStream
 from standins.hosts import make_status
+from standins.relayparts import READERS, SETTINGS
 from standins.relays import make_document
 
-_READERS = DocumentReaders(read_document, read_evacuations)
-_ENDPOINT = Endpoint("127.0.0.1", 1)
-_SETTINGS = NodeSettings(
-    "a", "south-a", "counter", Addresses(*[_ENDPOINT] * 8), RetryTerms(0.2, 60, 10), 6.0, 60.0
-)
 _ROW_VALUE = b"{}"
 
 
@@ -64,7 +57,7 @@
 
 
 def _make_keeper():
-    keeper = ConfigKeeper(FakeLoop(), _SETTINGS, None, _Peers(), _READERS, random.Random(1), _Log())
+    keeper = ConfigKeeper(FakeLoop(), SETTINGS, None, _Peers(), READERS, random.Random(1), _Log())
     keeper.table_name, keeper.row_key = "op", "config"
     return keeper
 
@@ -81,7 +74,7 @@
 @given('a node in failure domain "{domain}"')
 @given('a node in failure domain "{domain}" that has just been started')
 def give_node(context, domain):
-    assert domain == _SETTINGS.domain
+    assert domain == SETTINGS.domain
     context.keeper = _make_keeper()
 
 
@@ -215,9 +208,9 @@
     patch.start()
     context.add_cleanup(patch.stop)
     admission = AdmissionQueue()
-    context.target = Target(loop, _SETTINGS, DIALECT, admission, _Log())
+    context.target = Target(loop, SETTINGS, DIALECT, admission, _Log())
     crashes = CrashWatch(loop, "a", _Log())
-    context.gate = Gate(loop, _SETTINGS, DIALECT, admission, context.target, crashes, _Log())
+    context.gate = Gate(loop, SETTINGS, DIALECT, admission, context.target, crashes, _Log())
     # Without a health path it is not probed, so that only requests open connections.
     context.target.configure(ServiceTerms(""))
     context.target._probe.configure(None, may_be_cold=False)
@@ -366,7 +359,7 @@
         for number in range(3):
             status = make_status(f"{domain}:{number}", domain=domain)
             peers.directory.take(status, loop.now())
-    settings = _SETTINGS._replace(service="desk")
+    settings = SETTINGS._replace(service="desk")
     context.router = Router(
         loop, settings, DIALECT, context.keeper, peers, None, None, random.Random(1), _Log()
     )
--- a/tests/features/steps/finding_hosts_steps.py
+++ b/tests/features/steps/finding_hosts_steps.py
@@ -8,16 +8,15 @@
 from behave import given, then, when
 
 from camphorshelf_core.directory import HostDirectory
-from camphorshelf_platform.documents import read_document, read_evacuations
-from camphorshelf_relay.configkeeper import ConfigKeeper, DocumentReaders
+from camphorshelf_relay.configkeeper import ConfigKeeper
 from camphorshelf_relay.discovery import TABLE, Discovery
 from camphorshelf_relay.settings import Endpoint
 from camphorshelf_relay.storeport import StoredRow, StoreRows
 from standins.fakes import FakeLoop
 from standins.fleet import Fleet
+from standins.relayparts import READERS
 
 _ANSWER_SECONDS = 0.004
-_READERS = DocumentReaders(read_document, read_evacuations)
 
 
 class _Store:
@@ -82,7 +81,7 @@
         )
         self.peers = _Peers()
         chance = random.Random(number)
-        self.config = ConfigKeeper(loop, settings, store, self.peers, _READERS, chance, _Log())
+        self.config = ConfigKeeper(loop, settings, store, self.peers, READERS, chance, _Log())
         self.discovery = Discovery(loop, settings, store, self.peers, chance, _Log())
 
     def start(self):
--- a/tests/features/steps/target_link_steps.py
+++ b/tests/features/steps/target_link_steps.py
@@ -7,21 +7,16 @@
 from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.calls import Request
 from camphorshelf_core.instances import Heartbeat
-from camphorshelf_core.retrybudget import RetryTerms
 from camphorshelf_core.routes import ServiceTerms
 from camphorshelf_platform.headers import DIALECT
 from camphorshelf_relay import targetlink
-from camphorshelf_relay.settings import Addresses, Endpoint, NodeSettings
 from camphorshelf_relay.target import Target
 from standins.fakes import FakeLoop, FakeStream
+from standins.relayparts import SETTINGS
 
 _HEALTH = (
     b"HTTP/1.1 200 OK\r\nInstance: i-1\r\nInstance-Load: 0,0,9,100\r\nContent-Length: 0\r\n\r\n"
 )
-_ENDPOINT = Endpoint("127.0.0.1", 1)
-_SETTINGS = NodeSettings(
-    "a", "fd", "counter", Addresses(*[_ENDPOINT] * 8), RetryTerms(0.2, 60, 10), 6.0, 60.0
-)
 
 
 class _Log:
@@ -57,7 +52,7 @@
     patch = mock.patch.object(targetlink, "dial", context.streams.dial)
     patch.start()
     context.add_cleanup(patch.stop)
-    context.subject = Target(context.loop, _SETTINGS, DIALECT, AdmissionQueue(), _Log())
+    context.subject = Target(context.loop, SETTINGS, DIALECT, AdmissionQueue(), _Log())
     context.subject.configure(ServiceTerms("/health"))
     context.subject.beat(Heartbeat("i-1", 1, 1, "counter", "127.0.0.1:1", 9, False, 0.0))
     for _ in range(3):
