--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -55,12 +55,12 @@
     Event(
         "turned_away",
         "The target's node refused a request or removed it from the queue. It was not executed.",
-        "request code ran wait_ms running queued limit slowness cold instance held_ms",
+        "request code ran wait_ms running queued limit slowness cold rate_limit instance held_ms",
     ),
     Event(
         "run_failed",
         "A request was started at the target but got no usable response.",
-        "request code ran wait_ms running queued limit slowness cold instance held_ms",
+        "request code ran wait_ms running queued limit slowness cold rate_limit instance held_ms",
     ),
     Event(
         "run_cancelled",
@@ -86,6 +86,18 @@
         "at once.",
         "before limit slots instance",
     ),
+    Event(
+        "rate_limit",
+        "The target advertised another rate limit, in requests a second, or none any more. "
+        "`source` tells whether it did so in its response to a request or to a probe.",
+        "before per_s source instance",
+    ),
+    Event(
+        "rate_limit_invalid",
+        "The target advertised a rate limit that could not be parsed; logged once. Counted as "
+        "`target.invalid.headers`.",
+        "source instance",
+    ),
     Event(
         "target",
         "The state of the target changed; `cause` tells why.",
--- a/packages/relay/src/camphorshelf_relay/nodemetrics.py
+++ b/packages/relay/src/camphorshelf_relay/nodemetrics.py
@@ -64,6 +64,12 @@
     )
     add_counter("target.contacts", "Probes and connections.", target.counts, "kind")
     add_counter("target.strays", "Answers that belong to no request.", target.stray_counts, "place")
+    add_counter(
+        "target.invalid.headers",
+        "Headers of the target that could not be parsed.",
+        target.invalid_header_counts,
+        "header",
+    )
     add_counter("log.dropped", "Log lines left out.", sources.log.counts, "reason")
     add_gauge("target.running", "Requests that run at the target.", lambda: admission.running)
     add_gauge("target.queued", "Requests that wait for a slot.", lambda: admission.queued)
@@ -84,6 +90,11 @@
         "1 while starts are limited.",
         lambda: int(target.is_limited),
     )
+    add_gauge(
+        "target.rate.limit",
+        "The rate limit that the target advertises, in requests a second; -1 for none.",
+        lambda: -1 if target.rate_limit_per_s is None else target.rate_limit_per_s,
+    )
     evacuations = sources.config_sync.evacuations
     add_gauge("evacuated", "Evacuated failure domains.", lambda: len(evacuations.current.domains))
     add_gauge("ready", "1 while callers should come.", lambda: int(sources.is_ready()))
--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -98,6 +98,10 @@
         responses do.
     :param cold_left_s: for how many seconds the target stays cold, 0.0 if it is warm; None if it is
         not reported.
+    :param rate_limit_per_s: the requests a second that the target accepts from all hosts together;
+        None if it advertises no rate limit.
+    :param is_rate_limit_invalid: whether it advertises a rate limit that could not be parsed.
+    :param is_leaving: whether it says that its process is about to end.
     """
 
     request_id: str
@@ -112,6 +116,9 @@
     is_content_encoded: bool
     is_signed: bool
     cold_left_s: float | None = None
+    rate_limit_per_s: float | None = None
+    is_rate_limit_invalid: bool = False
+    is_leaving: bool = False
 
 
 class HeaderCodec(NamedTuple):
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -64,7 +64,9 @@
         # A slowness that the target reports already includes the effect of its warm-up.
         self.reports_slowness = False
         self.slowness = 1.0
+        self.rate_limit_per_s = None
         self.stray_counts = {"ahead": 0, "behind": 0, "idle": 0}
+        self.invalid_header_counts = {"rate_limit": 0}
         self.on_change = on_change
         self._on_crash = on_crash
         handlers = ProbeHandlers(
@@ -214,6 +216,28 @@
                 self._admission.shed_late(now)
             self.on_change()
 
+    def record_advertised(self, metadata, source):
+        """Record what a response says of the target itself: its rate limit, and whether it leaves.
+
+        :param metadata: the response's :class:`~camphorshelf_relay.settings.TargetMetadata`.
+        :param source: ``request`` or ``probe``, for the log.
+        :return: None.
+        """
+        instance = self._record.instance
+        if metadata.is_rate_limit_invalid:
+            if not self.invalid_header_counts["rate_limit"]:
+                self._log.notable("rate_limit_invalid", source=source, instance=instance)
+            self.invalid_header_counts["rate_limit"] += 1
+        elif metadata.rate_limit_per_s != self.rate_limit_per_s:
+            before, self.rate_limit_per_s = self.rate_limit_per_s, metadata.rate_limit_per_s
+            self._log.notable(
+                "rate_limit",
+                before=before,
+                per_s=self.rate_limit_per_s,
+                source=source,
+                instance=instance,
+            )
+
     def record_outcome(self, failed):
         """Update the failure rate with the outcome of one request.
 
@@ -283,6 +307,7 @@
             self._record.record_unhealthy(metadata.instance)
         self._update_cold_state(metadata, before[1])
         self.update_metadata(metadata)
+        self.record_advertised(metadata, "probe")
         if (self._record.usable, self._record.instance) != before:
             self._on_state_change("health")
 
--- a/packages/relay/src/camphorshelf_relay/targetrequest.py
+++ b/packages/relay/src/camphorshelf_relay/targetrequest.py
@@ -100,6 +100,7 @@
             limit=controller.admission.limit,
             slowness=controller.target.slowness,
             cold=controller.target.is_limited,
+            rate_limit=controller.target.rate_limit_per_s,
             instance=controller.target.record.instance,
             held_ms=round((self._loop.now() - self._arrived_at) * 1000, 1),
         )
@@ -168,6 +169,7 @@
         response, metadata, origin = result
         target = self._controller.target
         target.update_metadata(metadata)
+        target.record_advertised(metadata, "request")
         if metadata.not_run:
             self._on_not_run(response, metadata)
             return
--- a/tests/features/platform_formats.feature
+++ b/tests/features/platform_formats.feature
@@ -42,6 +42,39 @@
       | warm  | None    |
       | nan   | None    |
 
+  Scenario Outline: The rate limit that a target advertises
+    When a target's headers server-limit are "<values>"
+    Then its rate limit is <per_s> a second and the header is <validity>
+
+    Examples:
+      | values | per_s | validity |
+      | 6      | 6.0   | valid    |
+      | 3.8    | 3.8   | valid    |
+      | 0      | 0.0   | valid    |
+      | -1     | None  | invalid  |
+      | nan    | None  | invalid  |
+      | inf    | None  | invalid  |
+      | 1e999  | None  | invalid  |
+      | 1_0    | None  | invalid  |
+      | many   | None  | invalid  |
+      |        | None  | invalid  |
+      | 6; 7   | None  | invalid  |
+      | none   | None  | invalid  |
+
+  Scenario: A target that advertises no rate limit
+    When a target's headers are empty
+    Then its rate limit is None a second and the header is valid
+
+  Scenario Outline: Whether a target says that it is about to end
+    When a target's header server-leaving is "<value>"
+    Then it <state>
+
+    Examples:
+      | value | state           |
+      | 1     | leaves          |
+      | 0     | stays           |
+      | yes   | stays           |
+
   Scenario: Evacuations are read from the keys of the rows beside the document
     When the operators' rows are "config, evacuate/a, evacuate/, evacuation, evacuate/b/c"
     Then the failure domains "a, b/c" are evacuated
--- a/tests/features/steps/limit_log_steps.py
+++ b/tests/features/steps/limit_log_steps.py
@@ -52,6 +52,7 @@
         self.accepting = True
         self.slowness = 1.0
         self.is_limited = False
+        self.rate_limit_per_s = None
         self.pool = self
 
     def send(self, request, request_id, idempotent, on_done, is_wanted):
@@ -73,6 +74,9 @@
     def update_metadata(self, metadata):
         """Ignore the metadata; it reports no load."""
 
+    def record_advertised(self, metadata, source):
+        """Ignore the metadata; the target advertises nothing."""
+
     def record_outcome(self, failed):
         """Ignore the outcome; the test has no failures."""
 
--- a/tests/features/steps/platform_formats_steps.py
+++ b/tests/features/steps/platform_formats_steps.py
@@ -136,6 +136,38 @@
     assert str(context.metadata.cold_left_s) == seconds, context.metadata
 
 
+@when('a target\'s headers server-limit are "{values}"')
+def read_rate_limit(context, values):
+    headers = [(b"server-limit", value.strip().encode()) for value in values.split(";")]
+    context.metadata = parse_target(200, headers)
+
+
+@when('a target\'s headers server-limit are ""')
+def read_empty_rate_limit(context):
+    read_rate_limit(context, "")
+
+
+@when("a target's headers are empty")
+def read_no_headers(context):
+    context.metadata = parse_target(200, ())
+
+
+@then("its rate limit is {per_s} a second and the header is {validity}")
+def check_rate_limit(context, per_s, validity):
+    assert str(context.metadata.rate_limit_per_s) == per_s, context.metadata
+    assert context.metadata.is_rate_limit_invalid == (validity == "invalid"), context.metadata
+
+
+@when('a target\'s header server-leaving is "{value}"')
+def read_leaving(context, value):
+    context.metadata = parse_target(200, [(b"server-leaving", value.encode())])
+
+
+@then("it {state:w}")
+def check_leaving(context, state):
+    assert context.metadata.is_leaving == (state == "leaves"), context.metadata
+
+
 @when('the operators\' rows are "{keys}"')
 def read_rows(context, keys):
     rows = [StoredRow(key, b"", number) for number, key in enumerate(keys.split(", "))]
