--- a/tests/features/instances.feature
+++ b/tests/features/instances.feature
@@ -45,6 +45,19 @@
     When a heartbeat 4 of "i-1" that is ready
     Then no requests are sent
 
+  Scenario: A heartbeat that was sent before a deregistration arrives after it
+    # Guards against requests to a target that has deregistered because its last heartbeat was slow.
+    Given a heartbeat 5 of "i-1" started at 1000 that is ready
+    And "i-1" deregisters
+    When a heartbeat 6 of "i-1" started at 1000 that is ready
+    Then no requests are sent
+
+  Scenario: A process that restarts under the same id after a deregistration is used
+    Given a heartbeat 5 of "i-1" started at 1000 that is ready
+    And "i-1" deregisters
+    When a heartbeat 1 of "i-1" started at 9000 that is ready
+    Then requests are sent to "i-1"
+
   Scenario: A node that starts beside a running target learns its id from the health path
     When the health path responds as healthy for "i-1"
     Then requests are sent to "i-1"
--- a/tests/standins/relays.py
+++ b/tests/standins/relays.py
@@ -99,11 +99,16 @@
             "address": self.address("target", name),
             "slots": plan.slots,
             "announce": self.address("heartbeats", name),
-            "journal": str(self.directory / "runs.log"),
+            "journals": str(self.directory),
         }
         command = [sys.executable, "-m", "standins.relaytarget", json.dumps(options)]
         self._start(f"target-{name}", command)
 
+    def advertise(self, name, query):
+        """Set what the responses of a host's target advertise; return the id of its process."""
+        path = f"/_advertise?{query}"
+        return call(self.address("target", name), "GET", "target", path).body.decode()
+
     def configure(self, document):
         """Write the operators' document to the store."""
         row = {"table": "op", "key": "config", "value": encode_value(document)}
--- a/tests/standins/relaytarget.py
+++ b/tests/standins/relaytarget.py
@@ -12,7 +12,9 @@
 - ``mute``: send no response.
 - ``crash``: end the process.
 
-``/_runs`` lists the runs. On SIGUSR1 the target announces that it leaves, on SIGUSR2 that it stays.
+``/_runs`` lists the runs. ``/_advertise`` sets what the responses to requests advertise, by its
+query: ``limit``, a rate limit, ``leaving``, and ``health`` for the responses to probes as well. On
+SIGUSR1 the target announces that it leaves, on SIGUSR2 that it stays.
 """
 
 import asyncio
@@ -21,7 +23,7 @@
 import signal
 import sys
 import time
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, parse_qsl, urlsplit
 
 from standins.server import Reply, run_server
 
@@ -41,6 +43,7 @@
         self._started_at_ms = int(time.time() * 1000)
         self._sequence = 0
         self._leaving = False
+        self._advertised = {}
         self._running = 0
         self._runs = []
         self._changed = asyncio.Event()
@@ -49,11 +52,14 @@
         """Answer one request."""
         url = urlsplit(request.path)
         if url.path == "/health":
-            return self._reply(503 if self._leaving else 200, request)
+            return self._answer_probe(request)
         if url.path == "/_runs":
             return Reply(body=json.dumps(self._runs).encode())
+        if url.path == "/_advertise":
+            return self._advertise(dict(parse_qsl(url.query)))
         if request.headers.get("expect-instance", "") != self._instance:
             return self._reply(421, request, not_run=True)
+        self._journal("arrivals", request.headers.get("request-id"))
         if self._running >= self._options["slots"]:
             return self._reply(503, request, not_run=True)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -68,6 +74,18 @@
         finally:
             self._running -= 1
 
+    def _answer_probe(self, request):
+        reply = self._reply(503 if self._leaving else 200, request)
+        if "health" in self._advertised:
+            return reply
+        headers = [pair for pair in reply.headers if not pair[0].startswith("Server-")]
+        return reply._replace(headers=tuple(headers))
+
+    def _advertise(self, advertised):
+        self._advertised = advertised
+        self._journal("statements", advertised.get("limit", "-"), int("leaving" in advertised))
+        return Reply(body=self._instance.encode())
+
     async def _work(self, request, query):
         await asyncio.sleep(int(query.get("work_ms", _WORK_MS)) / 1000)
         if "crash" in query:
@@ -90,10 +108,14 @@
         headers = {name: request.headers.get(name) for name in header_names}
         run = {"method": request.method, "path": request.path, **headers}
         self._runs.append(run)
-        with open(self._options["journal"], "a", encoding="utf-8") as journal:
-            journal.write(f"{headers['request-id']} {self._options['name']} {time.time()}\n")
+        self._journal("runs", headers["request-id"])
         return run
 
+    def _journal(self, name, *fields):
+        line = (*fields, self._options["name"], time.time(), self._instance)
+        with open(f"{self._options['journals']}/{name}.log", "a", encoding="utf-8") as journal:
+            journal.write(" ".join(map(str, line)) + "\n")
+
     def _reply(self, status, request, not_run=False):
         headers = [
             ("Instance", self._instance),
@@ -104,9 +126,17 @@
             headers.append(("Request-Id", request.headers["request-id"]))
         if not_run:
             headers.append(("Not-Executed", "1"))
+        if status != 421:
+            headers += self._advertised_headers()
         body = f"{self._options['name']} {request.method} {request.path}\n".encode()
         return Reply(status=status, headers=tuple(headers), body=body)
 
+    def _advertised_headers(self):
+        if "limit" in self._advertised:
+            yield "Server-Limit", self._advertised["limit"]
+        if "leaving" in self._advertised:
+            yield "Server-Leaving", "1"
+
     async def send_heartbeats(self):
         """Send heartbeats at a fixed interval, and at once when the state changes."""
         loop = asyncio.get_running_loop()
