Send no requests to a target that says in a response that it leaves

Cause: no node read the header. And what a target had said for good (a deregistration) was undone by a heartbeat that had been sent before it and arrived after it, if no later heartbeat was known. Change: the target's node closes its admission queue with the first response, of a request or a probe, that says so; for this process no heartbeat opens it again. A response is taken as the word of the process that the request was sent to. Entry nodes remember the processes that leave, so that a restarted node beside one gets nothing from them either; the message between nodes stays as it is. Why it works: all requests to a target pass its own node, and the only thing that it can forget is known by all to whom the rule applies.

--- a/packages/core/src/camphorshelf_core/instances.py
+++ b/packages/core/src/camphorshelf_core/instances.py
@@ -41,6 +41,9 @@
         self._started_ms = None
         self._sequence = -1
         self._leaving = False
+        # Whether the process has said that it leaves by other means than its heartbeats. Heartbeats
+        # that were sent before that may arrive later, and have no order relative to it.
+        self._leaves_for_good = False
         # Whether a second heartbeat has overruled an unhealthy response of the health path.
         self._confirmed = False
         # Whether the process was first seen in an unhealthy response and has sent no healthy one.
@@ -67,6 +70,11 @@
         """Whether the process has announced that it is about to end and accepts no more work."""
         return self._leaving
 
+    @property
+    def leaves_for_good(self):
+        """Whether the process has deregistered or has said in a response that it leaves."""
+        return self._leaves_for_good
+
     @property
     def usable(self):
         """Whether requests may be sent to the process."""
@@ -78,6 +86,21 @@
         """Whether the target accepts no connections."""
         return self._down
 
+    @property
+    def process(self):
+        """The id of the current process and when it started, for :meth:`is_current`."""
+        return self._instance, self._started_ms
+
+    def is_current(self, process):
+        """Tell whether a process is still the current one.
+
+        :param process: a former value of :attr:`process`.
+        :return: True or False.
+        """
+        instance, started_ms = process
+        is_same_start = None in (started_ms, self._started_ms) or started_ms == self._started_ms
+        return instance == self._instance and is_same_start
+
     def warming_s(self, now):
         """Compute for how long the process stays slow after its start.
 
@@ -106,14 +129,14 @@
         if heartbeat.started_ms is not None:
             self._started_ms = heartbeat.started_ms
         self._sequence = heartbeat.sequence
-        self._leaving = heartbeat.leaving
+        self._leaving = heartbeat.leaving or self._leaves_for_good
         self.service = heartbeat.service
         self.slots = heartbeat.slots
         self._warm_at = now + heartbeat.warming_s
         return True
 
     def record_leaving(self, instance, started_ms=None):
-        """Record that a process is about to end.
+        """Record that a process has deregistered or has said in a response that it is about to end.
 
         :param instance: the process's id.
         :param started_ms: when the process started, in Unix milliseconds; None when not given.
@@ -126,6 +149,7 @@
             return False
         self._instance = instance
         self._leaving = True
+        self._leaves_for_good = True
         return True
 
     def record_healthy(self, instance):
@@ -204,6 +228,7 @@
         self._instance = instance
         self._sequence = -1
         self._leaving = False
+        self._leaves_for_good = False
         self._confirmed = False
         self._down = False
         self._warm_at = 0.0
--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -103,6 +103,12 @@
         "The state of the target changed; `cause` tells why.",
         "cause instance accepting leaving down evacuated cold",
     ),
+    Event(
+        "target_leaving",
+        "A response of another host's target says that its process is about to end. This node "
+        "sends it no more requests.",
+        "target instance",
+    ),
     Event(
         "heartbeat_refused",
         "A heartbeat could not be parsed or belongs to another service.",
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -137,9 +137,8 @@
         now = self._loop.now()
         self._offer_count += 1
         self._offered_addresses.add(candidate.address)
-        offer = _Offer(self, candidate)
+        offer = _Offer(self, candidate, self._router.record_sent(candidate.address))
         self._pending_offers[offer] = None
-        self._router.record_sent(candidate.address)
         exchange = self._exchange
         request = exchange.request
         message = RelayMessage(
@@ -189,6 +188,7 @@
         :return: None.
         """
         self._pending_offers.pop(offer, None)
+        self._router.record_response(offer.status, message.headers)
         if self._is_finished:
             return
         self._attempts += 1
@@ -369,10 +369,11 @@
 
 
 class _Offer:
-    """One transmission of a request to one target's node."""
+    """One transmission of a request to one target's node, whose status was ``status``."""
 
-    def __init__(self, relay, candidate):
+    def __init__(self, relay, candidate, status):
         self._relay = relay
+        self.status = status
         self.address = candidate.address
         self.expected_s = candidate.expected_s
 
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -2,6 +2,7 @@
 
 from camphorshelf_core.calls import Response, header
 from camphorshelf_core.errors import Code, Refusal
+from camphorshelf_core.leavinginstances import LeavingInstances
 from camphorshelf_core.loadprobes import choose_probes, is_sufficient
 from camphorshelf_core.retrybudget import RetryBudget
 from camphorshelf_core.routes import ServicePicker
@@ -54,6 +55,7 @@
         self._own_address = settings.addresses.links.text
         self._service_picker = ServicePicker(random)
         self._retry_budgets = {}
+        self._leaving_instances = LeavingInstances()
         # Counts of granted and denied retries, by service and verdict.
         self.retry_counts = {}
         # Called with the route's name, the outcome and the seconds of each finished request.
@@ -135,7 +137,8 @@
     def list_targets(self, service):
         """List the hosts with a usable target of a service; a sample if there are many.
 
-        Hosts in evacuated failure domains are left out.
+        Hosts in evacuated failure domains are left out, and so are those whose target's process has
+        said in a response that it leaves.
 
         :param service: the service's name.
         :return: a list of :class:`~camphorshelf_core.hosts.HostView`.
@@ -147,9 +150,12 @@
             if own_view.is_usable(now):
                 views.append(own_view)
         evacuated = self._config_sync.evacuations.current.domains
-        if not evacuated:
-            return views
-        return [view for view in views if view.status.domain not in evacuated]
+        is_leaving = self._leaving_instances.is_leaving
+        return [
+            view
+            for view in views
+            if view.status.domain not in evacuated and not is_leaving(view.status, now)
+        ]
 
     def list_evacuated(self):
         """List the evacuated failure domains.
@@ -198,11 +204,26 @@
         """Count a request that the target's last known status cannot include.
 
         :param address: the link address of the target's node.
-        :return: None.
+        :return: that :class:`~camphorshelf_core.hosts.HostStatus`; None for this host.
         """
         view = self._peers.directory.view(address)
-        if view is not None:
-            view.requests_since_status += 1
+        if view is None:
+            return None
+        view.requests_since_status += 1
+        return view.status
+
+    def record_response(self, status, headers):
+        """Record whether a response says that the target's process is about to end.
+
+        :param status: the :class:`~camphorshelf_core.hosts.HostStatus` for which the target was
+            chosen; None for this host, whose target's state is always known.
+        :param headers: the response's headers.
+        :return: None.
+        """
+        if status is None or not self._header_codec.is_leaving(headers):
+            return
+        if self._leaving_instances.record(status, self.loop.now()):
+            self.log.notable("target_leaving", target=status.address, instance=status.instance)
 
     def refuse(self, exchange, request_id, refusal, route, **fields):
         """Answer a caller's request with a refusal, and log it.
--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -131,6 +131,8 @@
         target.
     :param parse_target: takes the status and the headers of a target's response and returns its
         :class:`TargetMetadata`.
+    :param is_leaving: takes the headers of a target's response and returns whether they say that
+        the target's process is about to end.
     :param build_refusal: takes a refusal and the request's id and returns the status and the
         headers of the response.
     """
@@ -138,4 +140,5 @@
     parse_caller: object
     build_request: object
     parse_target: object
+    is_leaving: object
     build_refusal: object
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -216,6 +216,20 @@
                 self._admission.shed_late(now)
             self.on_change()
 
+    def record_response(self, metadata, process, sent_at):
+        """Record what the response to a request says of the target itself.
+
+        :param metadata: the response's :class:`~camphorshelf_relay.settings.TargetMetadata`.
+        :param process: the process that the request was sent to, as the
+            :attr:`~camphorshelf_core.instances.InstanceRecord.process` of that time.
+        :param sent_at: when the request was sent, in seconds on the loop's clock.
+        :return: None.
+        """
+        self.update_metadata(metadata)
+        if self._record.is_current(process):
+            self._record_leaving(metadata, "response")
+            self.record_advertised(metadata, "request")
+
     def record_advertised(self, metadata, source):
         """Record what a response says of the target itself: its rate limit, and whether it leaves.
 
@@ -307,7 +321,9 @@
             self._record.record_unhealthy(metadata.instance)
         self._update_cold_state(metadata, before[1])
         self.update_metadata(metadata)
-        self.record_advertised(metadata, "probe")
+        if metadata.instance and metadata.instance == self._record.instance:
+            self._record_leaving(metadata, "health")
+            self.record_advertised(metadata, "probe")
         if (self._record.usable, self._record.instance) != before:
             self._on_state_change("health")
 
@@ -327,6 +343,11 @@
             self._admission.dispatch(now)
             self.on_change()
 
+    def _record_leaving(self, metadata, cause):
+        if metadata.is_leaving and not self._record.leaves_for_good:
+            self._record.record_leaving(*self._record.process)
+            self._on_state_change(cause)
+
     def _on_state_change(self, cause):
         self._update_admission()
         record = self._record
--- a/packages/relay/src/camphorshelf_relay/targetrequest.py
+++ b/packages/relay/src/camphorshelf_relay/targetrequest.py
@@ -11,6 +11,8 @@
 # If opening the connection delays a request by more than this, the node checks again whether the
 # target accepts requests before it writes the request.
 _LATE_WRITE_SECONDS = 0.1
+# Another process than the expected one answers a request with this status.
+_WRONG_PROCESS_STATUS = 421
 
 
 class TargetRequest:
@@ -32,6 +34,7 @@
         self._expires_at = self._arrived_at + message.remaining_s
         self._started_at = None
         self._slowness = 1.0
+        self._process = None
         self._abort = None
         self._timer = None
         self._job = Job(
@@ -126,6 +129,7 @@
         target = self._controller.target
         self._started_at = now
         self._slowness = target.slowness
+        self._process = target.record.process
         message = self._message
         headers = self._controller.header_codec.build_request(
             message.headers, remaining_s, target.record.instance, message.caller_service
@@ -168,8 +172,8 @@
     def _on_response(self, result):
         response, metadata, origin = result
         target = self._controller.target
-        target.update_metadata(metadata)
-        target.record_advertised(metadata, "request")
+        if response.status != _WRONG_PROCESS_STATUS:
+            target.record_response(metadata, self._process, self._started_at)
         if metadata.not_run:
             self._on_not_run(response, metadata)
             return
@@ -230,7 +234,7 @@
 
     def _on_not_run(self, response, metadata):
         target = self._controller.target
-        if response.status == 421:
+        if response.status == _WRONG_PROCESS_STATUS:
             target.record_other_process(metadata.instance)
             self.send_refusal(Code.NO_TARGET, "another process has the address", Ran.NOT_RUN)
             return
--- a/tests/features/steps/limit_log_steps.py
+++ b/tests/features/steps/limit_log_steps.py
@@ -71,10 +71,7 @@
     def on_change(self):
         """Do nothing; the test has no listener."""
 
-    def update_metadata(self, metadata):
-        """Ignore the metadata; it reports no load."""
-
-    def record_advertised(self, metadata, source):
+    def record_response(self, metadata, process, sent_at):
         """Ignore the metadata; the target advertises nothing."""
 
     def record_outcome(self, failed):
