Keep the rate limit that a target advertises, at its own node

What callers saw: nothing at once. Cause: no node read the header, so the load and the speed of the target alone decided how many requests it got. Change: core/ratelimit.py paces the starts at one target; core/startlimits.py combines it with the limit of a cold target. It applies from the first response on, at the advertised rate, with two requests back to back and at least one start in 4 s. It ends with a signed response without the header to a request that was sent after the last one with it: responses cross, and those to probes needn't have it. A node that has started, or finds another process, sends three requests and then two a second until the first response. The queue is sorted out at once: what can't start in time any more is refused as not run. Entry nodes see the wait in the statuses, as for cold targets; no message between nodes changes. Why it works: all requests to a target pass its own node, so one count is exact, whoever has been told.

--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -20,7 +20,7 @@
 
 from .jobs import JobState, LatePolicy, QueueClass
 from .slotlimit import SlotLimit
-from .warmup import WarmUp
+from .startlimits import StartLimits
 
 # A queued request is overtaken by more urgent ones that arrive later. In a long queue so many
 # overtake that all requests with a distant objective start too late; in a short queue few do.
@@ -52,10 +52,10 @@
     now, relative to usual (1.0), and ``work_s`` their smoothed run time at a slowness of 1.0.
 
     :param slots: how many requests the target says it can process at once.
-    :param warm_up: the target's :class:`~camphorshelf_core.warmup.WarmUp`.
+    :param start_limits: the target's :class:`~camphorshelf_core.startlimits.StartLimits`.
     """
 
-    def __init__(self, slots=0, warm_up=None):
+    def __init__(self, slots=0, start_limits=None):
         # Breaks ties between jobs with equal keys: the first to come is the first to start.
         self._sequence_numbers = itertools.count()
         self._queue = []
@@ -65,7 +65,7 @@
         self.slowness = 1.0
         self.work_s = 0.0
         self.closed = False
-        self.warm_up = WarmUp(0.0) if warm_up is None else warm_up
+        self.start_limits = StartLimits() if start_limits is None else start_limits
         self._limit = SlotLimit(slots)
 
     @property
@@ -130,7 +130,7 @@
         return self._delay_behind(sum(work_ahead), len(work_ahead), job, now)
 
     def next_dispatch_s(self, now):
-        """Return when the next queued job may start, if only the target's warm-up delays it.
+        """Return when the next queued job may start, if only the limit of the start rate delays it.
 
         :param now: seconds on the monotonic clock.
         :return: seconds from now; None when no job is queued, the queue is closed or no slot is
@@ -138,7 +138,7 @@
         """
         if not self.queued or self.closed or self.running >= self._limit.value:
             return None
-        return self.warm_up.wait_s(now)
+        return self.start_limits.wait_s(now)
 
     def finish(self, job, now):
         """Record that a job has ended, and start queued jobs.
@@ -205,8 +205,8 @@
     def shed_late(self, now):
         """Shed queued jobs that will no longer start in time.
 
-        Called when the target has slowed down or turned cold: the queue drains more slowly, and
-        its requests still have time to go elsewhere.
+        Called when the target has slowed down, turned cold or advertised a lower rate limit: the
+        queue drains more slowly, and its requests still have time to go elsewhere.
 
         :param now: seconds on the monotonic clock.
         :return: None.
@@ -215,7 +215,7 @@
         queued = [entry for entry in self._queue if entry[2].state is JobState.QUEUED]
         for _, _, job in sorted(queued):
             wait_s = self._delay_behind(work_ahead_s, count_ahead, job, now)
-            if job.queue_class is not QueueClass.LATE and self._is_late(job, now + wait_s):
+            if self._must_shed(job, now + wait_s):
                 self._dequeue(job)
                 self._shed(job, wait_s)
             else:
@@ -245,18 +245,19 @@
         self.dispatch(now)
 
     def _can_start(self, now):
-        return self.running < self._limit.value and self.warm_up.wait_s(now) <= 0
+        return self.running < self._limit.value and self.start_limits.wait_s(now) <= 0
 
     def _delay_behind(self, work_ahead_s, count_ahead, job, now):
-        # A cold target has free slots, and queued jobs start at a limited rate.
-        warm_up_s = self.warm_up.wait_s(now, count_ahead)
-        if self.running < self._limit.value and warm_up_s > 0:
-            return warm_up_s
+        # A target that is cold or advertises a rate limit has free slots, and queued jobs start at
+        # a limited rate.
+        rate_wait_s = self.start_limits.wait_s(now, count_ahead)
+        if self.running < self._limit.value and rate_wait_s > 0:
+            return rate_wait_s
         # A slot is free after the mean work divided by the number of slots; each job ahead delays
         # this one by its work divided by the number of slots.
         first_work_s = self.work_s or job.work_s
         slot_wait_s = (work_ahead_s + first_work_s) / max(1, self.limit) * self.slowness
-        return max(slot_wait_s, warm_up_s)
+        return max(slot_wait_s, rate_wait_s)
 
     def _find_queue_place(self, job, start_at, now):
         if not self._is_late(job, start_at):
@@ -292,6 +293,11 @@
     def _is_late(self, job, start_at):
         return start_at + self._run_s(job) > job.due_at
 
+    def _must_shed(self, job, start_at):
+        if job.queue_class is QueueClass.LATE:
+            return start_at > job.expires_at
+        return self._is_late(job, start_at)
+
     def _is_overdue(self, job, now):
         must_be_on_time = job.queue_class is QueueClass.LATE or job.late_policy is LatePolicy.REJECT
         return must_be_on_time and now + self._run_s(job) * 0.5 > job.due_at
@@ -299,7 +305,7 @@
     def _start(self, job, now):
         job.state = JobState.RUNNING
         self.running += 1
-        self.warm_up.record_start(now)
+        self.start_limits.record_start(now)
         job.concurrency_at_start = self.running
         job.start()
 
--- a/packages/relay/src/camphorshelf_relay/admissioncontroller.py
+++ b/packages/relay/src/camphorshelf_relay/admissioncontroller.py
@@ -4,6 +4,10 @@
 
 from .targetrequest import TargetRequest
 
+# A queue that waits for the limit of the start rate is checked this often, because the limit may be
+# raised or end meanwhile.
+_MAX_DISPATCH_DELAY_SECONDS = 0.1
+
 
 class AdmissionController:
     """The single entry point for all requests to the local target.
@@ -74,14 +78,15 @@
         self._shutdown_at = moment
 
     def schedule_dispatch(self):
-        """Set a timer for the next queued request that waits only for a cold target's rate limit.
+        """Set a timer for the next queued request that waits only for the limit of the start rate.
 
         :return: None.
         """
         wait_s = self.admission.next_dispatch_s(self._loop.now())
         if wait_s is None or self._dispatch_timer is not None:
             return
-        self._dispatch_timer = self._loop.call_later(wait_s, self._on_dispatch_timer)
+        delay_s = min(wait_s, _MAX_DISPATCH_DELAY_SECONDS)
+        self._dispatch_timer = self._loop.call_later(delay_s, self._on_dispatch_timer)
 
     def _on_dispatch_timer(self):
         self._dispatch_timer = None
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -11,6 +11,8 @@
 from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.hosts import HostStatus, HostView
 from camphorshelf_core.messages import ConfigRequestMessage
+from camphorshelf_core.ratelimit import RateLimit
+from camphorshelf_core.startlimits import StartLimits
 from camphorshelf_core.warmup import WarmUp
 from camphorshelf_node.loop import Loop
 
@@ -98,7 +100,9 @@
         loop.on_error = log.fault
         self._started_at = loop.now()
         process_started_at = self._started_at if started_at is None else started_at
-        self._admission = AdmissionQueue(warm_up=WarmUp(process_started_at))
+        rate_limit = RateLimit(process_started_at, is_known=False)
+        start_limits = StartLimits(WarmUp(process_started_at), rate_limit)
+        self._admission = AdmissionQueue(start_limits=start_limits)
         self._crashes = CrashTracker(loop, settings.name, log)
         self._peers = Peers(loop, settings, self._own_status, log, self._random)
         self._target = Target(
@@ -237,7 +241,7 @@
             revision=0,
             push_interval_s=0.0,
             crashes=self._crashes.recent_crashes,
-            start_wait_s=round(admission.warm_up.wait_s(self._loop.now()), 3),
+            start_wait_s=round(admission.start_limits.wait_s(self._loop.now()), 3),
             evacuation_version=self._config_sync.evacuations.current.changed_at,
         )
 
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -1,7 +1,8 @@
 """The local target: which of its processes is running, its load and its failures.
 
 A cold target, for example one whose process has just started, tolerates only part of its usual
-load; see ``camphorshelf_core.warmup``.
+load; see ``camphorshelf_core.warmup``. A target may also advertise a rate limit in its responses;
+see ``camphorshelf_core.ratelimit``.
 
 Only this node sends requests to the target. So only this node knows the target's current load, can
 say for certain that a request did not run, and can stop all new work at once when the target
@@ -50,7 +51,8 @@
         self._loop = loop
         self._settings = settings
         self._admission = admission
-        self._warm_up = admission.warm_up
+        self._warm_up = admission.start_limits.warm_up
+        self._rate_limit = admission.start_limits.rate_limit
         self._log = log
         self._record = InstanceRecord()
         self._pool = TargetConnectionPool(
@@ -64,7 +66,6 @@
         # A slowness that the target reports already includes the effect of its warm-up.
         self.reports_slowness = False
         self.slowness = 1.0
-        self.rate_limit_per_s = None
         self.stray_counts = {"ahead": 0, "behind": 0, "idle": 0}
         self.invalid_header_counts = {"rate_limit": 0}
         self.on_change = on_change
@@ -108,6 +109,11 @@
         """Whether request starts are rate-limited because the target is cold or may be."""
         return self._warm_up.is_limited(self._loop.now())
 
+    @property
+    def rate_limit_per_s(self):
+        """The rate limit that the target advertises, in requests a second; None without one."""
+        return self._rate_limit.per_s
+
     @property
     def warming_s(self):
         """For how many seconds the target remains slow without reporting its slowness."""
@@ -172,10 +178,10 @@
             self._log.notable("heartbeat_refused", instance=heartbeat.instance, reason="service")
             return False
         before = self._record.instance, self._record.leaving
-        started_ms = self._record.started_ms
+        process = self._record.process
         accepted = self._record.record_heartbeat(heartbeat, self._loop.now())
         if accepted:
-            self._update_warm_up(heartbeat, before[0], started_ms)
+            self._update_warm_up(heartbeat, process)
         if accepted and heartbeat.slots != self._admission.slots:
             self._admission.resize(heartbeat.slots)
         if (self._record.instance, self._record.leaving) != before:
@@ -226,31 +232,16 @@
         :return: None.
         """
         self.update_metadata(metadata)
-        if self._record.is_current(process):
-            self._record_leaving(metadata, "response")
-            self.record_advertised(metadata, "request")
-
-    def record_advertised(self, metadata, source):
-        """Record what a response says of the target itself: its rate limit, and whether it leaves.
-
-        :param metadata: the response's :class:`~camphorshelf_relay.settings.TargetMetadata`.
-        :param source: ``request`` or ``probe``, for the log.
-        :return: None.
-        """
-        instance = self._record.instance
-        if metadata.is_rate_limit_invalid:
-            if not self.invalid_header_counts["rate_limit"]:
-                self._log.notable("rate_limit_invalid", source=source, instance=instance)
-            self.invalid_header_counts["rate_limit"] += 1
-        elif metadata.rate_limit_per_s != self.rate_limit_per_s:
-            before, self.rate_limit_per_s = self.rate_limit_per_s, metadata.rate_limit_per_s
-            self._log.notable(
-                "rate_limit",
-                before=before,
-                per_s=self.rate_limit_per_s,
-                source=source,
-                instance=instance,
-            )
+        if not self._record.is_current(process):
+            return
+        self._record_leaving(metadata, "response")
+        before = self.rate_limit_per_s
+        if metadata.rate_limit_per_s is not None:
+            self._apply_rate_limit(metadata.rate_limit_per_s, "request")
+        elif metadata.is_rate_limit_invalid:
+            self._record_invalid_rate_limit("request")
+        elif metadata.is_signed and self._rate_limit.record_unadvertised(sent_at):
+            self._on_rate_limit_change(before, "request")
 
     def record_outcome(self, failed):
         """Update the failure rate with the outcome of one request.
@@ -289,7 +280,10 @@
         :param instance: the id of that process, or empty if it is unknown.
         :return: None.
         """
+        before = self._record.instance
         self._record.record_other_instance(instance)
+        if self._record.instance != before:
+            self._rate_limit.record_replaced(self._loop.now())
         self.record_connection_lost()
         self._on_state_change("another process")
 
@@ -301,13 +295,12 @@
         instance = self._record.instance
         self._log.notable("stray_answer", request=request_id, place=place, instance=instance)
 
-    def _update_warm_up(self, heartbeat, instance_before, started_ms_before):
+    def _update_warm_up(self, heartbeat, process_before):
         now = self._loop.now()
-        if (self._record.instance, self._record.started_ms) != (
-            instance_before,
-            started_ms_before,
-        ):
+        if self._record.process != process_before:
             self._warm_up.record_replaced(now)
+        if process_before[0] and not self._record.is_current(process_before):
+            self._rate_limit.record_replaced(now)
         self._warm_up.record_announced(heartbeat.warming_s, now)
         if self._warm_up.is_limited(now):
             self._admission.shed_late(now)
@@ -321,9 +314,7 @@
             self._record.record_unhealthy(metadata.instance)
         self._update_cold_state(metadata, before[1])
         self.update_metadata(metadata)
-        if metadata.instance and metadata.instance == self._record.instance:
-            self._record_leaving(metadata, "health")
-            self.record_advertised(metadata, "probe")
+        self._update_advertised(metadata)
         if (self._record.usable, self._record.instance) != before:
             self._on_state_change("health")
 
@@ -331,6 +322,8 @@
         now = self._loop.now()
         if self._record.instance != instance_before:
             self._warm_up.record_replaced(now)
+            if instance_before:
+                self._rate_limit.record_replaced(now)
         if metadata.instance and metadata.instance != self._record.instance:
             return
         was_limited = self._warm_up.is_limited(now)
@@ -343,11 +336,46 @@
             self._admission.dispatch(now)
             self.on_change()
 
+    def _update_advertised(self, metadata):
+        # A probe's response that doesn't mention a limit doesn't end one: only the responses to
+        # requests are known to mention each limit.
+        if not metadata.instance or metadata.instance != self._record.instance:
+            return
+        self._record_leaving(metadata, "health")
+        if metadata.rate_limit_per_s is not None:
+            self._apply_rate_limit(metadata.rate_limit_per_s, "probe")
+        elif metadata.is_rate_limit_invalid:
+            self._record_invalid_rate_limit("probe")
+
     def _record_leaving(self, metadata, cause):
         if metadata.is_leaving and not self._record.leaves_for_good:
             self._record.record_leaving(*self._record.process)
             self._on_state_change(cause)
 
+    def _apply_rate_limit(self, per_s, source):
+        before = self.rate_limit_per_s
+        self._rate_limit.record_advertised(per_s, self._loop.now())
+        if before != per_s:
+            self._on_rate_limit_change(before, source)
+
+    def _on_rate_limit_change(self, before, source):
+        now = self._loop.now()
+        per_s = self.rate_limit_per_s
+        instance = self._record.instance
+        if before != per_s:
+            self._log.notable(
+                "rate_limit", before=before, per_s=per_s, source=source, instance=instance
+            )
+        self._admission.shed_late(now)
+        self._admission.dispatch(now)
+        self.on_change()
+
+    def _record_invalid_rate_limit(self, source):
+        if not self.invalid_header_counts["rate_limit"]:
+            instance = self._record.instance
+            self._log.notable("rate_limit_invalid", source=source, instance=instance)
+        self.invalid_header_counts["rate_limit"] += 1
+
     def _on_state_change(self, cause):
         self._update_admission()
         record = self._record
--- a/packages/relay/src/camphorshelf_relay/targetrequest.py
+++ b/packages/relay/src/camphorshelf_relay/targetrequest.py
@@ -145,10 +145,10 @@
             return True
         if not self._controller.target.accepting:
             return False
-        # If many connections open late at the same moment, a cold target would get a full second's
-        # requests at once. Counting each delayed request again when it is written holds back
-        # further starts.
-        self._controller.admission.warm_up.record_start(now)
+        # If many connections open late at the same moment, a target with a limited rate would get a
+        # full second's requests at once. Counting each delayed request again when it is written
+        # holds back further starts.
+        self._controller.admission.start_limits.record_start(now)
         return True
 
     def _on_result(self, result):
--- a/tests/standins/coldfleet.py
+++ b/tests/standins/coldfleet.py
@@ -14,6 +14,7 @@
 from camphorshelf_core.jobs import Job, LatePolicy
 from camphorshelf_core.placement import rank_targets
 from camphorshelf_core.retryafter import retry_after
+from camphorshelf_core.startlimits import StartLimits
 from camphorshelf_core.warmup import WarmUp, WarmUpBounds
 from standins.hosts import make_status, make_view
 
@@ -184,7 +185,7 @@
         self.warm_up = WarmUp(-10.0)
         self.warm_up.configure(fleet.rate_per_s, fleet.settings.cold_s, _BOUNDS, 0.0)
         fleet.at(0.0, self._send_heartbeat)
-        self.admission = AdmissionQueue(_SLOTS, self.warm_up)
+        self.admission = AdmissionQueue(_SLOTS, StartLimits(self.warm_up))
 
     @property
     def status(self):
