--- a/tests/features/steps/warm_up_steps.py
+++ b/tests/features/steps/warm_up_steps.py
@@ -4,6 +4,7 @@
 
 from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.jobs import Job, LatePolicy
+from camphorshelf_core.startlimits import StartLimits
 from camphorshelf_core.warmup import WarmUp, WarmUpBounds
 
 _BOUNDS = WarmUpBounds(1.5, 8.0)
@@ -196,7 +197,7 @@
 def cold_queue(context, count):
     simulation = context.simulation = WarmUpSimulation(age=5.0)
     simulation.report(3.0)
-    context.admission = AdmissionQueue(9, simulation.warm_up)
+    context.admission = AdmissionQueue(9, StartLimits(simulation.warm_up))
     context.order = []
     while context.admission.queued < count:
         _offer(context, 2)
--- a/tests/standins/advertised.py
+++ b/tests/standins/advertised.py
@@ -13,7 +13,7 @@
 # The rate is judged from this long after a target first advertised a limit.
 _FIRST_JUDGED_SECONDS = 3.0
 # A request counts if its host was told at least this long before.
-_TOLD_SECONDS = 0.5
+TOLD_SECONDS = 0.5
 
 
 class Arrival(NamedTuple):
@@ -113,10 +113,10 @@
             for one in history.arrivals
             if one.instance == instance
             and history.was_told(
-                times, hosts.get(one.request_id), instance, one.at - _TOLD_SECONDS, one.at
+                times, hosts.get(one.request_id), instance, one.at - TOLD_SECONDS, one.at
             )
         )
-        excess += _find_full_windows(instance, statements, counted)
+        excess += find_full_windows(instance, statements, counted)
     return excess
 
 
@@ -142,7 +142,14 @@
     ]
 
 
-def _find_full_windows(instance, statements, counted):
+def find_full_windows(instance, statements, counted):
+    """Find the windows in which one process got more requests than it accepts.
+
+    :param instance: the id of the process.
+    :param statements: its :class:`Statement`, in order.
+    :param counted: the times of the requests that count, in order.
+    :return: an iterator over the process, the window's end, the count and what is allowed.
+    """
     judged_from = next(one.at for one in statements if one.per_s is not None)
     judged_from += _FIRST_JUDGED_SECONDS
     for index, end in enumerate(counted):
