Take an invalid rate limit as none, and remember leaving processes for a minute

Cause: a target whose every response has an invalid rate limit kept a node that had just started at two requests a second. Change: such a response counts as one without a limit (and is still counted and logged once). Entry nodes remember a process that leaves for 60 s in place of 30 s: some targets serve on for many seconds after they say so.

--- a/packages/core/src/camphorshelf_core/leavinginstances.py
+++ b/packages/core/src/camphorshelf_core/leavinginstances.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 # A leaving process has ended by then. A process of the same id that is started later is used again.
-_MAX_AGE_SECONDS = 30.0
+_MAX_AGE_SECONDS = 60.0
 _MAX_INSTANCES = 256
 
 
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -236,11 +236,10 @@
             return
         self._record_leaving(metadata, "response")
         before = self.rate_limit_per_s
-        if metadata.rate_limit_per_s is not None:
-            self._apply_rate_limit(metadata.rate_limit_per_s, "request")
-        elif metadata.is_rate_limit_invalid:
-            self._record_invalid_rate_limit("request")
-        elif metadata.is_signed and self._rate_limit.record_unadvertised(sent_at):
+        if self._apply_rate_limit(metadata, "request"):
+            return
+        # Only a signed response is known to be complete in what it advertises.
+        if metadata.is_signed and self._rate_limit.record_unadvertised(sent_at):
             self._on_rate_limit_change(before, "request")
 
     def record_outcome(self, failed):
@@ -342,27 +341,29 @@
         if not metadata.instance or metadata.instance != self._record.instance:
             return
         self._record_leaving(metadata, "health")
-        if metadata.rate_limit_per_s is not None:
-            self._apply_rate_limit(metadata.rate_limit_per_s, "probe")
-        elif metadata.is_rate_limit_invalid:
-            self._record_invalid_rate_limit("probe")
+        self._apply_rate_limit(metadata, "probe")
 
     def _record_leaving(self, metadata, cause):
         if metadata.is_leaving and not self._record.leaves_for_good:
             self._record.record_leaving(*self._record.process)
             self._on_state_change(cause)
 
-    def _apply_rate_limit(self, per_s, source):
+    def _apply_rate_limit(self, metadata, source):
+        if metadata.is_rate_limit_invalid:
+            self._record_invalid_rate_limit(source)
+        if metadata.rate_limit_per_s is None:
+            return False
         before = self.rate_limit_per_s
-        self._rate_limit.record_advertised(per_s, self._loop.now())
-        if before != per_s:
+        self._rate_limit.record_advertised(metadata.rate_limit_per_s, self._loop.now())
+        if self.rate_limit_per_s != before:
             self._on_rate_limit_change(before, source)
+        return True
 
     def _on_rate_limit_change(self, before, source):
         now = self._loop.now()
         per_s = self.rate_limit_per_s
         instance = self._record.instance
-        if before != per_s:
+        if per_s != before:
             self._log.notable(
                 "rate_limit", before=before, per_s=per_s, source=source, instance=instance
             )
