Soak: targets advertise rate limits and leave by header; callers keep connections; faults overlap

The checker holds both rules, with what callers were told and the restarts and suspensions of hosts. Faults come in series (kill after kill, SIGTERM then SIGKILL, SIGHUP to several nodes) and overlap on a host with what its target advertises; a stopping node no longer holds up the injection. Callers are bound to a host and keep their connection until its process ends. The number of hosts is an argument.

--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,95 @@
+"""Callers of the fault soak; each keeps a connection to its host until the host's process ends."""
+
+import random
+import threading
+import time
+from typing import NamedTuple
+
+from standins.advertised import ADVERTISED_HEADERS, Sent
+
+_RETRY_SECONDS = 0.02
+_MAX_RETRY_AFTER_SECONDS = 0.2
+_THINK_SECONDS = 0.004
+# Only some callers keep on after a refusal without a pause, as some do in reality.
+_PATIENT_SHARE = 0.8
+
+
+class Outcome(NamedTuple):
+    """The response or error that a caller got to one request.
+
+    ``sent`` is the request's :class:`~standins.advertised.Sent`.
+    """
+
+    request_id: str
+    kind: str
+    path: str
+    status: object
+    body: bytes
+    sent: Sent
+
+
+class SoakCallers:
+    """Callers of all hosts, as threads.
+
+    :param deployment: the :class:`~standins.relays.RelayDeployment`.
+    :param count: how many callers each host has.
+    """
+
+    def __init__(self, deployment, count):
+        self._deployment = deployment
+        self._stop = threading.Event()
+        self.outcomes = []
+        self._threads = [
+            threading.Thread(target=self._run, args=(name, number), daemon=True)
+            for number in range(count)
+            for name in deployment.names
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        """Stop sending and wait for the outstanding responses."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join(15)
+
+    def _run(self, name, number):
+        rng = random.Random(f"{name} {number}")
+        is_patient = rng.random() < _PATIENT_SHARE
+        caller = None
+        while not self._stop.is_set():
+            request_id = self._deployment.next_id()
+            kind = rng.choice(["look", "look", "order"])
+            path = f"/{kind}/{request_id}?work_ms={rng.choice([1, 5, 20, 100])}"
+            sent_at = time.time()
+            try:
+                if caller is None:
+                    caller = self._deployment.connect(name)
+                response = _send(caller, kind, path, request_id)
+            except (OSError, EOFError) as error:
+                sent = Sent(request_id, name, sent_at, time.time(), {})
+                self._record(Outcome(request_id, kind, path, type(error).__name__, b"", sent))
+                caller = caller and caller.close()
+                time.sleep(_RETRY_SECONDS)
+                continue
+            advertised = {
+                key: response.headers[key] for key in ADVERTISED_HEADERS if key in response.headers
+            }
+            sent = Sent(request_id, name, sent_at, time.time(), advertised)
+            self._record(Outcome(request_id, kind, path, response.status, response.body, sent))
+            if response.headers.get("connection") == "close":
+                caller = caller.close()
+            time.sleep(_pause_s(response) if is_patient else _THINK_SECONDS)
+
+    def _record(self, outcome):
+        self.outcomes.append(outcome)
+
+
+def _send(caller, kind, path, request_id):
+    headers = (("Request-Id", request_id), ("Deadline-Ms", "2000"))
+    return caller.request("POST" if kind == "order" else "GET", "shop", path, headers)
+
+
+def _pause_s(response):
+    retry_after_s = float(response.headers.get("retry-after", 0.0))
+    return max(_THINK_SECONDS, min(_MAX_RETRY_AFTER_SECONDS, retry_after_s))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,9 +1,10 @@
 """Injects random faults into real processes and checks the guarantees that callers see.
 
-Five hosts run on loopback, each with a node and a target, and a store behind a proxy. Callers send
-lookups and orders all the time while processes are killed, frozen, stopped and restarted, the store
-is unreachable or slow, hides changes or loses its history, targets leave and crash, and new
-configuration versions are published.
+Five or more hosts run on loopback, each with a node and a target, and a store behind a proxy.
+Callers send lookups and orders all the time over connections that they keep until the process is
+gone. Meanwhile processes are killed, frozen, stopped and restarted, also several times in a row,
+the store is unreachable or slow, hides changes or loses its history, targets advertise rate limits,
+leave and crash, and new configuration versions are published. These faults overlap.
 """
 
 import random
@@ -11,62 +12,51 @@
 import sys
 import threading
 import time
-from typing import NamedTuple
 
+from soak.callers import SoakCallers
+from soak.checks import Finding, Observations, find_violations
 from soak.proxy import Proxy
-from standins.caller import call
 from standins.relays import RelayDeployment, RelayPlan, make_document
 
-_HOSTS = (
-    RelayPlan("a1", "counter", "fd-a"),
-    RelayPlan("b1", "counter", "fd-b"),
-    RelayPlan("c1", "counter", "fd-c"),
-    RelayPlan("a2", "orders", "fd-a"),
-    RelayPlan("b2", "orders", "fd-b"),
-)
-_CALLERS = 6
+_SERVICES = ("counter", "counter", "counter", "orders", "orders")
+_HOST_COUNT = 5
+_DOMAINS = ("fd-a", "fd-b", "fd-c")
+_CALLERS_PER_HOST = 2
 _RECOVERY_SECONDS = 15
-_UNSENT_MARGIN = 0.05
 _FIRST_VERSION = 10
-
-
-class Outcome(NamedTuple):
-    """The response or error that a caller got to one request."""
-
-    request_id: str
-    kind: str
-    path: str
-    status: object
-    body: bytes
-
-
-class Finding(NamedTuple):
-    """A violated guarantee."""
-
-    guarantee: str
-    detail: object
+_RATE_LIMITS_PER_S = (1, 2, 3.8, 6, 20)
+_SEED_SECONDS = 15.0
 
 
 class FaultRun:
-    """A run of one seed."""
+    """A run of one seed.
+
+    :param seed: the seed of the faults.
+    :param seconds: how long faults are injected, in seconds.
+    :param hosts: how many hosts run.
+    """
 
-    def __init__(self, seed, seconds):
+    def __init__(self, seed, seconds, hosts=_HOST_COUNT):
         self._random = random.Random(seed)
         self._seconds = seconds
-        self._outcomes = []
+        self._plans = make_plans(hosts)
+        self._interruptions = {}
         self._leaves = []
         self._version_results = []
         self._version = _FIRST_VERSION
         self._stop = threading.Event()
         self._undo_actions = []
+        # Hosts whose node is down or suspended, and hosts whose target is down or leaves.
         self._stopped = set()
+        self._leaving = set()
+        self._callers = None
         self.log = []
         proxies = []
 
         def start_proxy(address, server):
             proxies.append(Proxy(address, server))
 
-        self._deployment = RelayDeployment(_HOSTS, self._document(), start_proxy)
+        self._deployment = RelayDeployment(self._plans, self._document(), start_proxy)
         self._proxy = proxies[0]
 
     def run(self):
@@ -77,21 +67,36 @@
         try:
             self._deployment.wait_ready()
             self._deployment.wait_served()
-            threads = [threading.Thread(target=self._call, args=(n,)) for n in range(_CALLERS)]
-            threads.append(threading.Thread(target=self._watch_versions))
-            for thread in threads:
-                thread.start()
+            self._callers = SoakCallers(self._deployment, _CALLERS_PER_HOST)
+            watch = threading.Thread(target=self._watch_versions)
+            watch.start()
             self._inject_faults()
             recovered = self._recover()
             self._stop.set()
-            for thread in threads:
-                thread.join(15)
-            return [*recovered, *self._check()]
+            self._callers.stop()
+            watch.join(15)
+            return [*recovered, *find_violations(self._observations())]
         finally:
             self._stop.set()
+            if self._callers is not None:
+                self._callers.stop()
             self._proxy.close()
             self._deployment.close()
 
+    @property
+    def calls(self):
+        """How many requests the callers have sent."""
+        return len(self._callers.outcomes)
+
+    def _observations(self):
+        return Observations(
+            self._deployment,
+            self._callers.outcomes,
+            self._leaves,
+            self._version_results,
+            self._interruptions,
+        )
+
     def _document(self):
         routes = {
             "/look/": {"service": "counter", "kind": "idempotent"},
@@ -104,10 +109,17 @@
         end = time.monotonic() + self._seconds
         faults = (
             self._kill_node,
+            self._kill_node_repeatedly,
             self._freeze_node,
             self._stop_node,
+            self._stop_and_kill_node,
+            self._reload_nodes,
             self._crash_target,
             self._leave_target,
+            self._leave_by_header,
+            self._limit_target,
+            self._limit_target,
+            self._limit_target_beside_restarts,
             self._disturb_store,
             self._cut_store,
             self._configure,
@@ -118,7 +130,13 @@
             self._record(fault.__name__)
             fault()
             self._undo_due()
-            time.sleep(self._random.uniform(0.1, 1.0))
+            self._wait(self._random.uniform(0.1, 0.8))
+
+    def _wait(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(0.05)
+            self._undo_due()
 
     def _record(self, what):
         self.log.append((round(time.time(), 2), what))
@@ -134,28 +152,64 @@
             undo()
 
     def _pick_host(self):
-        free = [plan.name for plan in _HOSTS if plan.name not in self._stopped]
+        free = [plan.name for plan in self._plans if plan.name not in self._stopped]
         # At least two hosts stay up: with fewer, the guarantees need not hold.
         return self._random.choice(free) if len(free) > 2 else None
 
+    def _pick_target(self):
+        """Pick a host whose target runs and doesn't leave; its node may be down."""
+        free = [plan.name for plan in self._plans if plan.name not in self._leaving]
+        return self._random.choice(free) if len(free) > 2 else None
+
+    def _interrupt(self, name):
+        self._interruptions.setdefault(name, []).append(time.time())
+
     def _kill_node(self):
         name = self._pick_host()
         if name is not None:
             self._end_node(name, signal.SIGKILL)
 
+    def _kill_node_repeatedly(self):
+        name = self._pick_host()
+        if name is not None:
+            self._end_node(name, signal.SIGKILL, repeats=self._random.randint(1, 2))
+
     def _stop_node(self):
         name = self._pick_host()
         if name is not None:
             self._end_node(name, signal.SIGTERM)
 
-    def _end_node(self, name, number):
+    def _stop_and_kill_node(self):
+        name = self._pick_host()
+        if name is None:
+            return
+        self._end_node(name, signal.SIGTERM)
+        self._undo_after(
+            self._random.uniform(0.05, 1.5),
+            lambda: self._deployment.signal(f"node-{name}", signal.SIGKILL),
+        )
+
+    def _reload_nodes(self):
+        for name in self._random.choices(self._deployment.names, k=3):
+            if name not in self._stopped:
+                self._deployment.signal(f"node-{name}", signal.SIGHUP)
+
+    def _end_node(self, name, number, repeats=0):
         self._stopped.add(name)
+        self._interrupt(name)
         self._deployment.signal(f"node-{name}", number)
 
         def restart():
-            self._deployment.wait_end(f"node-{name}")
+            if not self._deployment.has_ended(f"node-{name}"):
+                self._undo_after(0.1, restart)
+                return
+            self._interrupt(name)
             self._deployment.start_node(name)
-            self._stopped.discard(name)
+            if repeats:
+                again = self._random.uniform(0.4, 1.2)
+                self._undo_after(again, lambda: self._end_node(name, number, repeats - 1))
+            else:
+                self._stopped.discard(name)
 
         self._undo_after(self._random.uniform(0.1, 2.0), restart)
 
@@ -164,33 +218,40 @@
         if name is None:
             return
         self._stopped.add(name)
+        self._interrupt(name)
         self._deployment.signal(f"node-{name}", signal.SIGSTOP)
 
         def wake():
+            self._interrupt(name)
             self._deployment.signal(f"node-{name}", signal.SIGCONT)
             self._stopped.discard(name)
 
         self._undo_after(self._random.uniform(0.3, 3.0), wake)
 
     def _crash_target(self):
-        name = self._pick_host()
-        if name is None:
-            return
-        self._stopped.add(name)
-        self._deployment.signal(f"target-{name}", signal.SIGKILL)
+        name = self._pick_target()
+        if name is not None:
+            self._leaving.add(name)
+            self._end_target(name, signal.SIGKILL, self._random.uniform(0.2, 2.0))
+
+    def _end_target(self, name, number, seconds):
+        self._deployment.signal(f"target-{name}", number)
         self._deployment.wait_end(f"target-{name}")
 
         def restart():
             self._deployment.start_target(name)
-            self._stopped.discard(name)
+            self._leaving.discard(name)
 
-        self._undo_after(self._random.uniform(0.2, 2.0), restart)
+        self._undo_after(seconds, restart)
 
     def _leave_target(self):
-        name = self._pick_host()
-        if name is None:
+        free = set(self._deployment.names) - self._stopped - self._leaving
+        if len(free) <= 2:
             return
+        name = self._random.choice(sorted(free))
+        # The node isn't restarted meanwhile, so that its acknowledgement binds it.
         self._stopped.add(name)
+        self._leaving.add(name)
         asked = time.time()
         self._deployment.signal(f"target-{name}", signal.SIGUSR1)
 
@@ -198,9 +259,58 @@
             self._leaves.append((name, self._acknowledged_at(name, asked), time.time()))
             self._deployment.signal(f"target-{name}", signal.SIGUSR2)
             self._stopped.discard(name)
+            self._leaving.discard(name)
 
         self._undo_after(self._random.uniform(1.0, 2.5), stay)
 
+    def _leave_by_header(self):
+        name = self._pick_target()
+        if name is None:
+            return
+        self._leaving.add(name)
+        self._advertise(name, self._random.choice(["leaving=1", "leaving=1&health=1"]))
+        if self._random.random() < 0.5:
+            self._undo_after(
+                self._random.uniform(0.0, 1.0),
+                lambda: self._deployment.signal(f"target-{name}", signal.SIGUSR1),
+            )
+        self._undo_after(
+            self._random.uniform(3.0, 5.0), lambda: self._end_target(name, signal.SIGTERM, 0.0)
+        )
+
+    def _limit_target(self):
+        name = self._pick_target()
+        if name is None:
+            return
+        self._advertise_limit(name)
+        if self._random.random() < 0.5:
+            self._undo_after(self._random.uniform(1.0, 3.0), lambda: self._advertise_limit(name))
+        if self._random.random() < 0.5:
+            self._undo_after(self._random.uniform(3.0, 8.0), lambda: self._advertise(name, ""))
+
+    def _limit_target_beside_restarts(self):
+        name = self._pick_host()
+        if name is None or name in self._leaving:
+            return
+        self._advertise_limit(name)
+        self._undo_after(
+            self._random.uniform(1.0, 2.0),
+            lambda: name in self._stopped or self._end_node(name, signal.SIGKILL, repeats=1),
+        )
+
+    def _advertise_limit(self, name):
+        health = self._random.choice(["", "&health=1"])
+        self._advertise(name, f"limit={self._random.choice(_RATE_LIMITS_PER_S)}{health}")
+
+    def _advertise(self, name, query):
+        if name in self._leaving and "leaving" not in query:
+            return
+        self._record(f"{name} advertises {query}")
+        try:
+            self._deployment.advertise(name, query)
+        except OSError as error:
+            self._record(f"{name} could not be asked: {error}")
+
     def _acknowledged_at(self, name, asked):
         for line in self._deployment.log(f"target-{name}").splitlines():
             if line.startswith("acknowledged PUT leaving=True"):
@@ -219,7 +329,7 @@
                 {"lose": True},
                 {"forget": True},
                 {"deaf": True},
-                {"down": [self._deployment.ip("a1"), self._deployment.ip("b2")]},
+                {"down": [self._deployment.ip(name) for name in self._deployment.names[:2]]},
             ]
         )
         self._record(fault)
@@ -238,27 +348,9 @@
         self._version += 1
         self._deployment.configure(self._document())
 
-    def _call(self, number):
-        rng = random.Random(number)
-        while not self._stop.is_set():
-            kind = rng.choice(["look", "look", "order"])
-            request_id = self._deployment.next_id()
-            work = rng.choice([1, 5, 20, 100])
-            path = f"/{kind}/{request_id}?work_ms={work}"
-            headers = (("Request-Id", request_id), ("Deadline-Ms", "2000"))
-            address = self._deployment.address("callers", rng.choice(_HOSTS).name)
-            method = "POST" if kind == "order" else "GET"
-            try:
-                answer = call(address, method, "shop", path, headers)
-                outcome = Outcome(request_id, kind, path, answer.status, answer.body)
-            except (OSError, EOFError) as error:
-                outcome = Outcome(request_id, kind, path, type(error).__name__, b"")
-                time.sleep(0.02)
-            self._outcomes.append(outcome)
-
     def _watch_versions(self):
         while not self._stop.is_set():
-            for plan in _HOSTS:
+            for plan in self._plans:
                 version = self._version
                 pid = self._deployment.pid(f"node-{plan.name}")
                 try:
@@ -270,7 +362,11 @@
             time.sleep(0.02)
 
     def _recover(self):
-        self._undo_due(everything=True)
+        while self._undo_actions:
+            self._undo_due(everything=True)
+            time.sleep(0.1)
+        for name in self._deployment.names:
+            self._advertise(name, "")
         self._deployment.set_faults()
         self._heal()
         try:
@@ -291,69 +387,45 @@
             return False
         return self._deployment.is_ready(name) and (looked, ordered) == (200, 200)
 
-    def _check(self):
-        return [
-            *self._check_orders(),
-            *self._check_answers(),
-            *self._check_leaves(),
-            *self._check_versions(),
-        ]
-
-    def _check_orders(self):
-        runs = self._deployment.all_runs()
-        for one in self._outcomes:
-            if one.kind == "order" and runs[one.request_id] > 1:
-                yield Finding("an order runs at most once", one)
-            if one.status in (408, 421, 429, 503) and one.kind == "order" and runs[one.request_id]:
-                yield Finding("an order that is reported as not run has not run", one)
-
-    def _check_answers(self):
-        for one in self._outcomes:
-            if one.status == 200 and one.path.encode() not in one.body:
-                yield Finding("each caller gets its own complete response", one)
-
-    def _check_leaves(self):
-        for name, acknowledged, until in self._leaves:
-            if acknowledged is None:
-                continue
-            late = [
-                at
-                for at in self._deployment.run_times(name)
-                if acknowledged + _UNSENT_MARGIN < at < until
-            ]
-            if late:
-                yield Finding(
-                    "a leaving target gets no new requests", (name, acknowledged, late[:3])
-                )
 
-    def _check_versions(self):
-        newest = {}
-        for name, pid, version, status in self._version_results:
-            known = newest.get((name, pid), 0)
-            if status == 200 and version < known:
-                yield Finding("the version of a node never decreases", (name, pid, version, known))
-            if status == 200:
-                newest[name, pid] = max(known, version)
+def make_plans(count):
+    """Plan hosts of both services in three failure domains.
+
+    :param count: how many.
+    :return: a tuple of :class:`~standins.relays.RelayPlan`.
+    """
+    return tuple(
+        RelayPlan(
+            f"h{number}",
+            _SERVICES[number % len(_SERVICES)],
+            _DOMAINS[number % len(_DOMAINS)],
+        )
+        for number in range(count)
+    )
 
 
-def main(seconds, seed):
+def main(seconds, seed, hosts):
     """Run successive seeds for a given time.
 
     :param seconds: how long to start new seeds, in seconds.
     :param seed: the first seed.
+    :param hosts: how many hosts run.
     :return: the number of seeds that violated a guarantee.
     """
     end = time.monotonic() + seconds
     violations = 0
     while time.monotonic() < end:
-        run = FaultRun(seed, min(15.0, seconds))
+        run = FaultRun(seed, min(_SEED_SECONDS, seconds), hosts)
         findings = run.run()
         violations += bool(findings)
-        print(f"seed {seed}: {len(run._outcomes)} calls, {len(run.log)} faults, {findings or 'ok'}")
+        print(f"seed {seed}: {run.calls} calls, {len(run.log)} faults, {findings or 'ok'}")
+        if findings:
+            print(run.log)
         sys.stdout.flush()
         seed += 1
     return violations
 
 
 if __name__ == "__main__":
-    sys.exit(1 if main(float(sys.argv[1]), int(sys.argv[2])) else 0)
+    _hosts = int(sys.argv[3]) if len(sys.argv) > 3 else _HOST_COUNT
+    sys.exit(1 if main(float(sys.argv[1]), int(sys.argv[2]), _hosts) else 0)
--- a/tests/standins/advertised.py
+++ b/tests/standins/advertised.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple
 
+# What a :class:`Sent` keeps of a response's headers.
+ADVERTISED_HEADERS = ("instance", "server-limit", "server-leaving")
 RATE_WINDOW_SECONDS = 4.0
 DRAIN_SECONDS = 2.0
 _RATE_FACTOR = 1.5
@@ -63,19 +65,24 @@
     def told(self, name):
         """Return when hosts passed on a header, by host and the target's process."""
         times = {}
-        for one in self.sent:
-            if name in one.advertised:
-                key = one.host, one.advertised.get("instance")
-                times.setdefault(key, []).append(one.answered_at)
+        for one in sorted(self.sent, key=lambda sent: sent.answered_at):
+            if name not in one.advertised:
+                continue
+            known = times.setdefault((one.host, one.advertised.get("instance")), [])
+            # A later response tells a host nothing new unless it was interrupted since.
+            if not known or self._is_interrupted(one.host, known[-1], one.answered_at):
+                known.append(one.answered_at)
         return times
 
     def was_told(self, times, host, instance, since, until):
         """Return whether a host was told before ``since`` and not interrupted up to ``until``."""
-        for at in times.get((host, instance), ()):
-            interrupted = any(at <= one <= until for one in self.interruptions.get(host, ()))
-            if at <= since and not interrupted:
-                return True
-        return False
+        return any(
+            at <= since and not self._is_interrupted(host, at, until)
+            for at in times.get((host, instance), ())
+        )
+
+    def _is_interrupted(self, host, since, until):
+        return any(since <= at <= until for at in self.interruptions.get(host, ()))
 
 
 def read_history(directory, sent, interruptions):
--- a/tests/standins/recordingcallers.py
+++ b/tests/standins/recordingcallers.py
@@ -3,10 +3,9 @@
 import threading
 import time
 
-from standins.advertised import Sent
+from standins.advertised import ADVERTISED_HEADERS, Sent
 
 _RETRY_SECONDS = 0.02
-_ADVERTISED = ("instance", "server-limit", "server-leaving")
 
 
 class RecordingCallers:
@@ -62,6 +61,6 @@
         return caller.request(self._method, "shop", self._path, headers)
 
     def _record(self, request_id, name, sent_at, headers, status):
-        advertised = {key: headers[key] for key in _ADVERTISED if key in headers}
+        advertised = {key: headers[key] for key in ADVERTISED_HEADERS if key in headers}
         self.sent.append(Sent(request_id, name, sent_at, time.time(), advertised))
         self.statuses.append(status)
