--- a/tests/features/advertised.feature
+++ b/tests/features/advertised.feature
@@ -22,6 +22,24 @@
     And 4.0 s pass for the callers
     Then no target got more than its rate limit allows
 
+  Scenario: A rate limit holds while the node beside the target is suspended and wakes
+    # Guards against a node that sends all requests that it has held at once.
+    Given callers at "a, b, c" keep sending "GET /look/x?work_ms=20"
+    And the target of "a" advertises "limit=3.8"
+    And 1.0 s pass for the callers
+    When the node of "a" is suspended for 1.5 s
+    And 4.0 s pass for the callers
+    Then no target got more than its rate limit allows
+
+  Scenario: A process that replaces a limited one is not limited
+    # Guards against a limit that belongs to an address and not to a process.
+    Given callers at "a, b, c" keep sending "GET /look/x?work_ms=20"
+    And the target of "a" advertises "limit=1"
+    And 1.0 s pass for the callers
+    When the target of "a" is replaced
+    And 3.0 s pass for the callers
+    Then the target of "a" got at least 40 requests since then
+
   Scenario: A target without a rate limit any more gets requests as before
     # Guards against a node that never learns that a rate limit has ended.
     Given callers at "a, b, c" keep sending "GET /look/x?work_ms=20"
--- a/tests/features/steps/advertised_steps.py
+++ b/tests/features/steps/advertised_steps.py
@@ -44,6 +44,32 @@
     context.relays.wait_ready(name)
 
 
+@when('the node of "{name}" is suspended for {seconds:f} s')
+def suspend_node(context, name, seconds):
+    context.interruptions.setdefault(name, []).append(time.time())
+    context.relays.signal(f"node-{name}", signal.SIGSTOP)
+    time.sleep(seconds)
+    context.interruptions[name].append(time.time())
+    context.relays.signal(f"node-{name}", signal.SIGCONT)
+
+
+@when('the target of "{name}" is replaced')
+def replace_target(context, name):
+    context.relays.signal(f"target-{name}", signal.SIGTERM)
+    context.relays.wait_end(f"target-{name}")
+    context.relays.start_target(name)
+    context.relays.wait_until(lambda: _ask_instance(context, name) is not None)
+    context.advertised_at = time.time()
+    context.advertising = _ask_instance(context, name)
+
+
+def _ask_instance(context, name):
+    try:
+        return context.relays.advertise(name, "")
+    except OSError:
+        return None
+
+
 @when('the target of "{name}" announces that it leaves and then that it stays')
 def announce_and_stay(context, name):
     for number in (signal.SIGUSR1, signal.SIGUSR2):
