--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -183,11 +183,16 @@
         name = self._pick_host()
         if name is None:
             return
+        process = f"node-{name}"
+        stopped_pid = self._deployment.pid(process)
         self._end_node(name, signal.SIGTERM)
-        self._undo_after(
-            self._random.uniform(0.05, 1.5),
-            lambda: self._deployment.signal(f"node-{name}", signal.SIGKILL),
-        )
+
+        def kill():
+            # It may have ended by itself, and another one may have been started.
+            if self._deployment.pid(process) == stopped_pid:
+                self._deployment.signal(process, signal.SIGKILL)
+
+        self._undo_after(self._random.uniform(0.05, 1.5), kill)
 
     def _reload_nodes(self):
         for name in self._random.choices(self._deployment.names, k=3):
@@ -375,10 +380,18 @@
                     lambda name=name: self._is_healthy(name), _RECOVERY_SECONDS
                 )
         except TimeoutError:
-            healthy = [name for name in self._deployment.names if self._is_healthy(name)]
-            return [Finding("all hosts serve again within 15 s", {"well": healthy})]
+            failed = [name for name in self._deployment.names if not self._is_healthy(name)]
+            details = {name: self._describe(name) for name in failed}
+            return [Finding("all hosts serve again within 15 s", details)]
         return []
 
+    def _describe(self, name):
+        processes = f"node-{name}", f"target-{name}"
+        return {
+            process: (self._deployment.exit_status(process), self._deployment.log(process)[-1500:])
+            for process in processes
+        }
+
     def _is_healthy(self, name):
         try:
             looked = self._deployment.send(name, "GET", f"/v{self._version}/x").status
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -41,6 +41,10 @@
         """Return whether a started process has ended."""
         return self._processes[process].poll() is not None
 
+    def exit_status(self, process):
+        """Return the exit status of a started process, None while it runs."""
+        return self._processes[process].poll()
+
     def pid(self, process):
         """Return the process id of a started process."""
         return self._processes[process].pid
