Tell refused callers not to come back before a target may get a request, and estimate the first response

Cause: with an advertised limit the wait for the next start is known, but Retry-After was drawn within the latency objective, so that callers of a service whose targets are all limited came back only to be refused again. And a node that has just started told all others a wait of 0.5 s, although the first response most likely ends it. Change: Retry-After is at least the shortest wait for a start of the service's targets, with jitter; 0 if one of them has no limit. The wait that a starting node tells, and queues by, is at most 0.15 s; its limit itself stays. Test: the scenario of the starting node now counts all of its requests (3 at once and 2 a second), where it left out the first three.

--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -250,7 +250,7 @@
     def _delay_behind(self, work_ahead_s, count_ahead, job, now):
         # A target that is cold or advertises a rate limit has free slots, and queued jobs start at
         # a limited rate.
-        rate_wait_s = self.start_limits.wait_s(now, count_ahead)
+        rate_wait_s = self.start_limits.expected_wait_s(now, count_ahead)
         if self.running < self._limit.value and rate_wait_s > 0:
             return rate_wait_s
         # A slot is free after the mean work divided by the number of slots; each job ahead delays
--- a/packages/core/src/camphorshelf_core/leavinginstances.py
+++ b/packages/core/src/camphorshelf_core/leavinginstances.py
@@ -48,6 +48,7 @@
         report = self._reports.get(status.instance)
         if report is None or now - report.recorded_at > _MAX_AGE_SECONDS:
             return False
-        # The node that got the response knows more than it said: the status is newer.
+        # While the node that has read the response runs, it knows what the process has said, and
+        # its later statuses take that into account.
         is_same_node = status.incarnation == report.incarnation
         return not (is_same_node and status.sequence > report.sequence)
--- a/packages/core/src/camphorshelf_core/placement.py
+++ b/packages/core/src/camphorshelf_core/placement.py
@@ -123,6 +123,24 @@
     return wait, run
 
 
+def shortest_start_wait(views, now):
+    """Compute how long no target of a service may get another request.
+
+    :param views: the :class:`~camphorshelf_core.hosts.HostView` of the service's accepting hosts.
+    :param now: seconds on the monotonic clock.
+    :return: seconds; 0.0 if some target has no limited rate, or none is known.
+    """
+    waits = [
+        (
+            max(0.0, view.status.start_wait_s - (now - view.heard_at))
+            if _is_load_known(view, now)
+            else 0.0
+        )
+        for view in views
+    ]
+    return min(waits, default=0.0)
+
+
 def has_room(view, now):
     """Check whether a target has a free slot for one more request.
 
--- a/packages/core/src/camphorshelf_core/ratelimit.py
+++ b/packages/core/src/camphorshelf_core/ratelimit.py
@@ -16,6 +16,8 @@
 # tells, so they hold for about the duration of one request.
 _UNKNOWN_BURST = 3
 _UNKNOWN_RATE_PER_S = 2.0
+# How long the first response probably takes.
+_FIRST_RESPONSE_SECONDS = 0.15
 # The lowest rate that is applied. Only a response to a request tells that a limit has ended.
 _MIN_RATE_PER_S = 0.25
 
@@ -65,14 +67,14 @@
         interval_s = 1 / max(per_s, _MIN_RATE_PER_S)
         if self._per_s is None:
             # Requests that were sent before the limit was known use up the burst.
-            unpaid = _BURST
+            missing_tokens = _BURST
         else:
-            unpaid = max(0.0, self._due_at - now) / self._interval_s
+            missing_tokens = max(0.0, self._due_at - now) / self._interval_s
         self._per_s = per_s
         self._is_known = True
         self._burst = _BURST
         self._interval_s = interval_s
-        self._due_at = now + unpaid * interval_s
+        self._due_at = now + missing_tokens * interval_s
 
     def record_unadvertised(self, sent_at):
         """Record a response to a request that contains no limit.
@@ -101,6 +103,19 @@
             return 0.0
         return max(0.0, self._due_at - (self._burst - 1 - ahead) * self._interval_s - now)
 
+    def expected_wait_s(self, now, ahead=0):
+        """Estimate when the next request may be sent.
+
+        While it is unknown whether there is a limit, the first response will probably tell that
+        there is none.
+
+        :param now: seconds on the monotonic clock.
+        :param ahead: how many requests will be sent before it.
+        :return: seconds from now; 0.0 for immediately.
+        """
+        wait_s = self.wait_s(now, ahead)
+        return wait_s if self._is_known else min(wait_s, _FIRST_RESPONSE_SECONDS)
+
     def record_start(self, now):
         """Record that a request was sent to the target.
 
--- a/packages/core/src/camphorshelf_core/retryafter.py
+++ b/packages/core/src/camphorshelf_core/retryafter.py
@@ -26,15 +26,26 @@
     return random.uniform(0.5, 1.5) * _SHED_SECONDS
 
 
-def retry_after(wait_s, objective_left_s, work_s, random):
+def retry_after(wait_s, objective_left_s, work_s, random, start_wait_s=0.0):
     """Choose the delay for a caller whose request was refused by this node.
 
+    Until a target may get another request, a retry would only be refused again, even if that takes
+    longer than the latency objective.
+
     :param wait_s: the shortest queueing delay of all targets, in seconds; None without a target.
     :param objective_left_s: the time left of the caller's latency objective, in seconds.
     :param work_s: how long such a request usually runs, in seconds.
     :param random: the source of random numbers.
+    :param start_wait_s: the shortest time until a target with a limited rate may get another
+        request, in seconds; 0.0 if there is a target without a limit.
     :return: seconds.
     """
+    if start_wait_s > 0:
+        start_wait_s *= random.uniform(1.0, 1.5)
+    return max(start_wait_s, _retry_for_slot(wait_s, objective_left_s, work_s, random))
+
+
+def _retry_for_slot(wait_s, objective_left_s, work_s, random):
     if wait_s is None:
         return random.uniform(0.5, 1.0) * _NO_TARGET_SECONDS
     slack_s = objective_left_s - work_s * 1.5
--- a/packages/core/src/camphorshelf_core/startlimits.py
+++ b/packages/core/src/camphorshelf_core/startlimits.py
@@ -24,6 +24,15 @@
         """
         return max(self.warm_up.wait_s(now, ahead), self.rate_limit.wait_s(now, ahead))
 
+    def expected_wait_s(self, now, ahead=0):
+        """Estimate when the next request may be sent.
+
+        :param now: seconds on the monotonic clock.
+        :param ahead: how many requests will be sent before it.
+        :return: seconds from now; 0.0 for immediately.
+        """
+        return max(self.warm_up.wait_s(now, ahead), self.rate_limit.expected_wait_s(now, ahead))
+
     def record_start(self, now):
         """Record that a request was sent to the target.
 
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -241,7 +241,7 @@
             revision=0,
             push_interval_s=0.0,
             crashes=self._crashes.recent_crashes,
-            start_wait_s=round(admission.start_limits.wait_s(self._loop.now()), 3),
+            start_wait_s=round(admission.start_limits.expected_wait_s(self._loop.now()), 3),
             evacuation_version=self._config_sync.evacuations.current.changed_at,
         )
 
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -6,7 +6,7 @@
 from camphorshelf_core.jobs import LatePolicy
 from camphorshelf_core.loadprobes import MAX_PROBE_ROUNDS, put_unanswered_last
 from camphorshelf_core.messages import RelayAnswerMessage, RelayMessage, RelayRefusedMessage
-from camphorshelf_core.placement import rank_targets
+from camphorshelf_core.placement import rank_targets, shortest_start_wait
 from camphorshelf_core.retry import FAILURE_STATUSES
 from camphorshelf_core.retryafter import retry_after, retry_after_shed
 from camphorshelf_node.headers import strip_hop_by_hop
@@ -328,8 +328,13 @@
         random = self._router.random
         if refusal.code is Code.TARGET_SHED:
             return retry_after_shed(random)
+        start_wait_s = shortest_start_wait(self._router.list_targets(self._service), now)
         return retry_after(
-            self._shortest_wait_s, self._objective_at - now, self._stats.work_s, random
+            self._shortest_wait_s,
+            self._objective_at - now,
+            self._stats.work_s,
+            random,
+            start_wait_s,
         )
 
     def _on_expiry(self):
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -181,7 +181,7 @@
         process = self._record.process
         accepted = self._record.record_heartbeat(heartbeat, self._loop.now())
         if accepted:
-            self._update_warm_up(heartbeat, process)
+            self._update_start_limits(heartbeat, process)
         if accepted and heartbeat.slots != self._admission.slots:
             self._admission.resize(heartbeat.slots)
         if (self._record.instance, self._record.leaving) != before:
@@ -294,7 +294,7 @@
         instance = self._record.instance
         self._log.notable("stray_answer", request=request_id, place=place, instance=instance)
 
-    def _update_warm_up(self, heartbeat, process_before):
+    def _update_start_limits(self, heartbeat, process_before):
         now = self._loop.now()
         if self._record.process != process_before:
             self._warm_up.record_replaced(now)
--- a/tests/features/rate_limit.feature
+++ b/tests/features/rate_limit.feature
@@ -57,8 +57,9 @@
   Scenario: A node that has just started sends few requests before the first response
     # Guards against a restarted node that floods a target whose limit it doesn't know.
     Given a node that has just started beside a target that doesn't respond
-    When 1.0 s pass under full load
-    Then it got at most 3 requests in the last 1 s
+    When 0.6 s pass under full load
+    Then it got at most 4 requests in the last 1 s
+    And the next request is expected to start within 150 ms
 
   Scenario: Random series of limits, restarts and suspensions
     # Guards against a sequence of changes that lets more requests through than a limit allows.
--- a/tests/features/retry_after.feature
+++ b/tests/features/retry_after.feature
@@ -6,6 +6,20 @@
     Then no tenth of the interval holds more than a fifth of their retries
     And all retry after at least 40 ms and with time for their work
 
+  Scenario: Callers of a service whose targets all have a limited rate wait for the next start
+    # Guards against a delay that brings callers back before any target may get a request.
+    Given 200 callers refused by targets that get their next request in 800 ms
+    Then all retry between 800 and 1200 ms
+    And no tenth of the interval holds more than a fifth of their retries
+
+  Scenario: One target without a limited rate is enough for an early retry
+    Given a target that gets its next request in 800 ms and one without a limited rate
+    Then no caller has to wait for a start
+
+  Scenario: The wait for the next start gets shorter as the status gets older
+    Given a target that got its status 300 ms ago and then had to wait for 800 ms
+    Then the wait for a start is 500 ms
+
   Scenario: A caller whose latency objective has passed retries when a slot may be free
     Given 200 callers refused with a wait of 300 ms and 0 ms left of their objective, for work of 100 ms
     Then all retry between 150 and 450 ms
--- a/tests/features/steps/rate_limit_steps.py
+++ b/tests/features/steps/rate_limit_steps.py
@@ -87,6 +87,13 @@
     assert context.limit.wait_s(1e9, ahead=1000) == 0.0
 
 
+@then("the next request is expected to start within {milliseconds:d} ms")
+def check_expected_wait(context, milliseconds):
+    target = context.target
+    assert 0 < target.limit.expected_wait_s(target.now) <= milliseconds / 1000
+    assert target.limit.wait_s(target.now) > milliseconds / 1000
+
+
 @given("a node that has just started beside a target that doesn't respond")
 def silent_target(context):
     context.target = RatedTarget()
--- a/tests/features/steps/retry_after_steps.py
+++ b/tests/features/steps/retry_after_steps.py
@@ -4,7 +4,11 @@
 
 from behave import given, then
 
+from camphorshelf_core.placement import shortest_start_wait
 from camphorshelf_core.retryafter import retry_after, retry_after_shed
+from standins.hosts import make_status, make_view
+
+_NOW = 100.0
 
 
 @given(
@@ -19,6 +23,37 @@
     ]
 
 
+@given("{count:d} callers refused by targets that get their next request in {wait:d} ms")
+def refused_for_rate(context, count, wait):
+    source = random.Random(3)
+    context.delays = [
+        retry_after(wait / 1000, 0.3, 0.1, source, start_wait_s=wait / 1000) for _ in range(count)
+    ]
+
+
+@given("a target that gets its next request in {wait:d} ms and one without a limited rate")
+def mixed_targets(context, wait):
+    limited = make_status("a", start_wait_s=wait / 1000)
+    views = [make_view(limited, _NOW), make_view(make_status("b"), _NOW)]
+    context.start_wait_s = shortest_start_wait(views, _NOW)
+
+
+@given("a target that got its status {age:d} ms ago and then had to wait for {wait:d} ms")
+def older_status(context, age, wait):
+    view = make_view(make_status("a", start_wait_s=wait / 1000), _NOW - age / 1000)
+    context.start_wait_s = shortest_start_wait([view], _NOW)
+
+
+@then("no caller has to wait for a start")
+def no_start_wait(context):
+    assert context.start_wait_s == 0.0
+
+
+@then("the wait for a start is {wait:d} ms")
+def check_start_wait(context, wait):
+    assert abs(context.start_wait_s - wait / 1000) < 1e-9, context.start_wait_s
+
+
 @given("{count:d} callers refused because no target is available")
 def without_target(context, count):
     source = random.Random(3)
