Ignore SIGHUP until a node can handle it

What operators saw: a node that was told to reload its settings while it started ended, and its host was without a node until the platform started it again. Cause: the handler is installed when the node runs; before that, for up to a second of imports, SIGHUP has its default effect, which is to end the process. Change: deploy/node.py ignores SIGHUP first of all. The interpreter's own start, some 20 ms, can't be covered.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,10 +1,15 @@
 """Starts a node from a checkout without installing its packages."""
 
 import gc
+import signal
 import sys
 import time
 from pathlib import Path
 
+# By default SIGHUP ends a process. Until the node handles it there is nothing to reload: the
+# settings have not been read yet, or will be read again within seconds.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # Taken before the imports, which take up to one second on a small host.
 _STARTED_AT = time.clock_gettime(time.CLOCK_BOOTTIME)
 
--- a/tests/features/relay_changes.feature
+++ b/tests/features/relay_changes.feature
@@ -115,6 +115,11 @@
     Then its process has ended within 6 s
     And every request that ran was answered
 
+  Scenario: A node that is told to reload its settings while it starts goes on starting
+    # Guards against a node that ends because the signal comes before it can handle it.
+    When the node of "a" is started again and gets SIGHUP before it has read its settings
+    Then "a" is ready within 3 s
+
   Scenario: Changed settings are reloaded without a signal
     When the settings of "a" get the line "terms.bounds.retry_slack=90"
     Then within 5 s the log of "a" reports a reload
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -1,5 +1,6 @@
 """Steps that simulate callers, operators and faults for nodes on the users' platform."""
 
+import os
 import signal
 import threading
 import time
@@ -424,6 +425,26 @@
     context.relays.wait_until(lambda: _listens(context, name))
 
 
+@when('the node of "{name}" is started again and gets SIGHUP before it has read its settings')
+def reload_while_starting(context, name):
+    relays = context.relays
+    relays.signal(f"node-{name}", signal.SIGKILL)
+    relays.wait_end(f"node-{name}")
+    path = relays.settings_path(name)
+    settings = path.read_text()
+    path.unlink()
+    os.mkfifo(path)
+    relays.run_node(name)
+    # Opening the pipe waits until the node reads its settings.
+    with open(path, "w", encoding="utf-8") as pipe:
+        relays.signal(f"node-{name}", signal.SIGHUP)
+        time.sleep(0.1)
+        regular = path.with_suffix(".new")
+        regular.write_text(settings)
+        regular.replace(path)
+        pipe.write(settings)
+
+
 def _listens(context, name):
     try:
         context.relays.connect(name).close()
--- a/tests/standins/relays.py
+++ b/tests/standins/relays.py
@@ -85,9 +85,17 @@
 
     def start_node(self, name):
         """Start or restart the node of a host."""
-        path = self.directory / f"{name}.conf"
-        path.write_text(self._render_settings(name))
+        self.settings_path(name).write_text(self._render_settings(name))
+        self.run_node(name)
+
+    def settings_path(self, name):
+        """Return the path of the settings of a host's node."""
+        return self.directory / f"{name}.conf"
+
+    def run_node(self, name):
+        """Start the node of a host with the settings that are there."""
         command = [sys.executable, str(_ROOT / "deploy" / "node.py")]
+        path = self.settings_path(name)
         self._start(f"node-{name}", command, CAMPHORSHELF_SETTINGS=str(path))
 
     def start_target(self, name):
