Soak: start nodes again that have ended by themselves, and report each that had no reason to

A node that gets SIGHUP within a second of its start may end, for the interpreter itself can't be made to ignore it; any other end by itself is a finding.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -26,6 +26,8 @@
 _FIRST_VERSION = 10
 _RATE_LIMITS_PER_S = (1, 2, 3.8, 6, 20)
 _SEED_SECONDS = 15.0
+# The interpreter has started by then. Before that, SIGHUP ends any process.
+_INTERPRETER_START_SECONDS = 1.0
 
 
 class FaultRun:
@@ -41,6 +43,10 @@
         self._seconds = seconds
         self._plans = make_plans(hosts)
         self._interruptions = {}
+        # When the node of each host was last started, and whose node got SIGHUP too early.
+        self._node_started_at = {}
+        self._early_reloads = set()
+        self._ended_nodes = []
         self._leaves = []
         self._version_results = []
         self._version = _FIRST_VERSION
@@ -75,7 +81,7 @@
             self._stop.set()
             self._callers.stop()
             watch.join(15)
-            return [*recovered, *find_violations(self._observations())]
+            return [*recovered, *self._ended_nodes, *find_violations(self._observations())]
         finally:
             self._stop.set()
             if self._callers is not None:
@@ -137,6 +143,24 @@
         while time.monotonic() < end:
             time.sleep(0.05)
             self._undo_due()
+            self._restart_ended_nodes()
+
+    def _start_node(self, name):
+        self._interrupt(name)
+        self._node_started_at[name] = time.monotonic()
+        self._early_reloads.discard(name)
+        self._deployment.start_node(name)
+
+    def _restart_ended_nodes(self):
+        """Start the nodes again that have ended by themselves, as the platform does."""
+        for name in self._deployment.names:
+            process = f"node-{name}"
+            if name in self._stopped or not self._deployment.has_ended(process):
+                continue
+            self._record(f"{process} ended with {self._deployment.exit_status(process)}")
+            if name not in self._early_reloads:
+                self._ended_nodes.append(Finding("no node ends by itself", self._describe(name)))
+            self._start_node(name)
 
     def _record(self, what):
         self.log.append((round(time.time(), 2), what))
@@ -197,6 +221,9 @@
     def _reload_nodes(self):
         for name in self._random.choices(self._deployment.names, k=3):
             if name not in self._stopped:
+                age_s = time.monotonic() - self._node_started_at.get(name, 0.0)
+                if age_s < _INTERPRETER_START_SECONDS:
+                    self._early_reloads.add(name)
                 self._deployment.signal(f"node-{name}", signal.SIGHUP)
 
     def _end_node(self, name, number, repeats=0):
@@ -208,8 +235,7 @@
             if not self._deployment.has_ended(f"node-{name}"):
                 self._undo_after(0.1, restart)
                 return
-            self._interrupt(name)
-            self._deployment.start_node(name)
+            self._start_node(name)
             if repeats:
                 again = self._random.uniform(0.4, 1.2)
                 self._undo_after(again, lambda: self._end_node(name, number, repeats - 1))
@@ -369,7 +395,7 @@
     def _recover(self):
         while self._undo_actions:
             self._undo_due(everything=True)
-            time.sleep(0.1)
+            self._wait(0.1)
         for name in self._deployment.names:
             self._advertise(name, "")
         self._deployment.set_faults()
