--- a/tests/standins/relaytarget.py
+++ b/tests/standins/relaytarget.py
@@ -144,19 +144,22 @@
         loop.add_signal_handler(signal.SIGUSR2, self._set_leaving, False)
         while True:
             self._sequence += 1
+            # A change during the heartbeat is announced by the next one, right after it.
+            self._changed.clear()
+            leaving = self._leaving
             fields = {
                 "service": self._options["service"],
                 "addr": self._options["address"],
                 "zone": "fd",
                 "version": "v1",
                 "slots": self._options["slots"],
-                "state": "draining" if self._leaving else "ready",
+                "state": "draining" if leaving else "ready",
                 "cold_left_s": 0,
                 "seq": self._sequence,
                 "born": self._started_at_ms,
             }
-            await self._send("PUT", json.dumps(fields).encode())
-            self._changed.clear()
+            if await self._send("PUT", json.dumps(fields).encode()):
+                print(f"acknowledged PUT leaving={leaving} {time.time()}", flush=True)
             try:
                 await asyncio.wait_for(self._changed.wait(), _HEARTBEAT_SECONDS)
             except TimeoutError:
@@ -176,9 +179,8 @@
             response = await asyncio.wait_for(reader.read(), 1.0)
             writer.close()
         except (OSError, TimeoutError):
-            return
-        if b" 200 " in response[:16]:
-            print(f"acknowledged {method} leaving={self._leaving} {time.time()}", flush=True)
+            return False
+        return b" 200 " in response[:16]
 
 
 def _render_two_responses(request, second_id):
