--- a/bench/idle.py
+++ b/bench/idle.py
@@ -99,7 +99,7 @@
         peers.start()
         peers.add_addresses([*addresses, deployment.address("links", _NODE)])
     while True:
-        loop._turn(SimpleNamespace(time_left=-1))
+        loop._run_iteration(SimpleNamespace(time_left=-1))
 
 
 def _make_peers(loop, number, address, port):
--- a/packages/core/src/camphorshelf_core/settings.py
+++ b/packages/core/src/camphorshelf_core/settings.py
@@ -277,5 +277,5 @@
     if problem["type"] == "missing":
         return f"{field}: is required but missing"
     if problem["type"] == "extra_forbidden":
-        return f"{field}: is no field; saw {problem['input']!r:.100}"
+        return f"{field}: is an unknown field; saw {problem['input']!r:.100}"
     return f"{field}: {problem['msg']}; saw {problem['input']!r:.100}"
--- a/packages/node/src/camphorshelf_node/loop.py
+++ b/packages/node/src/camphorshelf_node/loop.py
@@ -128,11 +128,11 @@
         # circuits creates, queues and dispatches one event for each iteration of its loop. Most
         # iterations fire no event of circuits, so polling continues here until one does.
         root = self.root
-        self._turn(event)
+        self._run_iteration(event)
         while event.time_left < 0 and root.running and not len(root):
-            self._turn(event)
+            self._run_iteration(event)
 
-    def _turn(self, event):
+    def _run_iteration(self, event):
         for fileno, mask in self._poller.poll(self._poll_timeout(event)):
             callback = self._callbacks.get(fileno)
             if callback is None:
--- a/packages/node/src/camphorshelf_node/streams.py
+++ b/packages/node/src/camphorshelf_node/streams.py
@@ -9,7 +9,7 @@
 _LISTEN_BACKLOG = 512
 _LINGER_SECONDS = 1.0
 _ACCEPT_PAUSE_SECONDS = 0.2
-_MAX_ACCEPTS_PER_TURN = 32
+_MAX_ACCEPTS_PER_ITERATION = 32
 _RESOURCE_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
@@ -242,7 +242,7 @@
 
     def accept(_mask):
         # Several in one iteration of the loop, so that a burst of connections doesn't wait long.
-        for _ in range(_MAX_ACCEPTS_PER_TURN):
+        for _ in range(_MAX_ACCEPTS_PER_ITERATION):
             try:
                 sock, peer = listener.accept()
             except OSError as error:
--- a/packages/relay/src/camphorshelf_relay/datagrams.py
+++ b/packages/relay/src/camphorshelf_relay/datagrams.py
@@ -5,7 +5,7 @@
 from camphorshelf_node.loop import READABLE
 
 _MAX_DATAGRAM_BYTES = 8_192
-_MAX_DATAGRAMS_PER_TURN = 64
+_MAX_DATAGRAMS_PER_ITERATION = 64
 
 
 class DatagramSocket:
@@ -49,7 +49,7 @@
             self.counts["failed"] += 1
 
     def _on_readable(self, _mask):
-        for _ in range(_MAX_DATAGRAMS_PER_TURN):
+        for _ in range(_MAX_DATAGRAMS_PER_ITERATION):
             try:
                 data, (ip, _) = self._socket.recvfrom(_MAX_DATAGRAM_BYTES)
             except OSError:
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -77,7 +77,7 @@
             self._refuse(Code.DEADLINE_UNREACHABLE, "its time has passed")
             return
         guard = self._exchange.guard
-        self._exchange.set_disconnect_handler(self._on_hang_up)
+        self._exchange.set_disconnect_handler(self._on_disconnect)
         self._expiry_timer = self._loop.call_later(self._expires_at - now, guard(self._on_expiry))
         self._router.record_request(self._service)
         self._offer_next()
@@ -348,7 +348,7 @@
         else:
             self._finish_without_success(Refusal(Code.DEADLINE_UNREACHABLE, "its time has passed"))
 
-    def _on_hang_up(self):
+    def _on_disconnect(self):
         self._end()
         self._router.log_outcome(self._exchange, self._route, "caller_left")
 
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -9,4 +9,4 @@
 
   Scenario: A node reports invalid settings with the same message
     When camphorshelf-node is started with an unknown field in its settings
-    Then it exits with status 2 and prints "limits.head_byte: is no field; saw 5"
+    Then it exits with status 2 and prints "limits.head_byte: is an unknown field; saw 5"
--- a/tests/features/steps/loop_steps.py
+++ b/tests/features/steps/loop_steps.py
@@ -90,7 +90,7 @@
 @when("{count:d} timers that are due {milliseconds:d} ms apart are cancelled before another one")
 def cancel_before_other(context, count, milliseconds):
     context.iterations = 0
-    original = context.loop._turn
+    original = context.loop._run_iteration
 
     def count_iteration(event):
         context.iterations += 1
@@ -103,7 +103,7 @@
     for timer in timers:
         timer.cancel()
     context.loop.call_later(seconds * (count + 1), context.root.stop)
-    with mock.patch.object(context.loop, "_turn", count_iteration):
+    with mock.patch.object(context.loop, "_run_iteration", count_iteration):
         context.root.run()
 
 
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -17,9 +17,9 @@
     ("timeout_ms: 500", "timeout_ms: 0", "platform.timeout_ms: ", "saw 0"),
     ("timeout_ms: 500", 'timeout_ms: "500"', "platform.timeout_ms: ", "saw '500'"),
     ("timeout_ms: 500", "timeout_ms: true", "platform.timeout_ms: ", "saw True"),
-    ("timeout_ms: 500", "timeout: 500", "platform.timeout: is no field", "saw 500"),
+    ("timeout_ms: 500", "timeout: 500", "platform.timeout: is an unknown field", "saw 500"),
     ("9f86d081884c7d65", "zz", "administration.tokens.0.sha256: ", "zz"),
-    ("roster: {", "rooster: {", "rooster: is no field", "contacts"),
+    ("roster: {", "rooster: {", "rooster: is an unknown field", "contacts"),
     ("default_deadline_ms", "body_bytes", "not JSON with comments", "body_bytes"),
     ("listen: {", "listen: [", "not JSON with comments", ""),
 )
--- a/tests/soak/claims_world.py
+++ b/tests/soak/claims_world.py
@@ -101,7 +101,7 @@
             key = self._sent[token].key
             self._carry_out(process, process.tracker.remove_waiter(key, token))
             if token in self._callers.get((process, key), ()) and not process.tracker.is_open(key):
-                # Here the node reports NOT_RUN to a caller that vouched for a first send.
+                # Here the node reports NOT_RUN to a caller that has declared a first attempt.
                 self._ended.add((process, key))
 
     def kill(self, index):
