Reword the benchmarks in the terms of the field

Doc comments and comments of all 18 modules, and the names of the load generators (scheduled calls, closed loops) and of the readers of processor time and memory.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements."""
+"""Benchmarks, run by hand."""
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -1,10 +1,10 @@
-"""Plays days with one mechanism switched off at a time, and tables what each is worth.
+"""Plays days with one mechanism disabled at a time, and prints what each is worth.
 
 ``ablation.py play OUT --player PLAYER --copies DIR --sites A.toml,B.toml --days scale-1,quiet-1
 --seeds 11,12 --mechanisms all --jobs 4`` makes a copy of this checkout for each mechanism below
-DIR, lets PLAYER play the days there, and adds a line to the file OUT for each. What stands there
-already isn't played again, so a run that was stopped goes on where it was. ``ablation.py table
-OUT`` writes the table.
+DIR, runs PLAYER on the days there, and appends a line to the file OUT for each. Days that OUT
+already contains aren't played again, so an interrupted run can be continued. ``ablation.py table
+OUT`` prints the table.
 """
 
 import csv
@@ -34,11 +34,11 @@
 class Result(NamedTuple):
     """One played day.
 
-    :param worth: what the day earned of what it could, less prices.
-    :param in_time: share of the worth that was served in time.
-    :param refused: share of the requests that were refused for good.
-    :param failed: share that failed.
-    :param remark: what the player says of the day: its weakest part and any broken rule.
+    :param worth: the share of the possible worth that the day earned, less prices.
+    :param in_time: the share of the worth that was served in time.
+    :param refused: the share of the requests whose last attempt was refused.
+    :param failed: the share of the requests that failed.
+    :param remark: the player's remark: the day's weakest part and any broken rule.
     """
 
     mechanism: str
@@ -53,16 +53,16 @@
 
 
 def play(out, player, copies, sites, days, seeds, mechanisms="all", jobs=4):
-    """Play what is missing in a file of results.
+    """Play the days that a file of results doesn't contain yet.
 
     :param out: the file.
     :param player: the program that plays days.
-    :param copies: a folder for the copies, outside of this checkout.
+    :param copies: a directory for the copies, outside this checkout.
     :param sites: paths of sites.
     :param days: names of their days.
-    :param seeds: seeds, the same for all mechanisms.
-    :param mechanisms: names; ``all`` for each there is.
-    :param jobs: days played at once.
+    :param seeds: the seeds, which are the same for all mechanisms.
+    :param mechanisms: their names; ``all`` for all of them.
+    :param jobs: how many days are played at the same time.
     :return: None.
     """
     names = [_BASE, *(_list_mechanisms() if mechanisms == "all" else _split(mechanisms))]
@@ -88,7 +88,7 @@
 
 
 def table(out):
-    """Print what each mechanism is worth: the base's worth less that without it, seed by seed.
+    """Print what each mechanism is worth: the worth with it less the worth without it, by seed.
 
     :param out: a file of results.
     :return: None.
--- a/bench/bench.py
+++ b/bench/bench.py
@@ -1,8 +1,9 @@
-"""Measures what camphorshelf adds to a call, directly and through it in the same run.
+"""Measures the latency that camphorshelf adds to a call, against direct calls in the same run.
 
-Two nodes, each beside one target of its own service; callers ask each node for the other's
-service, so that every call takes both hops. Slices of direct calls and of calls through the nodes
-alternate; an added time is the difference of the two percentiles. Prints ``name value unit``.
+Two nodes run, each on the host of one target with its own service. Callers ask each node for the
+other's service, so that every call takes both hops. Slices of direct calls and of calls through the
+nodes alternate; an added latency is the difference of the two percentiles. Prints ``name value
+unit``.
 """
 
 import os
@@ -15,7 +16,7 @@
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
-from load import Closed, Shot, fire, poisson, saturate
+from load import ClosedLoop, ScheduledCall, poisson, run_closed_loops, send_scheduled
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests"))
 
@@ -44,7 +45,7 @@
 
 
 class Round(NamedTuple):
-    """The added times of one seed in milliseconds and what it cost the nodes."""
+    """The added latencies of one seed in milliseconds, and the processor time of the nodes."""
 
     p50: float
     p99: float
@@ -54,7 +55,7 @@
 
 
 def main():
-    """Run the bench and print its figures."""
+    """Run the benchmark and print its figures."""
     deployment = Deployment(PLANS, log_level="INFO")
     try:
         _measure(deployment)
@@ -67,15 +68,15 @@
         deployment.wait_served(name, service)
     print_figure("machine_load", os.getloadavg()[0], "processes")
     print_figure("idle_cpu_percent", _idle_percent(deployment), "percent")
-    print_figure("node_rss_idle_mb", rss(deployment), "MB")
+    print_figure("node_rss_idle_mb", read_max_memory_mb(deployment), "MB")
     _print_rounds(deployment, _CALLS_PER_NODE, "")
-    rates = [saturate_nodes(deployment) for _ in range(_SATURATED_ROUNDS)]
+    rates = [measure_capacity(deployment) for _ in range(_SATURATED_ROUNDS)]
     saturated = statistics.median(rates)
     print_figure("calls_per_s_saturated", saturated, "1/s")
     print_figure("calls_per_s_saturated_min", min(rates), "1/s")
     print_figure("calls_per_s_saturated_max", max(rates), "1/s")
     _print_rounds(deployment, saturated / 2, "_half")
-    print_figure("node_rss_mb", rss(deployment), "MB")
+    print_figure("node_rss_mb", read_max_memory_mb(deployment), "MB")
     print_figure("machine_load_at_end", os.getloadavg()[0], "processes")
 
 
@@ -97,10 +98,10 @@
 
 
 def _run_round(deployment, rate, seed):
-    shots = _shots(deployment, rate, random.Random(seed))
-    before = cpu_seconds(deployment)
-    outcomes = fire(shots)
-    spent = cpu_seconds(deployment) - before
+    calls = _make_calls(deployment, rate, random.Random(seed))
+    before = read_cpu_seconds(deployment)
+    outcomes = send_scheduled(calls)
+    spent = read_cpu_seconds(deployment) - before
     histograms = {tag: make_histogram() for tag in "wdt"}
     for outcome in outcomes:
         histograms[outcome.tag].record_value(max(1, int(outcome.seconds * _MICROSECONDS)))
@@ -114,8 +115,8 @@
     )
 
 
-def _shots(deployment, rate, random):
-    shots = []
+def _make_calls(deployment, rate, random):
+    calls = []
     for name, service in ROUTES.items():
         ways = {
             "d": deployment.nodes[TARGETS[service]].target,
@@ -124,30 +125,30 @@
         for moment in poisson(rate, _WARM_UP_SECONDS + 2 * _SECONDS, random):
             tag = "d" if int(moment / _SLICE_SECONDS) % 2 else "t"
             if moment < _WARM_UP_SECONDS:
-                shots.append(Shot(moment, ways[tag], service, _PATH, "w"))
+                calls.append(ScheduledCall(moment, ways[tag], service, _PATH, "w"))
             else:
-                shots.append(Shot(moment, ways[tag], service, _PATH, tag))
-    return shots
+                calls.append(ScheduledCall(moment, ways[tag], service, _PATH, tag))
+    return calls
 
 
-def saturate_nodes(deployment):
-    """Measure how many calls a second each node carries, as entry and before its target."""
+def measure_capacity(deployment):
+    """Measure how many calls a second each node handles, as entry node and as its target's node."""
     loops = [
-        Closed(deployment.nodes[name].callers, service, _PATH, _CALLERS_PER_NODE, seconds)
+        ClosedLoop(deployment.nodes[name].callers, service, _PATH, _CALLERS_PER_NODE, seconds)
         for name, service in ROUTES.items()
         for seconds in (_SATURATED_SECONDS,)
     ]
-    counts = saturate(loops)
+    counts = run_closed_loops(loops)
     return sum(one.answered / one.seconds for one in counts) / len(ROUTES)
 
 
 def _idle_percent(deployment):
-    before = cpu_seconds(deployment)
+    before = read_cpu_seconds(deployment)
     time.sleep(_IDLE_SECONDS)
-    return (cpu_seconds(deployment) - before) / _IDLE_SECONDS / len(ROUTES) * 100
+    return (read_cpu_seconds(deployment) - before) / _IDLE_SECONDS / len(ROUTES) * 100
 
 
-def cpu_seconds(deployment):
+def read_cpu_seconds(deployment):
     """Read the processor time that all nodes have used."""
     total = 0
     for name in ROUTES:
@@ -156,7 +157,7 @@
     return total / 1e9
 
 
-def rss(deployment):
+def read_max_memory_mb(deployment):
     """Read the largest node's memory in MB."""
     sizes = []
     for name in ROUTES:
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -1,4 +1,4 @@
-"""Measures claims a second against the platform's writes, with and without batching."""
+"""Measures claims per second and the store writes that they take, with and without batching."""
 
 import sys
 import time
@@ -23,7 +23,7 @@
 
 
 def main():
-    """Claim distinct keys, some at once, and print what it took."""
+    """Claim distinct keys, several at the same time, and print the figures."""
     for batch_items in (1, 25):
         _measure(ClaimSettings(batch_items=batch_items))
 
--- a/bench/compare.py
+++ b/bench/compare.py
@@ -1,8 +1,8 @@
 """Compares the nodes of two checkouts in one run, slice by slice on the same load.
 
 ``compare.py BASE`` starts the same small deployment twice, from the checkout at BASE and from
-this one, and alternates short slices of calls between them and the bare targets. On a machine
-that others use as well only such a pair of figures means anything. Prints ``name value unit``.
+this one, and alternates short slices of calls between them and the bare targets. On a shared
+machine only figures of the same run can be compared. Prints ``name value unit``.
 """
 
 import os
@@ -11,18 +11,18 @@
 import sys
 from pathlib import Path
 
-from load import Shot, fire, poisson
+from load import ScheduledCall, poisson, send_scheduled
 
 from bench import (
     PLANS,
     ROUTES,
     TARGETS,
-    cpu_seconds,
     make_histogram,
+    measure_capacity,
     milliseconds,
     print_figure,
-    rss,
-    saturate_nodes,
+    read_cpu_seconds,
+    read_max_memory_mb,
 )
 from standins.deployment import Deployment
 
@@ -59,16 +59,16 @@
     added = {(way, q): [] for way in deployments for q in (50, 99)}
     costs = {way: [] for way in deployments}
     for seed in _SEEDS:
-        shots = _make_shots(deployments, rate, random.Random(seed))
-        before = {way: cpu_seconds(deployments[way]) for way in deployments}
+        calls = _make_calls(deployments, rate, random.Random(seed))
+        before = {way: read_cpu_seconds(deployments[way]) for way in deployments}
         histograms = {way: make_histogram() for way in _WAYS}
-        outcomes = fire(shots)
+        outcomes = send_scheduled(calls)
         for outcome in outcomes:
             if outcome.at >= _WARM_UP_SECONDS:
                 histograms[outcome.tag].record_value(max(1, int(outcome.seconds * 1e6)))
         for way, deployment in deployments.items():
             count = sum(outcome.tag == way for outcome in outcomes)
-            costs[way].append((cpu_seconds(deployment) - before[way]) * 1000 / count)
+            costs[way].append((read_cpu_seconds(deployment) - before[way]) * 1000 / count)
             for q in (50, 99):
                 direct = milliseconds(histograms["direct"], q)
                 added[way, q].append(milliseconds(histograms[way], q) - direct)
@@ -80,26 +80,26 @@
         print_figure(f"{way}_cpu_ms_per_call_{rate}", statistics.median(costs[way]), "ms")
 
 
-def _make_shots(deployments, rate, random):
-    shots = []
+def _make_calls(deployments, rate, random):
+    calls = []
     for name, service in ROUTES.items():
         addresses = {way: one.nodes[name].callers for way, one in deployments.items()}
         addresses["direct"] = deployments["new"].nodes[TARGETS[service]].target
         for moment in poisson(rate, _WARM_UP_SECONDS + len(_WAYS) * _SECONDS, random):
             way = _WAYS[int(moment / _SLICE_SECONDS) % len(_WAYS)]
-            shots.append(Shot(moment, addresses[way], service, _PATH, way))
-    return shots
+            calls.append(ScheduledCall(moment, addresses[way], service, _PATH, way))
+    return calls
 
 
 def _compare_saturated(deployments):
     rates = {way: [] for way in deployments}
     for _ in range(_SATURATED_ROUNDS):
         for way, deployment in deployments.items():
-            rates[way].append(saturate_nodes(deployment))
+            rates[way].append(measure_capacity(deployment))
     for way, values in rates.items():
         print_figure(f"{way}_calls_per_s_saturated", statistics.median(values), "1/s")
         print_figure(f"{way}_calls_per_s_saturated_max", max(values), "1/s")
-        print_figure(f"{way}_node_rss_mb", rss(deployments[way]), "MB")
+        print_figure(f"{way}_node_rss_mb", read_max_memory_mb(deployments[way]), "MB")
 
 
 if __name__ == "__main__":
--- a/bench/config_spread.py
+++ b/bench/config_spread.py
@@ -1,8 +1,9 @@
-"""Measures how long a confirmed version takes to be in force at every node, by their number.
+"""Measures how long a confirmed version takes to be in force at all nodes, by number of nodes.
 
-Real processes on one machine; each round is a plan and a confirm. The time runs from the
-moment the confirm is sent, and from its answer, until the last node says that it has the version in
-force. Nodes are asked in turn over their administration listeners, which adds to the figures.
+Real processes run on one machine; each round is a plan and a confirm. The time is measured from the
+sending of the confirm, and from its answer, until the last node reports that the version is in
+force. Nodes are polled one after another over their administration listeners, which adds to the
+figures.
 """
 
 import sys
@@ -27,7 +28,7 @@
 
 
 def main(counts):
-    """Print one line per figure for each number of nodes."""
+    """Print one line for each figure and number of nodes."""
     for count in counts:
         sent, answered = _measure(count)
         for name, values in (("sent", sent), ("answered", answered)):
--- a/bench/day.py
+++ b/bench/day.py
@@ -1,8 +1,8 @@
-"""Plays a shortened ordinary day: hosts restart one after another, some fail, callers go on.
+"""Simulates a shortened ordinary day: hosts restart one after another and some fail under load.
 
-Twelve hosts with the services of the smaller deployment. Callers send lookups and keyed orders
-through random nodes and follow what refusals tell them. Prints what they got, and exits 1 when
-an order ran twice, one that was answered had not run, or one that was told NOT_RUN had.
+Runs twelve hosts with the services of the smaller deployment. Callers send lookups and keyed orders
+through random nodes and honour Retry-After. Prints the outcomes, and exits with status 1 if an
+order ran twice, an answered order did not run, or an order that was refused as NOT_RUN did.
 """
 
 import random
@@ -30,7 +30,7 @@
 
 
 class Callers:
-    """Threads that call until they are told to stop, and what they were told."""
+    """Threads that send calls until they are stopped, and the outcomes of these calls."""
 
     def __init__(self, deployment, seed):
         self._deployment = deployment
@@ -50,7 +50,7 @@
                 self._threads.append(thread)
 
     def stop(self):
-        """Let every caller finish its call."""
+        """Stop sending and wait for the outstanding calls."""
         self._stop.set()
         for thread in self._threads:
             thread.join()
@@ -88,7 +88,7 @@
             body = b"order" if method == "POST" else b""
             answer = call(node.callers, method, service, path, (*headers, _DEADLINE), body)
         except (OSError, EOFError):
-            # The entry node is gone; nobody can say what became of the call.
+            # The entry node has ended, so the outcome of the call is unknown.
             self.tries["entry lost"] += 1
             return "OUTCOME_UNKNOWN", 0.05
         if answer.status == 200:
@@ -102,7 +102,7 @@
 
 
 def measure(events=60, seed=1):
-    """Restart or kill a host a second; every twentieth is killed."""
+    """Restart one host per second; every twentieth is killed instead."""
     plans = [
         NodePlan(f"{service}-{number}", service, f"fd-{number % 3}")
         for service, count in _SERVICES
@@ -144,7 +144,7 @@
 
 
 def _restart(deployment, name):
-    """Stop a host as operators do: the target leaves and ends when empty, then the node stops."""
+    """Stop a host gracefully: the target leaves and ends when it is idle, then the node stops."""
     for process in (f"target-{name}", f"node-{name}"):
         deployment.signal(process, signal.SIGTERM)
         deployment.wait_end(process)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,8 +1,8 @@
-"""What membership costs, and how fast failures are found, on a clock and a network of its own.
+"""Measures the cost of membership and the time to detect failures, on a simulated network.
 
-``fleet.py [--sizes 12,30,79,195] [--loss 0.03]`` prints a row for each size: datagrams and bytes a
-second and node when nothing happens, the time until every node knows of a killed host, and for half
-of the fleet killed and restarted the time until 999 of 1,000 views are right and the datagrams of
+``fleet.py [--sizes 12,30,79,195] [--loss 0.03]`` prints a row for each size: the idle datagrams and
+bytes per second and node, the time until all nodes know of a killed host, and, when half of the
+fleet is killed and restarted, the time until 999 of 1,000 views are correct and the datagrams of
 the busiest node in its busiest second.
 """
 
@@ -18,12 +18,12 @@
 _STEP_SECONDS = 0.1
 _LONGEST_SECONDS = 15.0
 _CALM_SECONDS = 10
-# Views that may still be wrong: 1 in 1,000.
+# The share of views that may still be wrong.
 _ODD_SHARE = 0.001
 
 
 def main(sizes=(12, 30, 79, 195), loss=0.03):
-    """Play fleets of some sizes and print the table.
+    """Simulate fleets of several sizes and print the table.
 
     :param sizes: numbers of hosts.
     :param loss: the share of lost datagrams.
@@ -62,7 +62,7 @@
 
 
 def _wait(fleet, is_done):
-    """Let time pass until all is done; gives the seconds and the busiest second of a node."""
+    """Advance the clock until a condition holds; return the seconds and the busiest second."""
     seconds, peak, window = 0.0, 0, 0.0
     fleet.reset_counts()
     while not is_done() and seconds < _LONGEST_SECONDS:
--- a/bench/gate.py
+++ b/bench/gate.py
@@ -1,8 +1,8 @@
-"""Times the decisions at a target's node and plays loads against ours and the baseline.
+"""Measures the cost of admission decisions, and compares admission with the baseline under load.
 
-``python bench/gate.py cost`` prints microseconds for one call through the gate, by the number
-of callers and the state of the queue; ``python bench/gate.py loads`` prints what callers get
-under each load on a simulated clock, with one seed a row.
+``python bench/gate.py cost`` prints the microseconds of one admission, by the number of callers and
+the state of the queue; ``python bench/gate.py loads`` prints the outcomes of callers under each
+load on a simulated clock, one row per seed.
 """
 
 import random
@@ -45,7 +45,7 @@
 
 
 def print_cost():
-    """Print the cost of one offer with one finish, best of interleaved rounds."""
+    """Print the cost of one offer and one finish, the best of interleaved rounds."""
     for busy in (False, True):
         for callers in (1, 100, 1_000):
             best = {}
@@ -81,7 +81,7 @@
 
 
 def print_loads():
-    """Print what the callers that matter get, ours beside the baseline."""
+    """Print the outcomes of the callers of interest, with admission and with the baseline."""
     loads = {"skew": _skew, "mixed": _mixed, "saturation": _saturation, "neighbour": _neighbour}
     for name, make in loads.items():
         for seed in _SEEDS:
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -1,9 +1,9 @@
-"""What a node costs on the users' platform: its start, and a second among many hosts.
+"""Measures the processor time of a node on the users' platform: its start, and among many hosts.
 
-``idle.py [--hosts 195] [--seconds 20] [--rate 0]`` starts one real node with its target; the other
-hosts are statuses and probes from one process. It prints the processor time of the start until the
-node wants callers and that of a second afterwards, idle or with some requests a second of a caller.
-With ``--profile`` a file for ``pstats`` is written as well; the figures then say nothing.
+``idle.py [--hosts 195] [--seconds 20] [--rate 0]`` starts one real node with its target; one process
+simulates the statuses and probes of the other hosts. Prints the processor time from the start until
+the node is ready, and the share of a core that it takes afterwards, idle or with a caller's
+requests.
 """
 
 import random
@@ -30,16 +30,16 @@
 
 class _Log:
     def notable(self, event, **fields):
-        """Take no note."""
+        """Ignore the event."""
 
 
 def main(hosts=195, seconds=20, rate=0, starts=10):
-    """Measure and print.
+    """Run the measurement and print the figures.
 
-    :param hosts: how many hosts there are, the node's among them.
-    :param seconds: how long the node is measured after its start.
-    :param rate: requests a second of one caller.
-    :param starts: how many starts are measured.
+    :param hosts: the number of hosts, including the node's own.
+    :param seconds: how long the node is measured after its start, in seconds.
+    :param rate: the requests per second of one caller.
+    :param starts: the number of starts.
     :return: None.
     """
     plan = RelayPlan(_NODE, "counter", "d0")
@@ -57,7 +57,7 @@
 
 
 def _measure_starts(deployment, count):
-    """The middle one of some starts, in milliseconds of processor time."""
+    """Return the median processor time of some starts, in milliseconds."""
     costs = []
     for _ in range(count):
         deployment._processes[f"node-{_NODE}"].kill()
@@ -69,7 +69,7 @@
 
 
 def _measure_running(deployment, seconds, rate):
-    """The share of a core that the node takes, in per cent."""
+    """Return the share of a core that the node takes, in per cent."""
     caller = deployment.connect(_NODE) if rate else None
     started, before = time.monotonic(), _used_seconds(deployment)
     sent = 0
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,7 +1,7 @@
-"""Load generators: open-loop shots at set times, and closed loops that saturate.
+"""Load generators: open-loop calls at scheduled times, and closed loops for the capacity.
 
-Shots are due at moments drawn beforehand, and each is timed from the moment it was due, so a
-stalled system cannot hide its stall by slowing the generator down. The processes run asyncio on
+The times of open-loop calls are drawn beforehand, and latency is measured from the scheduled time,
+so that a stalled system doesn't hide its stall by slowing the generator down (coordinated omission). The processes run asyncio on
 ``select``, whose timeouts are exact to microseconds where epoll's are rounded up to 1 ms.
 """
 
@@ -19,8 +19,8 @@
 ANSWER_SECONDS = 15.0
 
 
-class Shot(NamedTuple):
-    """One call to send: when (seconds after the start), where, what, and a tag to group by."""
+class ScheduledCall(NamedTuple):
+    """One call to send at a time in seconds after the start; ``tag`` groups the outcomes."""
 
     at: float
     address: str
@@ -33,7 +33,7 @@
 
 
 class Outcome(NamedTuple):
-    """What became of a shot; ``seconds`` counts from when it was due, status 0 is no answer."""
+    """The outcome of a call, its latency from the scheduled time; status 0 stands for no answer."""
 
     tag: str
     at: float
@@ -44,8 +44,8 @@
     retry_after_ms: int | None = None
 
 
-class Closed(NamedTuple):
-    """A closed loop: so many callers that each send again as soon as they are answered."""
+class ClosedLoop(NamedTuple):
+    """A closed loop: callers that each send the next call when the last one is answered."""
 
     address: str
     service: str
@@ -55,7 +55,7 @@
 
 
 class Counts(NamedTuple):
-    """What a closed loop did."""
+    """The counts of one closed loop."""
 
     answered: int
     failed: int
@@ -63,10 +63,10 @@
 
 
 def poisson(rate, seconds, random):
-    """Draw the moments of a Poisson process.
+    """Draw the arrival times of a Poisson process.
 
-    :param rate: arrivals a second.
-    :param seconds: how long.
+    :param rate: arrivals per second.
+    :param seconds: the duration in seconds.
     :param random: a ``random.Random``.
     :return: a list of seconds after the start.
     """
@@ -78,24 +78,24 @@
     return moments
 
 
-def fire(shots, processes=2):
-    """Send shots from several processes, each at its moment.
+def send_scheduled(calls, processes=2):
+    """Send calls from several processes, each at its scheduled time.
 
-    :param shots: the :class:`Shot` list.
-    :param processes: how many generators share them.
+    :param calls: the :class:`ScheduledCall` list.
+    :param processes: the number of processes.
     :return: the :class:`Outcome` of each, in no order.
     """
-    shots = sorted(shots)
-    shares = [shots[number::processes] for number in range(processes)]
+    calls = sorted(calls)
+    shares = [calls[number::processes] for number in range(processes)]
     start = time.monotonic() + START_SECONDS
-    results = _run_processes([(_fire_share, (share, start)) for share in shares])
+    results = _run_processes([(_send_share, (share, start)) for share in shares])
     return [outcome for outcomes in results for outcome in outcomes]
 
 
-def saturate(loops):
-    """Run closed loops, each in a process of its own.
+def run_closed_loops(loops):
+    """Run closed loops, each in its own process.
 
-    :param loops: the :class:`Closed` list.
+    :param loops: the :class:`ClosedLoop` list.
     :return: the :class:`Counts` of each.
     """
     return _run_processes([(_run_closed, (loop,)) for loop in loops])
@@ -123,16 +123,16 @@
     writer.send(loop.run_until_complete(work(*arguments)))
 
 
-async def _fire_share(shots, start):
+async def _send_share(calls, start):
     loop = asyncio.get_running_loop()
     pool = _Pool(loop)
     outcomes = []
     tasks = set()
-    for shot in shots:
-        wait = start + shot.at - loop.time()
+    for scheduled in calls:
+        wait = start + scheduled.at - loop.time()
         if wait > 0:
             await asyncio.sleep(wait)
-        task = loop.create_task(_shoot(pool, shot, start, outcomes))
+        task = loop.create_task(_send_one(pool, scheduled, start, outcomes))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
     if tasks:
@@ -140,18 +140,18 @@
     return outcomes
 
 
-async def _shoot(pool, shot, start, outcomes):
-    answer = await pool.call(shot.address, _render(shot), shot.method)
-    seconds = time.monotonic() - start - shot.at
+async def _send_one(pool, scheduled, start, outcomes):
+    answer = await pool.call(scheduled.address, _render(scheduled), scheduled.method)
+    seconds = time.monotonic() - start - scheduled.at
     if answer is None:
-        outcomes.append(Outcome(shot.tag, shot.at, seconds, 0))
+        outcomes.append(Outcome(scheduled.tag, scheduled.at, seconds, 0))
         return
     status, headers = answer
     retry_after = headers.get(b"retry-after-ms")
     outcomes.append(
         Outcome(
-            shot.tag,
-            shot.at,
+            scheduled.tag,
+            scheduled.at,
             seconds,
             status,
             int(headers.get(b"camphorshelf-code", 0)),
@@ -164,8 +164,8 @@
 async def _run_closed(closed):
     loop = asyncio.get_running_loop()
     pool = _Pool(loop)
-    shot = Shot(0, closed.address, closed.service, closed.path)
-    data = _render(shot)
+    scheduled = ScheduledCall(0, closed.address, closed.service, closed.path)
+    data = _render(scheduled)
     start = loop.time()
     end = start + closed.seconds
     counts = [0, 0]
@@ -179,16 +179,16 @@
     return Counts(counts[0], counts[1], loop.time() - start)
 
 
-def _render(shot):
-    lines = [f"{shot.method} {shot.path} HTTP/1.1", f"Host: {shot.service}.example"]
-    lines += [f"{name}: {value}" for name, value in shot.headers]
-    if shot.body or shot.method == "POST":
-        lines.append(f"Content-Length: {len(shot.body)}")
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + shot.body
+def _render(scheduled):
+    lines = [f"{scheduled.method} {scheduled.path} HTTP/1.1", f"Host: {scheduled.service}.example"]
+    lines += [f"{name}: {value}" for name, value in scheduled.headers]
+    if scheduled.body or scheduled.method == "POST":
+        lines.append(f"Content-Length: {len(scheduled.body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + scheduled.body
 
 
 class _Pool:
-    """Kept connections by address; the one used last is taken first."""
+    """Idle connections by address; the last used one is reused first."""
 
     def __init__(self, loop):
         self._loop = loop
--- a/bench/losses.py
+++ b/bench/losses.py
@@ -1,10 +1,9 @@
-"""Says where requests lose their worth, from the nodes' structured logs on standard input.
+"""Reports why requests were late, refused or failed, from the nodes' logs on standard input.
 
-``losses.py [--seconds 5] < LOG`` prints two tables: per route, how many were answered in time, and
-for those that were late whether they waited before the first offer, waited for a slot or ran long,
-and for those that were refused or failed the code; then the same sums for each stretch of time.
-Lines may have anything before their JSON. What the nodes left out of their logs is counted at the
-end.
+``losses.py [--seconds 5] < LOG`` prints two tables: the requests of each route that were answered in
+time, those that were late by cause (a wait before the first offer, a wait for a slot, a long run),
+and those that were refused or failed by code; then the same sums by interval. Lines may have a
+prefix before their JSON. The number of dropped log lines is printed at the end.
 """
 
 import json
@@ -15,12 +14,12 @@
 import fire
 
 _START = '{"time"'
-# A part of the time that is longer than this share of the latency objective made the answer late.
+# A phase that took more than this share of the latency objective counts as the cause of lateness.
 _CAUSE_SHARE = 0.25
 
 
 class Outcome(NamedTuple):
-    """What became of one request.
+    """The outcome of one request.
 
     :param at: seconds since the first line.
     :param route: the route's name.
@@ -35,7 +34,7 @@
 def main(seconds=5):
     """Read logs and print the tables.
 
-    :param seconds: the length of a stretch of time.
+    :param seconds: the length of an interval, in seconds.
     :return: None.
     """
     outcomes, dropped = _read(sys.stdin)
@@ -57,7 +56,7 @@
         try:
             event = json.loads(line[found:])
         except ValueError:
-            # A line that the player has cut in two.
+            # The line is incomplete.
             continue
         started = event["time"] if started is None else started
         if event["event"] == "lines_dropped":
--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -1,7 +1,7 @@
-"""Switches mechanisms of a node off, one at a time, to measure what each is worth.
+"""Disables single mechanisms of a node, to measure what each is worth.
 
-Loaded only by scratch copies that ``ablation.py`` makes; nothing that is shipped imports it. Each
-switch replaces attributes of the modules that decide, before the node is put together.
+Imported only in the copies that ``ablation.py`` makes. Each function replaces attributes of decision
+modules before the node creates its components.
 """
 
 from collections.abc import Callable
@@ -143,7 +143,7 @@
 
 
 def switch_off(name):
-    """Switch one mechanism off.
+    """Disable one mechanism.
 
     :param name: a key of ``MECHANISMS``.
     :return: None.
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -1,4 +1,4 @@
-"""Measures what control costs real nodes whose targets announce themselves, without any calls."""
+"""Measures the cost of control for real nodes and targets without any calls."""
 
 import os
 import re
@@ -21,7 +21,7 @@
 
 
 def measure(sizes=(5, 20, 60)):
-    """Print one line per size: processor time, memory, bytes, and the platform's load."""
+    """Print one line per size: processor time, memory, bytes and calls to the store."""
     for count in sizes if isinstance(sizes, tuple) else (sizes,):
         _measure_one(count)
 
--- a/bench/plot_scenarios.py
+++ b/bench/plot_scenarios.py
@@ -1,4 +1,4 @@
-"""Draws the scenarios' p99 by policy from the rows that bench/scenarios.py wrote."""
+"""Plots the p99 of each scenario by policy from the output of bench/scenarios.py."""
 
 import json
 import statistics
@@ -17,7 +17,7 @@
 
 
 def draw(rows, out):
-    """Draw one bar for each scenario and policy, with the spread over the seeds.
+    """Plot one bar for each scenario and policy, with the range over the seeds.
 
     :param rows: path of the JSON rows.
     :param out: path of the SVG to write.
--- a/bench/roster.py
+++ b/bench/roster.py
@@ -1,4 +1,4 @@
-"""Measures what the roster costs a node, from the core's state machines without a network."""
+"""Measures the cost of the roster for a node, with the core's state machines and no network."""
 
 import gc
 import statistics
@@ -72,7 +72,7 @@
 
 
 def _measure_restarts(mesh):
-    """Replace one member in 21 at once (100 of 2,100); give bytes a second and time to know."""
+    """Replace one in 21 members at once; return the bytes per second and the time to converge."""
     names = [f"m{index}" for index in range(1, len(mesh.members), _RESTARTED_EACH)]
     before, started = sum(mesh.sent_bytes.values()), mesh.now
     for name in names:
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -1,7 +1,7 @@
-"""Plays load scenarios on real processes, each policy through its own entry nodes in one run.
+"""Runs load scenarios on real processes, each policy with its own entry nodes in one run.
 
-All policies share the targets. A seed fixes the arrivals, so that every policy gets the very
-same calls; slices of the policies are interleaved in shuffled order, seed by seed.
+All policies share the targets. A seed determines the arrivals, so that every policy gets the same
+calls. Slices of the policies are interleaved in shuffled order for each seed.
 """
 
 import asyncio
@@ -36,7 +36,7 @@
 
 
 class Arrival(NamedTuple):
-    """One call to make: when, through which entry, how long it works and for whom."""
+    """One call: its time, entry node, work and caller."""
 
     at: float
     entry: int
@@ -46,7 +46,7 @@
 
 
 class Outcome(NamedTuple):
-    """What a caller got and after how long since its scheduled time."""
+    """The outcome of a call and its latency from the scheduled time."""
 
     status: int
     ran: str
@@ -55,7 +55,7 @@
 
 
 class Scenario(NamedTuple):
-    """Makes the arrivals and the faults of one slice from a seeded random."""
+    """Functions that make the arrivals and the faults of one slice from a random source."""
 
     arrivals: object
     faults: object
@@ -110,7 +110,7 @@
 
 
 def _stale(rng):
-    """Few calls at the entries under test, while bursts from elsewhere move the load about."""
+    """Few calls at the measured entry nodes, while bursts from other nodes shift the load."""
     calls = _arrive(rng, 0.12 * CAPACITY)
     background = _arrive(rng, 0.48 * CAPACITY, work=lambda rng: rng.uniform(40, 200))
     background = [one for one in background if rng.random() < 0.42]
@@ -154,7 +154,7 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One kept connection that carries one call at a time."""
+    """A keep-alive connection that carries one call at a time."""
 
     def __init__(self):
         self._answer = None
@@ -380,9 +380,9 @@
     """Run scenarios and print a table for each.
 
     :param scenario: names split by commas, or all.
-    :param seeds: how many seeds.
+    :param seeds: the number of seeds.
     :param policies: names split by commas; ``ours+x`` is ours with the variant x.
-    :param out: a file that takes the raw rows as JSON.
+    :param out: the file for the raw rows as JSON.
     :param variants: entry settings by policy name, as JSON.
     :return: None.
     """
--- a/bench/state.py
+++ b/bench/state.py
@@ -1,4 +1,4 @@
-"""Measures how many bytes of a node's memory each thing takes that grows with the system."""
+"""Measures the memory per entry of the node's data that grows with the size of the system."""
 
 import gc
 import os
@@ -27,7 +27,7 @@
 
 
 def measure():
-    """Print a line per kind of thing: bytes each at several counts."""
+    """Print one line per kind of entry: the bytes per entry at several counts."""
     for name, make in _MAKERS.items():
         slopes = [_measure_one(make, count) for count in _COUNTS]
         print(f"{name}_bytes {' '.join(f'{slope:.0f}' for slope in slopes)}", flush=True)
