--- a/bench/idle.py
+++ b/bench/idle.py
@@ -1,9 +1,9 @@
 """Measures the processor time of a node on the users' platform: its start, and among many hosts.
 
-``idle.py [--hosts 195] [--seconds 20] [--rate 0]`` starts one real node with its target; one process
-simulates the statuses and probes of the other hosts. Prints the processor time from the start until
-the node is ready, and the share of a core that it takes afterwards, idle or with a caller's
-requests.
+``idle.py [--hosts 195] [--seconds 20] [--rate 0]`` starts one real node with its target; one
+process simulates the statuses and probes of the other hosts. Prints the processor time from the
+start until the node is ready, and the share of a core that it takes afterwards, idle or with a
+caller's requests.
 """
 
 import random
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,8 +1,9 @@
 """Load generators: open-loop calls at scheduled times, and closed loops for the capacity.
 
 The times of open-loop calls are drawn beforehand, and latency is measured from the scheduled time,
-so that a stalled system doesn't hide its stall by slowing the generator down (coordinated omission). The processes run asyncio on
-``select``, whose timeouts are exact to microseconds where epoll's are rounded up to 1 ms.
+so that a stalled system doesn't hide its stall by slowing the generator down (coordinated
+omission). The processes run asyncio on ``select``, whose timeouts are exact to microseconds where
+epoll's are rounded up to 1 ms.
 """
 
 import asyncio
--- a/bench/losses.py
+++ b/bench/losses.py
@@ -1,9 +1,9 @@
 """Reports why requests were late, refused or failed, from the nodes' logs on standard input.
 
-``losses.py [--seconds 5] < LOG`` prints two tables: the requests of each route that were answered in
-time, those that were late by cause (a wait before the first offer, a wait for a slot, a long run),
-and those that were refused or failed by code; then the same sums by interval. Lines may have a
-prefix before their JSON. The number of dropped log lines is printed at the end.
+``losses.py [--seconds 5] < LOG`` prints two tables: the requests of each route that were answered
+in time, those that were late by cause (a wait before the first offer, a wait for a slot, a long
+run), and those that were refused or failed by code; then the same sums by interval. Lines may have
+a prefix before their JSON. The number of dropped log lines is printed at the end.
 """
 
 import json
--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -1,7 +1,7 @@
 """Disables single mechanisms of a node, to measure what each is worth.
 
-Imported only in the copies that ``ablation.py`` makes. Each function replaces attributes of decision
-modules before the node creates its components.
+Imported only in the copies that ``ablation.py`` makes. Each function replaces attributes of
+decision modules before the node creates its components.
 """
 
 from collections.abc import Callable
