--- a/packages/node/src/camphorshelf_node/quarantine.py
+++ b/packages/node/src/camphorshelf_node/quarantine.py
@@ -4,7 +4,8 @@
 
 from camphorshelf_core.calls import header
 from camphorshelf_core.errors import Code, Refusal
-from camphorshelf_core.quarantine import Crashes, Quarantine, Standing, fingerprint
+from camphorshelf_core.quarantine import Crashes, Quarantine, Standing
+from camphorshelf_core.quarantine import fingerprint as make_fingerprint
 
 # Names the targets that crashed while they ran the request; sent only between nodes. The retry of a
 # lookup is sent within a millisecond, long before gossip informs the next target's node.
@@ -43,10 +44,12 @@
             headers = tuple(pair for pair in request.headers if pair[0] != SUSPECT_HEADER)
             request = exchange.request = request._replace(headers=headers)
         if len(self._state):
-            name = fingerprint(exchange.service, request.method, request.path, request.body)
-            if self._state.standing(name, time.time()) is Standing.REFUSED:
-                self._log.decision("quarantine", service=exchange.service, fingerprint=name)
-                exchange.refuse(self.refusal(name))
+            fingerprint = make_fingerprint(
+                exchange.service, request.method, request.path, request.body
+            )
+            if self._state.standing(fingerprint, time.time()) is Standing.REFUSED:
+                self._log.decision("quarantine", service=exchange.service, fingerprint=fingerprint)
+                exchange.refuse(self.refusal(fingerprint))
                 return
         proceed(exchange)
 
@@ -61,21 +64,21 @@
         evidence = header(call.headers, SUSPECT_HEADER)
         if evidence is None and not len(self._state):
             return Standing.CLEAR, None
-        name = _call_fingerprint(call)
+        fingerprint = _call_fingerprint(call)
         now = time.time()
         if evidence is not None:
             for node in evidence.decode("latin-1").split(",")[:_MAX_HEADER_TARGETS]:
-                self._add_crash(name, node, now)
-        return self._state.standing(name, now), name
+                self._add_crash(fingerprint, node, now)
+        return self._state.standing(fingerprint, now), fingerprint
 
-    def refusal(self, name):
+    def refusal(self, fingerprint):
         """Create the refusal of a quarantined request.
 
-        :param name: the request's fingerprint.
+        :param fingerprint: the request's fingerprint.
         :return: the :class:`Refusal`.
         """
-        remaining_s = self._state.seconds_left(name, time.time())
-        reason = f"each target that ran this request died (fingerprint {name})"
+        remaining_s = self._state.seconds_left(fingerprint, time.time())
+        reason = f"each target that ran this request died (fingerprint {fingerprint})"
         return Refusal(Code.QUARANTINED, reason, retry_after_ms=int(remaining_s * 1000) + 1)
 
     def record_blamed(self, exchange, target):
@@ -86,14 +89,14 @@
         :return: True if the request is quarantined now.
         """
         request = exchange.request
-        name = fingerprint(exchange.service, request.method, request.path, request.body)
+        fingerprint = _request_fingerprint(exchange.service, request)
         now = time.time()
-        self._add_crash(name, target, now)
-        nodes, _ = self._state.counted_crashes(name)
+        self._add_crash(fingerprint, target, now)
+        nodes, _ = self._state.counted_crashes(fingerprint)
         headers = tuple(pair for pair in request.headers if pair[0] != SUSPECT_HEADER)
         headers += ((SUSPECT_HEADER, ",".join(nodes).encode()),)
         exchange.request = request._replace(headers=headers)
-        return self._state.standing(name, now) is Standing.REFUSED
+        return self._state.standing(fingerprint, now) is Standing.REFUSED
 
     def record_crash(self, calls):
         """Record that the target on this host has crashed.
@@ -101,27 +104,29 @@
         :param calls: the calls that the target was running.
         :return: the calls that may have caused the crash.
         """
-        names = {id(call): _call_fingerprint(call) for call in calls}
+        fingerprints = {id(call): _call_fingerprint(call) for call in calls}
         now = time.time()
-        blamed = self._state.record_crash(names.values(), now)
-        for name in blamed:
-            crashes = self._state.counted_crashes(name)[0][self._name]
-            self._publish(f"{name}:{self._name}", now, tuple(crashes))
-            standing = self._state.standing(name, now)
-            self._log.info(f"the target crashed while it ran request {name}: {standing.name}")
-        return [call for call in calls if names[id(call)] in blamed]
-
-    def record_completed(self, name, started):
+        blamed = self._state.record_crash(fingerprints.values(), now)
+        for fingerprint in blamed:
+            crashes = self._state.counted_crashes(fingerprint)[0][self._name]
+            self._publish(f"{fingerprint}:{self._name}", now, tuple(crashes))
+            standing = self._state.standing(fingerprint, now)
+            self._log.info(
+                f"the target crashed while it ran request {fingerprint}: {standing.name}"
+            )
+        return [call for call in calls if fingerprints[id(call)] in blamed]
+
+    def record_completed(self, fingerprint, started):
         """Record that a suspect request was answered without a crash.
 
-        :param name: the request's fingerprint.
+        :param fingerprint: the request's fingerprint.
         :param started: when the run began, as Unix time in seconds.
         :return: None.
         """
         now = time.time()
-        if self._state.record_completed(name, started, now):
-            self._publish(f"{name}:{_CLEARED}", now, now)
-            self._log.info(f"request {name} was answered without a crash and is cleared")
+        if self._state.record_completed(fingerprint, started, now):
+            self._publish(f"{fingerprint}:{_CLEARED}", now, now)
+            self._log.info(f"request {fingerprint} was answered without a crash and is cleared")
 
     def list_entries(self):
         """List the requests that are quarantined or suspected.
@@ -131,47 +136,51 @@
         now = time.time()
         return [
             {
-                "id": name,
-                "service": name.rpartition(".")[0],
+                "id": fingerprint,
+                "service": fingerprint.rpartition(".")[0],
                 "standing": standing.name,
-                "seconds_left": round(self._state.seconds_left(name, now)),
+                "seconds_left": round(self._state.seconds_left(fingerprint, now)),
             }
-            for name in self._state
-            if (standing := self._state.standing(name, now)) is not Standing.CLEAR
+            for fingerprint in self._state
+            if (standing := self._state.standing(fingerprint, now)) is not Standing.CLEAR
         ]
 
-    def lift(self, name):
+    def lift(self, fingerprint):
         """Clear a request on all nodes, as an operator asked for.
 
-        :param name: the request's fingerprint.
+        :param fingerprint: the request's fingerprint.
         :return: True if the request had been quarantined or suspected.
         """
-        was_lifted = self._state.lift(name, time.time())
+        was_lifted = self._state.lift(fingerprint, time.time())
         if was_lifted:
-            cleared_at = self._state.cleared_at(name)
-            self._publish(f"{name}:{_CLEARED}", cleared_at, cleared_at)
-            self._log.info(f"quarantine of request {name} lifted by an operator")
+            cleared_at = self._state.cleared_at(fingerprint)
+            self._publish(f"{fingerprint}:{_CLEARED}", cleared_at, cleared_at)
+            self._log.info(f"quarantine of request {fingerprint} lifted by an operator")
         return was_lifted
 
-    def _add_crash(self, name, node, now):
-        if node not in self._state.counted_crashes(name)[0]:
-            self._state.merge_crashes(name, node, Crashes(1, now), now)
+    def _add_crash(self, fingerprint, node, now):
+        if node not in self._state.counted_crashes(fingerprint)[0]:
+            self._state.merge_crashes(fingerprint, node, Crashes(1, now), now)
 
     def _publish(self, key, at, value):
         self._gossip.publish(_TOPIC, key, int(at * 1000), value)
 
     def _on_entry(self, key, _version, value):
-        name, _, source = key.partition(":")
+        fingerprint, _, source = key.partition(":")
         try:
             if source == _CLEARED:
-                self._state.merge_cleared(name, float(value))
+                self._state.merge_cleared(fingerprint, float(value))
             else:
                 count, at = value
                 crashes = Crashes(int(count), float(at))
-                self._state.merge_crashes(name, source, crashes, time.time())
+                self._state.merge_crashes(fingerprint, source, crashes, time.time())
         except (TypeError, ValueError):
             self._log.info(f"invalid quarantine entry received: {key}")
 
 
+def _request_fingerprint(service, request):
+    return make_fingerprint(service, request.method, request.path, request.body)
+
+
 def _call_fingerprint(call):
-    return fingerprint(call.service, call.method, call.path, call.body)
+    return make_fingerprint(call.service, call.method, call.path, call.body)
