--- a/Makefile
+++ b/Makefile
@@ -26,9 +26,10 @@
 soak: setup
 	PYTHONPATH=tests $(BIN)/python -m soak.runs $(SECONDS) $(SEED)
 
-# Random faults on real processes for a time, e.g. make faults SECONDS=300 SEED=1000
+# Random faults on real processes for a time, e.g. make faults SECONDS=300 SEED=1000 HOSTS=5
+HOSTS ?= 5
 faults: setup
-	PYTHONPATH=tests $(BIN)/python -m soak.faults $(SECONDS) $(SEED)
+	PYTHONPATH=tests $(BIN)/python -m soak.faults $(SECONDS) $(SEED) $(HOSTS)
 
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
