--- a/tests/configruns.py
+++ b/tests/configruns.py
@@ -1,4 +1,4 @@
-"""Random runs of planning, confirming and spreading, with every fault of the brief.
+"""Random runs of planning, confirming and distributing configurations, with faults.
 
 Three nodes in three failure domains share a fake clock, platform and network. Answers are taken
 at the moment of asking and delivered at any later one, also after a freeze.
@@ -46,7 +46,7 @@
 
 
 class Host:
-    """One node's held version and what its epoch began with."""
+    """The version that a node holds, and the one at the start of its epoch."""
 
     def __init__(self, name, now):
         self.name = name
@@ -58,7 +58,7 @@
 
 
 class ConfigRuns(RuleBasedStateMachine):
-    """Operators race, nodes freeze and restart, the platform fails; the promises hold."""
+    """Operators race, nodes are suspended and restarted and the platform fails."""
 
     def __init__(self):
         super().__init__()
@@ -75,19 +75,19 @@
 
     @initialize()
     def own_the_service(self):
-        """The service gets its owner by the ordinary way."""
+        """Set the owner of the service by a plan and its confirmation."""
         self._plan(OwnerUpdate("counter", "flock"))
         end = run_to_end(confirm_steps(self.plans[0], _OPERATOR), self.platform)
         assert isinstance(end, ConfirmResult), end
 
     @rule(name=st.sampled_from(["a", "b"]), weight=st.integers(0, 100))
     def plan(self, name, weight):
-        """An operator plans on the newest version."""
+        """Make a plan based on the newest version."""
         self._plan(TargetUpdate("counter", name, weight=weight))
 
     @rule(weight=st.integers(0, 100), place=st.integers(0, 6), fault=_FAULTS)
     def change(self, weight, place, fault):
-        """An operator plans and confirms at once, perhaps with one answer lost."""
+        """Plan and confirm at once; one answer may be lost."""
         faults = [Fault.NONE] * place + [fault]
         known = len(self.plans)
         self._plan(TargetUpdate("counter", "a", weight=weight))
@@ -100,20 +100,20 @@
     @precondition(lambda self: self.plans)
     @rule(data=st.data())
     def begin_confirm(self, data):
-        """An operator confirms one of the plans, whether for the first time or again."""
+        """Confirm one of the plans, for the first time or again."""
         digest = data.draw(st.sampled_from(self.plans))
         self.confirms.append([digest, confirm_steps(digest, _OPERATOR), None])
 
     @precondition(lambda self: self.confirms)
     @rule(data=st.data(), fault=_FAULTS)
     def step_confirm(self, data, fault):
-        """One operation of one confirm, between those of the others."""
+        """Carry out one operation of one confirm, interleaved with those of others."""
         self._step(data.draw(st.integers(0, len(self.confirms) - 1)), fault)
 
     @precondition(lambda self: self.confirms)
     @rule(data=st.data(), faults=st.lists(_FAULTS, max_size=8))
     def finish_confirm(self, data, faults):
-        """All remaining operations of one confirm, so that runs get far."""
+        """Carry out all remaining operations of one confirm, so that runs make progress."""
         index = data.draw(st.integers(0, len(self.confirms) - 1))
         for fault in (*faults, *(Fault.NONE for _ in range(24))):
             if not self._step(index, fault):
@@ -122,17 +122,17 @@
     @precondition(lambda self: self.platform.late)
     @rule()
     def land_late_write(self):
-        """A write takes effect long after its answer was given up."""
+        """Apply a write long after its caller has stopped waiting for the answer."""
         self.platform.land()
 
     @rule()
     def switch_platform(self):
-        """An outage begins or ends."""
+        """Start or end an outage."""
         self.platform.down = not self.platform.down
 
     @rule(number=_NODES, prompt=st.booleans())
     def ask_platform(self, number, prompt):
-        """A node asks for the head row; the answer comes now or some time."""
+        """Let a node request the head row; the answer may be delayed."""
         host = self.hosts[number]
         if host.frozen:
             return
@@ -142,7 +142,7 @@
 
     @rule(number=_NODES)
     def catch_up(self, number):
-        """A node asks the platform for the head row and its body, and has both."""
+        """Let a node read the head row and its body from the platform."""
         host, head = self.hosts[number], self._head()
         if host.frozen or self.platform.down:
             return
@@ -151,7 +151,7 @@
 
     @rule(number=_NODES, other=_NODES, prompt=st.booleans())
     def ask_peer(self, number, other, prompt):
-        """A node asks a peer for its version and body; the answer comes now or some time."""
+        """Let a node request a peer's version and body; the answer may be delayed."""
         host, peer = self.hosts[number], self.hosts[other]
         if host is peer or host.frozen or peer.frozen:
             return
@@ -167,7 +167,7 @@
 
     @rule(number=_NODES, data=st.data(), corrupt=st.booleans())
     def fetch(self, number, data, corrupt):
-        """A body arrives from the object store, perhaps an old one, perhaps damaged."""
+        """Deliver a body from the object store, which may be old or damaged."""
         host = self.hosts[number]
         head = self.truth[data.draw(st.integers(1, len(self.truth) - 1))]
         if host.frozen:
@@ -180,14 +180,14 @@
     @precondition(lambda self: self.in_flight)
     @rule(data=st.data())
     def deliver(self, data):
-        """Any answer on its way arrives, in any order, perhaps only after a freeze."""
+        """Deliver one of the delayed answers, in any order."""
         host, act = self.in_flight.pop(data.draw(st.integers(0, len(self.in_flight) - 1)))
         if host in self.hosts and not host.frozen:
             act()
 
     @rule(number=_NODES)
     def freeze(self, number):
-        """A process stops, or goes on; a call may be the first thing that it then sees."""
+        """Suspend a process or resume it; a call may be the first event that it then handles."""
         host = self.hosts[number]
         host.frozen = not host.frozen
         if host.frozen:
@@ -199,14 +199,14 @@
 
     @rule(number=_NODES)
     def restart(self, number):
-        """A host is replaced and keeps nothing."""
+        """Replace a host, which loses its state."""
         host = Host(f"n{number}", self.now)
         self.hosts[number] = host
         self._begin_epoch(host)
 
     @rule(seconds=st.sampled_from([0.2, 1.0, 8.0]))
     def pass_time(self, seconds):
-        """Time passes; nodes that run notice it in small steps."""
+        """Advance the clock in small steps."""
         for _ in range(round(seconds / 0.2)):
             self.now += 0.2
             for host in self.hosts:
@@ -214,14 +214,14 @@
 
     @invariant()
     def calls_meet_no_older_version(self):
-        """A call arrives at each running node."""
+        """Deliver a call to each running node."""
         for host in self.hosts:
             if not host.frozen:
                 self._check_call(host)
 
     @invariant()
     def held_versions_are_confirmed_ones(self):
-        """No node holds a body that was not confirmed, or an older one than before."""
+        """No node holds a body that was not confirmed, or one that is older than before."""
         for host in self.hosts:
             held = host.held
             assert held.digest == self.truth[held.version].digest
@@ -232,7 +232,7 @@
 
     @invariant()
     def lost_plans_stay_out(self):
-        """A plan whose operator was told CONFLICT never comes into force."""
+        """A plan that was refused as CONFLICT never comes into force."""
         assert not self.lost & {head.plan for head in self.truth.values()}
 
     def _run(self, host):
@@ -245,7 +245,7 @@
             assert host.held.version >= host.floors[proof], (host.name, proof, host.floors)
 
     def _begin_epoch(self, host):
-        """Note what a proof of this epoch must at least reach."""
+        """Record the lowest version that a proof of this epoch may show."""
         others = [one.held for one in self.hosts if one is not host]
         proved = [held.version for held in others if held.find_refusal(self.now) is None]
         host.floors = {PLATFORM: self._head().version, PEERS: max(proved, default=0)}
--- a/tests/soak/claims.py
+++ b/tests/soak/claims.py
@@ -1,4 +1,4 @@
-"""Random runs of the claim books: callers, loss, delay, reordering, kills and pauses."""
+"""Random runs of claim trackers with message loss, delay and reordering, kills and pauses."""
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -15,7 +15,7 @@
 
 
 class ClaimsMachine(RuleBasedStateMachine):
-    """Callers send and resend; a target may run each key at most once."""
+    """Callers send calls and retries; a target may run each key at most once."""
 
     book_class = ClaimTracker
     steps = 0
@@ -28,8 +28,8 @@
     def submit(self, node, key, digest, vouch):
         self.world.submit(node, key, digest, vouch)
 
-    # A call takes a dozen steps in their order to run. Single random steps hardly ever get there,
-    # so most rules let one call succeed up to a random point, and then something else happens.
+    # A call needs a dozen steps in order to run, which single random steps hardly ever reach. So
+    # most rules let one call proceed to a random point before something else happens.
     @rule(node=_NODES, key=_KEYS, vouch=st.booleans(), steps=st.integers(0, 6))
     def submit_and_advance(self, node, key, vouch, steps):
         self.world.submit(node, key, b"one", vouch)
@@ -64,7 +64,7 @@
 
     @rule(node=_NODES, key=_KEYS)
     def die_running(self, node, key):
-        """An owner dies while its call runs; chance alone hardly ever gets there."""
+        """Kill an owner while its call runs, which random steps hardly ever reach."""
         world = self.world
         world.submit(node, key, b"one", False)
         world.advance(1)
@@ -72,7 +72,7 @@
             world.step(world.pending[-1], "apply")
             world.kill(node)
 
-    # Rarer than the rest, or no run would get far.
+    # Less frequent than the other rules, or no run would make progress.
     @rule(node=_NODES, dice=st.integers(0, 4))
     def kill(self, node, dice):
         if dice == 0:
--- a/tests/soak/members.py
+++ b/tests/soak/members.py
@@ -1,4 +1,4 @@
-"""Random runs of hosts' peers: restarts, leaves, cuts, held hosts, late and doubled datagrams."""
+"""Random runs of membership: restarts, leaves, partitions, suspensions, delayed datagrams."""
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
@@ -10,7 +10,7 @@
 
 
 class MembersMachine(RuleBasedStateMachine):
-    """What a host holds of another one only grows, and in a calm network all know all."""
+    """What a host knows of others never gets older; without faults, all hosts know all others."""
 
     is_clock_behind = False
     steps = 0
@@ -30,7 +30,7 @@
 
     @rule(first=_HOSTS, other=_HOSTS, seconds=_SECONDS)
     def restart_both(self, first, other, seconds):
-        """Two restarts close together: the second process has not heard the first's old one."""
+        """Restart a host twice, the second time before it has heard of its first predecessor."""
         self._count()
         self.world.leave(first)
         self.world.hold((first + 1) % HOSTS)
@@ -47,7 +47,7 @@
 
     @rule(number=_HOSTS, seconds=st.sampled_from([0.7, 1.0, 1.5]))
     def restart_suspected(self, number, seconds):
-        """The old process is suspected, and the word of it reaches some after the new one's."""
+        """Suspect the old process; some hosts hear of it after the new process's status."""
         self._count()
         self.world.kill([number])
         self.world.wait(seconds)
@@ -74,7 +74,7 @@
         self._count()
         self.world.wait(seconds)
 
-    # Rarer than the rest, as it takes long.
+    # Less frequent than the other rules, because it takes long.
     @rule(number=_HOSTS, dice=st.integers(0, 5))
     def outlast(self, number, dice):
         if dice == 0:
@@ -91,7 +91,7 @@
 
 
 class BehindMachine(MembersMachine):
-    """Each process of a host starts under a clock behind that of the one before."""
+    """Each process of a host starts with a clock that is behind its predecessor's."""
 
     is_clock_behind = True
     steps = 0
