--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from standins.caller import Caller, call
+from standins.callerthreads import CallerThreads
 from standins.relays import make_document
 
 _SERVICES = {"a": "counter", "b": "counter", "c": "orders"}
@@ -42,23 +43,16 @@
 
     def __init__(self, deployment, names, path):
         self.answers = []
-        self._stop = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._run, args=(deployment, name, path), daemon=True)
-            for name in names
-            for _ in range(3)
-        ]
-        for thread in self._threads:
-            thread.start()
+        callers = [(deployment, name, path) for name in names for _ in range(3)]
+        self._threads = CallerThreads(self._run, callers)
+        self._threads.start()
 
     def stop(self):
         """Stop sending and wait for the outstanding responses."""
-        self._stop.set()
-        for thread in self._threads:
-            thread.join(10)
+        self._threads.stop()
 
     def _run(self, deployment, name, path):
-        while not self._stop.is_set():
+        while not self._threads.is_stopped:
             sent, request_id = time.time(), deployment.next_id()
             headers = (("Request-Id", request_id), ("Deadline-Ms", "2000"))
             try:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,11 +1,11 @@
 """Callers of the fault soak; each keeps a connection to its host until the host's process ends."""
 
 import random
-import threading
 import time
 from typing import NamedTuple
 
 from standins.advertised import ADVERTISED_HEADERS, Sent
+from standins.callerthreads import CallerThreads
 
 _RETRY_SECONDS = 0.02
 _MAX_RETRY_AFTER_SECONDS = 0.2
@@ -37,27 +37,20 @@
 
     def __init__(self, deployment, count):
         self._deployment = deployment
-        self._stop = threading.Event()
         self.outcomes = []
-        self._threads = [
-            threading.Thread(target=self._run, args=(name, number), daemon=True)
-            for number in range(count)
-            for name in deployment.names
-        ]
-        for thread in self._threads:
-            thread.start()
+        callers = [(name, number) for number in range(count) for name in deployment.names]
+        self._threads = CallerThreads(self._run, callers)
+        self._threads.start()
 
     def stop(self):
         """Stop sending and wait for the outstanding responses."""
-        self._stop.set()
-        for thread in self._threads:
-            thread.join(15)
+        self._threads.stop()
 
     def _run(self, name, number):
         rng = random.Random(f"{name} {number}")
         is_patient = rng.random() < _PATIENT_SHARE
         caller = None
-        while not self._stop.is_set():
+        while not self._threads.is_stopped:
             request_id = self._deployment.next_id()
             kind = rng.choice(["look", "look", "order"])
             path = f"/{kind}/{request_id}?work_ms={rng.choice([1, 5, 20, 100])}"
--- a/tests/standins/recordingcallers.py
+++ b/tests/standins/recordingcallers.py
@@ -1,9 +1,9 @@
 """Callers that send requests over kept connections and record what they get."""
 
-import threading
 import time
 
 from standins.advertised import ADVERTISED_HEADERS, Sent
+from standins.callerthreads import CallerThreads
 
 _RETRY_SECONDS = 0.02
 
@@ -20,26 +20,18 @@
     def __init__(self, deployment, names, line, count=3):
         self._deployment = deployment
         self._method, _, self._path = line.partition(" ")
-        self._stop = threading.Event()
         self.sent = []
         self.statuses = []
-        self._threads = [
-            threading.Thread(target=self._run, args=(name,), daemon=True)
-            for name in names
-            for _ in range(count)
-        ]
-        for thread in self._threads:
-            thread.start()
+        self._threads = CallerThreads(self._run, [(name,) for name in names for _ in range(count)])
+        self._threads.start()
 
     def stop(self):
         """Stop sending and wait for the outstanding responses."""
-        self._stop.set()
-        for thread in self._threads:
-            thread.join(10)
+        self._threads.stop()
 
     def _run(self, name):
         caller = None
-        while not self._stop.is_set():
+        while not self._threads.is_stopped:
             request_id, sent_at = self._deployment.next_id(), time.time()
             try:
                 if caller is None:
