Authenticate requests by their organisation's key

Cause: a configuration with organisations was read without them. Requests with unknown keys ran, keys and forged organisation names reached targets, and downloads were treated as requests that must not be repeated.

Change: the configuration document yields an OrganisationTable; the entry node answers 401 for unknown keys, removes keys and names from the headers and sets the authenticated name; an organisation's priority goes before its routes' priorities.

--- a/packages/core/src/camphorshelf_core/routes.py
+++ b/packages/core/src/camphorshelf_core/routes.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from .organisations import OrganisationTable
+
 # Weights are usually percentages, for which the rotation repeats after at most 100 requests.
 _MAX_START_OFFSET = 100
 
@@ -29,6 +31,7 @@
     :param objective_s: the latency objective in seconds.
     :param priority: 0 is the highest priority.
     :param weighted_services: a tuple of :class:`WeightedService` that share the route's requests.
+    :param is_public: whether requests need no organisation's key.
     """
 
     name: str
@@ -40,6 +43,7 @@
     objective_s: float
     priority: int
     weighted_services: tuple
+    is_public: bool = False
 
 
 class ServiceSettings(NamedTuple):
@@ -65,12 +69,17 @@
 
 
 class RoutingConfig(NamedTuple):
-    """One version of the routing configuration; version numbers only increase."""
+    """One version of the routing configuration; version numbers only increase.
+
+    :param organisations: an :class:`~camphorshelf_core.organisations.OrganisationTable`; None if no
+        organisation is configured, and requests then need no keys.
+    """
 
     version: int
     routes: tuple
     services: dict
     limits: EdgeLimits
+    organisations: OrganisationTable | None = None
 
 
 class RouteTable:
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -26,9 +26,11 @@
     :param exchange: the request's :class:`~camphorshelf_node.exchange.Exchange`.
     :param route: the request's :class:`~camphorshelf_core.routes.Route`.
     :param caller_metadata: the :class:`~camphorshelf_relay.settings.CallerMetadata`.
+    :param organisation: the :class:`~camphorshelf_core.organisations.Organisation` for which it
+        runs, or None.
     """
 
-    def __init__(self, router, exchange, route, caller_metadata):
+    def __init__(self, router, exchange, route, caller_metadata, organisation=None):
         self._router = router
         self._loop = router.loop
         self._exchange = exchange
@@ -50,7 +52,11 @@
         self._expires_at = self._received_at + timeout_s
         self._objective_at = self._received_at + route.objective_s - elapsed_s
         self._late_policy = LatePolicy.QUEUE
-        self._headers = strip_hop_by_hop(exchange.request.headers)
+        self._organisation = organisation
+        self._headers = router.prepare_headers(
+            strip_hop_by_hop(exchange.request.headers), organisation
+        )
+        self._priority = router.priority(route, organisation)
         self._offered_addresses = set()
         self._probed_addresses = set()
         self._probe_rounds = 0
@@ -146,7 +152,7 @@
             sent_at=now,
             service=self._service,
             idempotent=self._route.idempotent,
-            priority=self._route.priority,
+            priority=self._priority,
             objective_s=self._objective_at - now,
             remaining_s=self._expires_at - now,
             work_s=self._stats.work_s,
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -4,6 +4,7 @@
 from camphorshelf_core.errors import Code, Refusal
 from camphorshelf_core.leavinginstances import LeavingInstances
 from camphorshelf_core.loadprobes import choose_probes, is_sufficient
+from camphorshelf_core.organisations import authenticate, request_priority
 from camphorshelf_core.retrybudget import RetryBudget
 from camphorshelf_core.routes import ServicePicker
 
@@ -111,7 +112,14 @@
             refusal = Refusal(Code.UNKNOWN_ROUTE, "no route matches the request")
             self.refuse(exchange, caller_metadata.request_id, refusal, None)
             return
-        Relay(self, exchange, route, caller_metadata).start()
+        is_allowed, organisation = authenticate(
+            self._config_sync.config.organisations, route, caller_metadata.key
+        )
+        if not is_allowed:
+            refusal = Refusal(Code.UNKNOWN_KEY, "no organisation has the request's key")
+            self.refuse(exchange, caller_metadata.request_id, refusal, route)
+            return
+        Relay(self, exchange, route, caller_metadata, organisation).start()
 
     def may_overlap(self, request):
         """Tell whether a request may run concurrently with others of the same connection.
@@ -126,6 +134,28 @@
         route = self._find_route(request) if self._config_sync.config is not None else None
         return route is not None and route.idempotent
 
+    def prepare_headers(self, headers, organisation):
+        """Remove what a caller says of its organisation, and name its authenticated one.
+
+        :param headers: the caller's headers, without hop-by-hop headers.
+        :param organisation: the :class:`~camphorshelf_core.organisations.Organisation`, or None.
+        :return: the headers to send; the same ones if no organisation is configured.
+        """
+        if self._config_sync.config.organisations is None:
+            return headers
+        name = None if organisation is None else organisation.name
+        return self._header_codec.set_organisation(headers, name)
+
+    def priority(self, route, organisation):
+        """Compute the priority of a request at its target.
+
+        :param route: the request's :class:`~camphorshelf_core.routes.Route`.
+        :param organisation: its :class:`~camphorshelf_core.organisations.Organisation`, or None.
+        :return: a number; the smallest is the most urgent.
+        """
+        has_organisations = self._config_sync.config.organisations is not None
+        return request_priority(route, organisation, has_organisations)
+
     def pick_service(self, route):
         """Choose the service for a request.
 
--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -71,10 +71,12 @@
 
     :param request_id: the caller's id of this attempt.
     :param timeout_s: how long the caller waits, in seconds; None if it does not say.
+    :param key: the organisation's key that it sent; None without exactly one.
     """
 
     request_id: str
     timeout_s: float | None
+    key: bytes | None = None
 
 
 class TargetMetadata(NamedTuple):
@@ -126,6 +128,10 @@
 
     :param parse_caller: takes the headers of a caller's request and returns its
         :class:`CallerMetadata`.
+    :param set_organisation: takes the headers of a caller's request and the name of its
+        organisation or None, and returns the headers without keys and with only that name.
+    :param find_organisation: takes headers that ``set_organisation`` returned, and returns the
+        organisation's name; empty without one.
     :param build_request: takes the headers of a caller's request, the remaining seconds, the
         target's instance and the service on the entry node's host, and returns the headers for the
         target.
@@ -138,6 +144,8 @@
     """
 
     parse_caller: object
+    set_organisation: object
+    find_organisation: object
     build_request: object
     parse_target: object
     is_leaving: object
