Use both of two slots; send large responses at the rate of the host's link

Change: fewer than four slots start with all of them. All links of a node send fragments of large messages by one token bucket at 0.85 of link_mbps, the shortest message first; without link_mbps, or from 100 Mbit/s on, they are sent as before.

--- a/packages/core/src/camphorshelf_core/slotlimit.py
+++ b/packages/core/src/camphorshelf_core/slotlimit.py
@@ -11,6 +11,9 @@
 
 # The limit starts here, because most servers work at full speed up to this share of their slots.
 _STARTING_SHARE = 0.8
+# Below this many slots the limit starts with all of them: with two slots, one that stays free costs
+# half of the target, more than the slowdown near saturation does.
+_MIN_SLOTS_TO_SPARE = 4
 # The limit never falls below half of the slots: with so few concurrent requests, what looks like
 # saturation is mostly waiting for other services.
 _MIN_SHARE = 0.5
@@ -92,7 +95,8 @@
         :return: None.
         """
         self.slots = slots
-        self.stable_value = max(1, int(slots * _STARTING_SHARE)) if slots else 0
+        share = _STARTING_SHARE if slots >= _MIN_SLOTS_TO_SPARE else 1.0
+        self.stable_value = int(slots * share)
         self._min_value = max(1, round(slots * _MIN_SHARE))
         self._samples_by_concurrency.clear()
         # The difference that a trial makes to the limit: 1, -1, or 0 without a trial.
--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -39,9 +39,14 @@
 
 
 class Channel:
-    """Sends and receives messages over one WebSocket connection, as client or server."""
+    """Sends and receives messages over one WebSocket connection, as client or server.
 
-    def __init__(self, stream, protocol, on_message, on_close):
+    :param pacer: the node's :class:`~camphorshelf_node.fragmentpacer.FragmentPacer`, which sends
+        the fragments of large messages; None to send them as fast as the connection takes them.
+    """
+
+    def __init__(self, stream, protocol, on_message, on_close, pacer=None):
+        self._pacer = pacer
         self._stream = stream
         self._protocol = protocol
         self._on_message = on_message
@@ -62,6 +67,17 @@
         """Whether the connection is closed."""
         return self._stream.closed
 
+    @property
+    def can_send_fragment(self):
+        """Whether a fragment is left to send and the write buffer is small."""
+        is_writable = self._stream.unsent < _SEND_WINDOW_BYTES and not self._stream.closed
+        return bool(self._fragmented) and is_writable
+
+    @property
+    def fewest_bytes_left(self):
+        """The bytes left of the fragmented message that has the fewest left."""
+        return min(message.bytes_left for message in self._fragmented)
+
     def ping(self):
         """Send a WebSocket ping, which the peer answers with a pong.
 
@@ -89,9 +105,11 @@
             self._unsent.append(message)
             return
         data = encode(message)
-        if len(data) <= _FRAGMENT_BYTES:
+        if len(data) <= self._fragment_bytes:
             self._protocol.send_binary(data)
             self._flush()
+            if self._pacer is not None:
+                self._pacer.record_sent(len(data))
         else:
             call_id = getattr(message, "call_id", None)
             self._fragmented.append(_FragmentedMessage(next(self._message_numbers), call_id, data))
@@ -161,22 +179,37 @@
             return None
         return decode(bytes(self._incoming.pop(message.number)))
 
+    def send_fragment(self):
+        """Send one fragment of the message that has the fewest bytes left.
+
+        :return: None.
+        """
+        fragmented = min(self._fragmented, key=lambda message: message.bytes_left)
+        self._fragmented.remove(fragmented)
+        self._send_fragment_of(fragmented)
+
+    @property
+    def _fragment_bytes(self):
+        return _FRAGMENT_BYTES if self._pacer is None else self._pacer.fragment_bytes
+
     def _send_fragments(self):
+        if self._pacer is not None:
+            if self._fragmented:
+                self._pacer.schedule(self)
+            return
         # Sends one fragment of each message in turn, and only while the write buffer is small:
         # other messages then wait for one fragment, not for the rest of a body.
-        while (
-            self._fragmented
-            and self._stream.unsent < _SEND_WINDOW_BYTES
-            and not self._stream.closed
-        ):
-            fragmented = self._fragmented.popleft()
-            fragment, is_last = fragmented.next_fragment()
-            self._protocol.send_binary(
-                encode(FragmentMessage(fragmented.number, is_last, fragment))
-            )
-            if not is_last:
-                self._fragmented.append(fragmented)
-            self._flush()
+        while self.can_send_fragment:
+            self._send_fragment_of(self._fragmented.popleft())
+
+    def _send_fragment_of(self, fragmented):
+        fragment, is_last = fragmented.next_fragment(self._fragment_bytes)
+        self._protocol.send_binary(encode(FragmentMessage(fragmented.number, is_last, fragment)))
+        if not is_last:
+            self._fragmented.append(fragmented)
+        if self._pacer is not None:
+            self._pacer.record_sent(len(fragment))
+        self._flush()
 
     def _flush(self):
         for data in self._protocol.data_to_send():
@@ -195,9 +228,14 @@
         self.call_id = call_id
         self._data = memoryview(data)
 
-    def next_fragment(self):
-        """Return the next fragment, and whether it is the last."""
-        fragment, self._data = self._data[:_FRAGMENT_BYTES], self._data[_FRAGMENT_BYTES:]
+    @property
+    def bytes_left(self):
+        """The number of bytes that are left to send."""
+        return len(self._data)
+
+    def next_fragment(self, size):
+        """Return the next fragment of up to ``size`` bytes, and whether it is the last."""
+        fragment, self._data = self._data[:size], self._data[size:]
         return bytes(fragment), not self._data
 
 
@@ -343,13 +381,13 @@
     that an older node can work with a newer peer.
     """
 
-    def __init__(self, stream, handlers, on_close=None):
+    def __init__(self, stream, handlers, on_close=None, pacer=None):
         self._handlers = handlers
         self._when_closed = on_close
         self._cancels = {}
         self.unknown_messages = 0
         protocol = ServerProtocol(max_size=_MAX_MESSAGE_BYTES)
-        self._channel = Channel(stream, protocol, self._on_message, self._on_close)
+        self._channel = Channel(stream, protocol, self._on_message, self._on_close, pacer)
         stream.open()
 
     @property
--- a/packages/relay/src/camphorshelf_relay/listeners.py
+++ b/packages/relay/src/camphorshelf_relay/listeners.py
@@ -132,9 +132,11 @@
     :param address: the :class:`~camphorshelf_relay.settings.Endpoint` to listen on.
     :param make_handlers: returns the message handlers of a new link, see
         :func:`make_link_handlers`.
+    :param pacer: the node's :class:`~camphorshelf_node.fragmentpacer.FragmentPacer`, or None.
     """
 
-    def __init__(self, loop, address, make_handlers):
+    def __init__(self, loop, address, make_handlers, pacer=None):
+        self._pacer = pacer
         self._loop = loop
         self._address = address
         self._make_handlers = make_handlers
@@ -153,7 +155,7 @@
         listen(self._loop, self._address, self._on_accept, TCP_TIMEOUT_SECONDS)
 
     def _on_accept(self, stream, _peer):
-        server = PeerServer(stream, self._make_handlers(), self._servers.discard)
+        server = PeerServer(stream, self._make_handlers(), self._servers.discard, self._pacer)
         if not stream.closed:
             self._servers.add(server)
 
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -10,10 +10,12 @@
 
 from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.hosts import HostStatus, HostView
+from camphorshelf_core.linkpacing import FAST_LINK_MBPS
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_core.ratelimit import RateLimit
 from camphorshelf_core.startlimits import StartLimits
 from camphorshelf_core.warmup import WarmUp
+from camphorshelf_node.fragmentpacer import FragmentPacer
 from camphorshelf_node.loop import Loop
 
 from .admissioncontroller import AdmissionController
@@ -156,7 +158,9 @@
             log.fault,
             {ConfigRequestMessage: self._config_sync.answer_peer},
         )
-        self._links = LinkListener(loop, addresses.links, handlers)
+        self._links = LinkListener(
+            loop, addresses.links, handlers, _make_pacer(loop, settings.link_mbps)
+        )
         self._http_endpoints = (
             (addresses.readiness, self._answer_readiness),
             (addresses.heartbeats, self._answer_target),
@@ -330,6 +334,12 @@
         self.stop()
 
 
+def _make_pacer(loop, link_mbps):
+    if link_mbps is None or link_mbps >= FAST_LINK_MBPS:
+        return None
+    return FragmentPacer(loop, link_mbps)
+
+
 def exclude_imports_from_gc():
     """Enable garbage collection, restricted to objects that are created from now on.
 
--- a/tests/features/slot_limit.feature
+++ b/tests/features/slot_limit.feature
@@ -38,6 +38,13 @@
     When 140 requests a second come for 60 s
     Then it completes in time at least 1.15 times as many requests as at 0.8 of the slots
 
+  Scenario: A target with two slots uses both from the start
+    # Guards against a limit that rounds down to one of two slots and refuses half of the load.
+    Given a target with 2 slots that slows down by 1.7 beyond 1
+    Then its limit is 2 at the median, and off by 0 at most on nine of ten seeds
+    When 30 requests a second come for 40 s
+    Then its limit is 2 at the median, and off by 0 at most on nine of ten seeds
+
   Scenario: There are no trials at a target with little load
     # Guards against trials of another limit that bring nothing.
     Given a target with 8 slots that slows down by 1.7 beyond 6
