Wait for slots of calls, and probe six targets where slots are few

A call's deadline is that of its parent, and a shorter deadline than usual was taken for the second attempt of a caller, whose objective is nearly spent. With two slots a target, three probes often found no free one.

--- a/packages/core/src/camphorshelf_core/loadprobes.py
+++ b/packages/core/src/camphorshelf_core/loadprobes.py
@@ -13,6 +13,13 @@
 # entry nodes probed only the best two, these would get all requests of that moment.
 _BEST_HOSTS = 2
 _RANKED_HOSTS = 6
+_RANDOM_HOSTS = 1
+# With few slots a target has none free most of the time, so more of them have to be asked: with six
+# of 35 targets at half load, one request in a hundred meets no free slot, with three one in six.
+FEW_SLOTS = 3
+_BEST_HOSTS_FEW_SLOTS = 3
+_RANKED_HOSTS_FEW_SLOTS = 16
+_RANDOM_HOSTS_FEW_SLOTS = 3
 # If the first three hosts are slow or full, three more are probed.
 MAX_PROBE_ROUNDS = 2
 # The longest wait for the answers to the probes of one decision.
@@ -21,12 +28,13 @@
 _MAX_NORMAL_SLOWNESS = 1.1
 
 
-def choose_probes(candidates, probed, random):
+def choose_probes(candidates, probed, random, has_few_slots=False):
     """Choose the hosts to probe before one of the candidates is chosen.
 
     :param candidates: a request's :class:`~camphorshelf_core.placement.Candidate`, the best first.
     :param probed: the addresses that were already probed for this request.
     :param random: the source of random numbers.
+    :param has_few_slots: whether the service's targets have at most :data:`FEW_SLOTS` slots.
     :return: a list of addresses; empty when the best candidate's status is fresh, or when all were
         probed.
     """
@@ -37,10 +45,12 @@
         for candidate in candidates
         if candidate.is_healthy and not candidate.is_fresh and candidate.address not in probed
     ]
-    chosen, others = stale[:_BEST_HOSTS], stale[_BEST_HOSTS:_RANKED_HOSTS]
-    if others:
-        chosen.append(random.choice(others))
-    return chosen
+    best, ranked, count = _BEST_HOSTS, _RANKED_HOSTS, _RANDOM_HOSTS
+    if has_few_slots:
+        best, ranked = _BEST_HOSTS_FEW_SLOTS, _RANKED_HOSTS_FEW_SLOTS
+        count = _RANDOM_HOSTS_FEW_SLOTS
+    others = stale[best:ranked]
+    return stale[:best] + random.sample(others, min(count, len(others)))
 
 
 def put_unanswered_last(candidates, probed):
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -1,5 +1,6 @@
 """One caller's request at the entry node: the targets that it is sent to, and its one response."""
 
+from camphorshelf_core.callroutes import CALL_PAUSE_SECONDS, should_offer_again
 from camphorshelf_core.calls import Response
 from camphorshelf_core.errors import Code, Ran, Refusal
 from camphorshelf_core.hedging import hedge_delays
@@ -37,6 +38,7 @@
         self._route = route
         self._caller_metadata = caller_metadata
         self._service = router.pick_service(route)
+        self._is_call = router.is_call(route, self._service)
         self._stats = router.route_stats.get(route)
         self._received_at = exchange.received
         timeout_s = (
@@ -46,12 +48,14 @@
         )
         elapsed_s = (
             0.0
-            if caller_metadata.timeout_s is None
+            if caller_metadata.timeout_s is None or self._is_call
             else self._stats.estimate_elapsed(caller_metadata.timeout_s)
         )
         self._expires_at = self._received_at + timeout_s
         self._objective_at = self._received_at + route.objective_s - elapsed_s
-        self._late_policy = LatePolicy.QUEUE
+        self._late_policy = LatePolicy.QUEUE_HELD if self._is_call else LatePolicy.QUEUE
+        self._call_rounds = 0
+        self._pause_timer = None
         self._organisation = organisation
         self._headers = router.prepare_headers(
             strip_hop_by_hop(exchange.request.headers), organisation
@@ -131,9 +135,23 @@
             # own node knows its load better, and queues a limited number of late requests.
             self._late_offer_count += 1
             self._offer((untried or candidates)[0], self._late_policy)
-        else:
+        elif not self._pause(now):
             self._refuse(Code.QUEUE_FULL, "every target is busy beyond the request's time")
 
+    def _pause(self, now):
+        work_s = self._stats.work_s
+        if not self._is_call or not should_offer_again(
+            self._call_rounds, work_s, now, self._expires_at
+        ):
+            return False
+        self._call_rounds += 1
+        self._offered_addresses.clear()
+        self._probed_addresses.clear()
+        self._probe_rounds = self._offer_count = self._late_offer_count = 0
+        resume = self._exchange.guard(self._offer_next)
+        self._pause_timer = self._loop.call_later(CALL_PAUSE_SECONDS, resume)
+        return True
+
     def _rank_targets(self, now):
         router = self._router
         views, objective_left_s = router.list_targets(self._service), self._objective_at - now
@@ -361,6 +379,8 @@
     def _end(self):
         self._is_finished = True
         self._cancel_hedges()
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
         pending_offers, self._pending_offers = self._pending_offers, {}
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -1,9 +1,10 @@
 """The entry side of a node: finds the route of a caller's request and starts its :class:`Relay`."""
 
+from camphorshelf_core.callroutes import CallRoutes
 from camphorshelf_core.calls import Response, header
 from camphorshelf_core.errors import Code, Refusal
 from camphorshelf_core.leavinginstances import LeavingInstances
-from camphorshelf_core.loadprobes import choose_probes, is_sufficient
+from camphorshelf_core.loadprobes import FEW_SLOTS, choose_probes, is_sufficient
 from camphorshelf_core.organisations import authenticate, request_priority
 from camphorshelf_core.retrybudget import RetryBudget
 from camphorshelf_core.routes import ServicePicker
@@ -57,6 +58,7 @@
         self._service_picker = ServicePicker(random)
         self._retry_budgets = {}
         self._leaving_instances = LeavingInstances()
+        self._call_routes = CallRoutes()
         # Counts of granted and denied retries, by service and verdict.
         self.retry_counts = {}
         # Called with the route's name, the outcome and the seconds of each finished request.
@@ -73,7 +75,8 @@
             timed out.
         :return: whether any host is probed; if not, ``on_done`` is not called.
         """
-        addresses = choose_probes(candidates, probed, self.random)
+        has_few_slots = bool(candidates) and self._has_few_slots(candidates[0].address)
+        addresses = choose_probes(candidates, probed, self.random, has_few_slots)
         if not addresses:
             return False
         probed.update(addresses)
@@ -134,6 +137,29 @@
         route = self._find_route(request) if self._config_sync.config is not None else None
         return route is not None and route.idempotent
 
+    def is_call(self, route, service):
+        """Tell whether a request is a call that a target makes while it runs another request.
+
+        Where organisations are configured, these are the requests that need no key. Elsewhere calls
+        are told from the moments of their arrival, for services whose targets have few slots.
+
+        :param route: the request's :class:`~camphorshelf_core.routes.Route`.
+        :param service: the service that it is sent to.
+        :return: True or False.
+        """
+        is_idle = self._admission_controller.admission.running == 0
+        self._call_routes.record(route.name, is_idle)
+        if self._config_sync.config.organisations is not None:
+            return route.is_public and self._call_routes.is_called(route.name)
+        if not self._call_routes.is_called(route.name):
+            return False
+        views = self._peers.directory.targets(service, self.domain, self.loop.now(), self.random)
+        return bool(views) and max(view.status.limit for view in views) <= FEW_SLOTS
+
+    def _has_few_slots(self, address):
+        view = self._peers.directory.view(address)
+        return view is not None and view.status.limit <= FEW_SLOTS
+
     def prepare_headers(self, headers, organisation):
         """Remove what a caller says of its organisation, and name its authenticated one.
 
@@ -319,6 +345,7 @@
     def _on_config(self, config):
         self._service_picker.retain_routes(config.routes)
         self.route_stats.retain(config.routes)
+        self._call_routes.retain(config.routes)
 
 
 def find_host_and_path(request):
--- a/tests/features/load_probes.feature
+++ b/tests/features/load_probes.feature
@@ -23,6 +23,12 @@
     When they are ranked for work that takes no time
     Then all 5 are candidates
 
+  Scenario: A free slot is found among many targets with two slots each
+    # Guards against refusing every sixth request while half of the slots of the service are free.
+    Given 35 hosts of one service with 2 slots, of which half are taken
+    When 1000 requests are each sent after probing
+    Then fewer than 2 in 100 met no free slot
+
   Scenario: Hosts with a fresh status are not probed
     Given 5 hosts of one service, all idle and last heard just now
     Then no host is probed
--- a/tests/features/steps/load_probes_steps.py
+++ b/tests/features/steps/load_probes_steps.py
@@ -266,3 +266,34 @@
 @then("every choice continued")
 def check_all_continued(context):
     assert len(context.done) == context.choices, len(context.done)
+
+
+@given("{count:d} hosts of one service with {slots:d} slots, of which half are taken")
+def hosts_with_few_slots(context, count, slots):
+    context.random = random.Random(5)
+    context.slots, context.count = slots, count
+
+
+@when("{count:d} requests are each sent after probing")
+def send_after_probing(context, count):
+    context.sent = count
+    context.without_slot = sum(not _finds_free_slot(context) for _ in range(count))
+
+
+@then("fewer than {most:d} in 100 met no free slot")
+def check_without_slot(context, most):
+    assert context.without_slot * 100 < most * context.sent, context.without_slot
+
+
+def _finds_free_slot(context):
+    draw, now = context.random, 1.0
+    running = [sum(draw.random() < 0.5 for _ in range(context.slots)) for _ in range(context.count)]
+    views = [
+        make_view(make_status(f"h{one}", push_interval_s=0.0, limit=context.slots), 0.0)
+        for one in range(context.count)
+    ]
+    draw.shuffle(views)
+    candidates = rank_targets(views, _WORK_SECONDS, now, "", _OBJECTIVE_SECONDS)
+    probed = choose_probes(candidates, set(), draw, has_few_slots=True)
+    by_address = {view.status.address: index for index, view in enumerate(views)}
+    return any(running[by_address[address]] < context.slots for address in probed)
