Check keys again before retries; refuse keys without recent store contact

Cause: a request whose key was removed was offered again after a failure, and a node that was cut off accepted removed keys for as long as it was cut off. Refusals with UNKNOWN_KEY were each logged.

Change: the key is authenticated again before each further offer and hedge. With strict_revoke, nodes report the age of their store contact in two new datagrams, and a node refuses requests that need a key (214) without one for revoke_s. Other deployments send none of them. At most one line a second is logged for refused keys; refused lines name the organisation; a metric shows the age of the contact.

--- a/packages/core/src/camphorshelf_core/hostdatagrams.py
+++ b/packages/core/src/camphorshelf_core/hostdatagrams.py
@@ -14,6 +14,7 @@
 
 _FULL_STATUS, _SHORT_STATUS, _STATUS_REQUEST, _GREETING, _MEMBER_UPDATES, _SUSPICION = range(6)
 _PROBE_REQUEST, _ADDRESSES_REQUEST, _ADDRESSES = range(6, 9)
+_CONTACT_REQUEST, _CONTACT_REPORT = 20, 21
 _HUNDREDTHS, _THOUSANDTHS = 100, 1000
 _SHORT_FIELD_COUNT = 14
 _MAX_CRASHES = 16
@@ -81,6 +82,26 @@
     addresses: tuple
 
 
+class ContactRequest(NamedTuple):
+    """Asks a member when it last had contact with the store."""
+
+
+class ContactReport(NamedTuple):
+    """How old the sender's last contact with the store is, directly or through others.
+
+    Sent only where nodes refuse requests when their contact is too old. It isn't a part of the
+    status because older nodes drop statuses with more fields than they know.
+
+    :param must_forward: whether the receiver has to forward it in its failure domain.
+    :param config_version: the version of the configuration in force at the sender.
+    :param age_ms: the age in milliseconds.
+    """
+
+    must_forward: bool
+    config_version: int
+    age_ms: int
+
+
 class UnresolvedShortStatus(NamedTuple):
     """A received short status for which no matching full status is held."""
 
@@ -198,6 +219,12 @@
     return None
 
 
+def _parse_contact_report(must_forward, config_version, age_ms):
+    if isinstance(config_version, int) and isinstance(age_ms, int) and age_ms >= 0:
+        return ContactReport(bool(must_forward), config_version, age_ms)
+    return None
+
+
 def split_addresses(known):
     """Split the addresses of all known hosts into messages that fit into a datagram each.
 
@@ -279,6 +306,8 @@
     ProbeRequest: _PROBE_REQUEST,
     AddressesRequest: _ADDRESSES_REQUEST,
     Addresses: _ADDRESSES,
+    ContactRequest: _CONTACT_REQUEST,
+    ContactReport: _CONTACT_REPORT,
 }
 _PARSERS = {
     _STATUS_REQUEST: _parse_status_request,
@@ -286,4 +315,6 @@
     _PROBE_REQUEST: _parse_probe_request,
     _ADDRESSES_REQUEST: AddressesRequest,
     _ADDRESSES: _parse_addresses,
+    _CONTACT_REQUEST: ContactRequest,
+    _CONTACT_REPORT: _parse_contact_report,
 }
--- a/packages/relay/src/camphorshelf_relay/announcer.py
+++ b/packages/relay/src/camphorshelf_relay/announcer.py
@@ -196,6 +196,21 @@
         self._updates[key] = item, scope
         self._schedule_flush()
 
+    def announce_contact(self, report, is_for_all):
+        """Send a report of a contact with the store to the members of this failure domain.
+
+        :param report: the :class:`~camphorshelf_core.hostdatagrams.ContactReport`.
+        :param is_for_all: whether members of the other failure domains should forward it there.
+        :return: None.
+        """
+        now = self._loop.now()
+        same_domain = self._list_members(self._domain, lambda view: view.is_gone(now))
+        self._send_to_each(same_domain, encode(report._replace(must_forward=False)))
+        for domain in self._directory.domains:
+            if is_for_all and domain != self._domain:
+                forwarders = self._choose_forwarders(domain, now)
+                self._send_to_each(forwarders, encode(report._replace(must_forward=True)))
+
     def refute(self):
         """Tell all hosts that this one is alive, and ask for their statuses.
 
--- a/packages/relay/src/camphorshelf_relay/configsync.py
+++ b/packages/relay/src/camphorshelf_relay/configsync.py
@@ -89,6 +89,8 @@
         self._fetches = {}
         self._on_change = []
         self._cross_domain_fetch_timer = None
+        # Called with the time at which a poll was sent after its response has been applied.
+        self.on_store_response = lambda sent_at: None
         # The hosts to which this node has to announce the version in force.
         self.announcement_scope = AnnouncementScope.NOBODY
         self.config = None
@@ -233,8 +235,10 @@
 
         def done(result):
             overdue.cancel()
-            self._poll_sent_at = None
+            sent_at, self._poll_sent_at = self._poll_sent_at, None
             self._on_read(result)
+            if not isinstance(result, StoreFailure):
+                self.on_store_response(sent_at)
 
         self._store.read(self.table_name, done)
 
@@ -311,6 +315,7 @@
             before=self.version,
             source=source,
             routes=len(config.routes),
+            organisations=0 if config.organisations is None else len(config.organisations),
         )
         self._document = bytes(document)
         self._packed_document = None
--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -28,8 +28,10 @@
     Event(
         "refused",
         "A caller got an error response from the node itself. `ran` tells what is known about "
-        "whether the request was executed.",
-        f"{_REQUEST} code ran reason retry_after_ms service offers held_ms under_way",
+        "whether the request was executed. Of the requests refused with `UNKNOWN_KEY`, at most one "
+        "a second is logged; `count` tells how many were refused since the line before.",
+        f"{_REQUEST} code ran reason retry_after_ms service offers held_ms under_way organisation "
+        "count",
     ),
     Event(
         "caller_left",
@@ -118,7 +120,7 @@
     Event(
         "config_in_force",
         "Another version of the configuration is in force; `source` is the store or a peer.",
-        "version before source routes",
+        "version before source routes organisations",
     ),
     Event(
         "evacuation",
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -33,6 +33,7 @@
 from .peers import Peers
 from .router import Router
 from .settings import HeaderCodec
+from .storecontacts import StoreContacts
 from .target import Target
 
 # Callers notice that a stopping node is not ready by two failed readiness checks, one second apart.
@@ -140,6 +141,8 @@
             self._random,
             log,
         )
+        self._contacts = StoreContacts(loop, settings, self._peers, self._config_sync, self._random)
+        self._router.is_config_stale = self._contacts.is_stale
         limits = CurrentLimits(self._config_sync)
         addresses = settings.addresses
         self._callers = CallerListener(
@@ -171,6 +174,7 @@
             self._router,
             self._peers,
             self._config_sync,
+            self._contacts,
             self._callers,
             store,
             log,
@@ -204,6 +208,7 @@
         self._peers.start()
         self._config_sync.start(self._platform.document_table, self._platform.document_key)
         self._discovery.start()
+        self._contacts.start()
         # The settings file may be changed without a SIGHUP.
         self._loop.call_every(_RELOAD_SECONDS, lambda: self._reload(is_requested=False))
         self._log.notable("start", service=self._settings.service, domain=self._settings.domain)
@@ -295,6 +300,7 @@
         )
         self._router.apply_settings(self._settings)
         self._target.apply_settings(self._settings)
+        self._contacts.apply_settings(self._settings)
 
     def _on_sigterm(self, _number, _frame):
         # The loop itself ends the node. With circuits' own signal handling, SystemExit would be
--- a/packages/relay/src/camphorshelf_relay/nodemetrics.py
+++ b/packages/relay/src/camphorshelf_relay/nodemetrics.py
@@ -14,6 +14,7 @@
     :param router: the :class:`~camphorshelf_relay.router.Router`.
     :param peers: the :class:`~camphorshelf_relay.peers.Peers`.
     :param config_sync: the :class:`~camphorshelf_relay.configsync.ConfigSynchronizer`.
+    :param contacts: the :class:`~camphorshelf_relay.storecontacts.StoreContacts`.
     :param callers: the :class:`~camphorshelf_relay.listeners.CallerListener`.
     :param store: the store's client.
     :param log: the :class:`~camphorshelf_relay.eventlog.EventLog`.
@@ -27,6 +28,7 @@
     router: object
     peers: object
     config_sync: object
+    contacts: object
     callers: object
     store: object
     log: object
@@ -108,6 +110,11 @@
         "Seconds since the store answered.",
         lambda: sources.config_sync.store_age_s,
     )
+    add_gauge(
+        "config.contact.age",
+        "Seconds since a contact that could have brought a newer configuration; -1 without one.",
+        lambda: sources.contacts.age_s,
+    )
     add_gauge("callers", "Connections of callers.", lambda: sources.callers.connections)
     live = sources.peers.directory.live
     add_gauge(
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -13,6 +13,8 @@
 from camphorshelf_core.hostdatagrams import (
     Addresses,
     AddressesRequest,
+    ContactReport,
+    ContactRequest,
     Greeting,
     MemberUpdates,
     ProbeRequest,
@@ -100,11 +102,16 @@
             ProbeRequest: self._on_probe_request,
             AddressesRequest: self._on_addresses_request,
             Addresses: lambda message, ip: self._on_addresses(message),
+            ContactRequest: self._on_contact_request,
+            ContactReport: lambda report, ip: self.on_contact_report(report),
         }
         self.counts = {"received": 0, "unused": 0, "suspected": 0}
         # Called with the view of each host that has sent a newer status, and whether this node
         # forwards that status in its failure domain.
         self.on_status = lambda view, is_forwarded: None
+        # Called with each ContactReport of another host; and returns this host's, or None.
+        self.on_contact_report = lambda report: None
+        self.describe_contact = lambda: None
 
     @property
     def directory(self):
@@ -183,6 +190,24 @@
         """
         self._announcer.announce_version(scope)
 
+    def announce_contact(self, report, is_for_all):
+        """Send a report of a contact with the store to others; see :class:`Announcer`.
+
+        :param report: the :class:`~camphorshelf_core.hostdatagrams.ContactReport`.
+        :param is_for_all: whether it is for all failure domains.
+        :return: None.
+        """
+        self._announcer.announce_contact(report, is_for_all)
+
+    def request_contact(self):
+        """Ask a random live host when it last had contact with the store.
+
+        :return: None.
+        """
+        live = self._directory.live(self._loop.now())
+        if live:
+            self._send_to(self._random.choice(live).status.address, encode(ContactRequest()))
+
     def link(self, address):
         """Return the open link to a host, or open a new one.
 
@@ -290,6 +315,11 @@
         if request.is_suspected and is_known:
             self._announcer.refute()
 
+    def _on_contact_request(self, _request, ip):
+        report = self.describe_contact()
+        if report is not None:
+            self._datagrams.send(ip, encode(report))
+
     def _on_unresolved_short_status(self, _message, ip):
         self._datagrams.send(ip, encode(StatusRequest("", 0, False)))
 
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -52,11 +52,7 @@
         self._expires_at = self._received_at + timeout_s
         self._objective_at = self._received_at + route.objective_s - elapsed_s
         self._late_policy = LatePolicy.QUEUE
-        self._organisation = organisation
-        self._headers = router.prepare_headers(
-            strip_hop_by_hop(exchange.request.headers), organisation
-        )
-        self._priority = router.priority(route, organisation)
+        self._set_organisation(organisation)
         self._offered_addresses = set()
         self._probed_addresses = set()
         self._probe_rounds = 0
@@ -86,9 +82,33 @@
         self._exchange.set_disconnect_handler(self._on_disconnect)
         self._expiry_timer = self._loop.call_later(self._expires_at - now, guard(self._on_expiry))
         self._router.record_request(self._service)
-        self._offer_next()
+        self._offer_to_next_target()
+
+    def _set_organisation(self, organisation):
+        router = self._router
+        self._organisation = organisation
+        # The table by which the request was authenticated.
+        self._organisations = router.organisations
+        self._headers = router.prepare_headers(
+            strip_hop_by_hop(self._exchange.request.headers), organisation
+        )
+        self._priority = router.priority(self._route, organisation)
+
+    def _find_revocation(self):
+        """Authenticate again, since the key may have been removed or given to another."""
+        refusal, organisation = self._router.authenticate(self._route, self._caller_metadata.key)
+        if refusal is None and self._router.organisations is not self._organisations:
+            self._set_organisation(organisation)
+        return refusal
 
     def _offer_next(self):
+        refusal = self._find_revocation()
+        if refusal is None:
+            self._offer_to_next_target()
+        else:
+            self._refuse(refusal.code, refusal.reason)
+
+    def _offer_to_next_target(self):
         candidates = self._rank_targets(self._loop.now())
         untried = [
             candidate
@@ -275,7 +295,9 @@
             and candidate.wait_s == 0.0
             and now + candidate.expected_s <= due_at
         ]
-        if idle and self._router.spend_retry(self._service, is_rerun=True):
+        if not idle or self._find_revocation() is not None:
+            return
+        if self._router.spend_retry(self._service, is_rerun=True):
             (pending,) = self._pending_offers
             self._log_step("hedge", pending, to=idle[0].address)
             self._offer(idle[0], LatePolicy.REJECT)
@@ -316,7 +338,7 @@
         pending_addresses = [offer.address for offer in self._pending_offers]
         self._end()
         now = self._loop.now()
-        if refusal.ran is Ran.NOT_RUN:
+        if refusal.ran is Ran.NOT_RUN and refusal.code is not Code.UNKNOWN_KEY:
             seconds = self._retry_after_s(refusal, now)
             refusal = refusal._replace(retry_after_ms=max(1, round(seconds * 1000)))
         self._router.refuse(
@@ -328,6 +350,7 @@
             offers=len(self._offered_addresses),
             held_ms=round((now - self._received_at) * 1000, 1),
             under_way=pending_addresses,
+            **({} if self._organisation is None else {"organisation": self._organisation.name}),
         )
 
     def _retry_after_s(self, refusal, now):
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -8,10 +8,12 @@
 from camphorshelf_core.retrybudget import RetryBudget
 from camphorshelf_core.routes import ServicePicker
 
+from .countedlines import CountedLines
 from .relay import Relay
 from .routestats import RouteStatsTable
 
 _STARTING_RETRY_AFTER_MS = 200
+_STALE_RETRY_AFTER_MS = 500
 
 
 class Router:
@@ -59,6 +61,9 @@
         self._leaving_instances = LeavingInstances()
         # Counts of granted and denied retries, by service and verdict.
         self.retry_counts = {}
+        # Returns whether the configuration may be too old to authenticate by it.
+        self.is_config_stale = lambda: False
+        self._unknown_key_lines = CountedLines(loop, log)
         # Called with the route's name, the outcome and the seconds of each finished request.
         self.on_outcome = lambda route, outcome, seconds: None
         config_sync.on_change(self._on_config)
@@ -112,15 +117,37 @@
             refusal = Refusal(Code.UNKNOWN_ROUTE, "no route matches the request")
             self.refuse(exchange, caller_metadata.request_id, refusal, None)
             return
-        is_allowed, organisation = authenticate(
-            self._config_sync.config.organisations, route, caller_metadata.key
-        )
-        if not is_allowed:
-            refusal = Refusal(Code.UNKNOWN_KEY, "no organisation has the request's key")
-            self.refuse(exchange, caller_metadata.request_id, refusal, route)
+        refusal, organisation = self.authenticate(route, caller_metadata.key)
+        if refusal is not None:
+            fields = {} if organisation is None else {"organisation": organisation.name}
+            self.refuse(exchange, caller_metadata.request_id, refusal, route, **fields)
             return
         Relay(self, exchange, route, caller_metadata, organisation).start()
 
+    @property
+    def organisations(self):
+        """The :class:`~camphorshelf_core.organisations.OrganisationTable` in force, or None."""
+        return self._config_sync.config.organisations
+
+    def authenticate(self, route, key):
+        """Authenticate a request by the configuration in force.
+
+        :param route: the request's :class:`~camphorshelf_core.routes.Route`.
+        :param key: the key that the caller sent, as bytes; None without one.
+        :return: the :class:`~camphorshelf_core.errors.Refusal`, or None if the request may run; and
+            the :class:`~camphorshelf_core.organisations.Organisation` that holds the key, or None.
+        """
+        is_allowed, organisation = authenticate(self.organisations, route, key)
+        refusal = None
+        if self.organisations is not None and not route.is_public and self.is_config_stale():
+            reason = "the node can't tell whether the request's key is still valid"
+            refusal = Refusal(
+                Code.CONFIGURATION_STALE, reason, retry_after_ms=_STALE_RETRY_AFTER_MS
+            )
+        elif not is_allowed:
+            refusal = Refusal(Code.UNKNOWN_KEY, "no organisation has the request's key")
+        return refusal, organisation
+
     def may_overlap(self, request):
         """Tell whether a request may run concurrently with others of the same connection.
 
@@ -141,7 +168,7 @@
         :param organisation: the :class:`~camphorshelf_core.organisations.Organisation`, or None.
         :return: the headers to send; the same ones if no organisation is configured.
         """
-        if self._config_sync.config.organisations is None:
+        if self.organisations is None:
             return headers
         name = None if organisation is None else organisation.name
         return self._header_codec.set_organisation(headers, name)
@@ -153,8 +180,7 @@
         :param organisation: its :class:`~camphorshelf_core.organisations.Organisation`, or None.
         :return: a number; the smallest is the most urgent.
         """
-        has_organisations = self._config_sync.config.organisations is not None
-        return request_priority(route, organisation, has_organisations)
+        return request_priority(route, organisation, self.organisations is not None)
 
     def pick_service(self, route):
         """Choose the service for a request.
@@ -294,6 +320,8 @@
         self.on_outcome(name, label, seconds)
         is_success = outcome == "answered" and fields["status"] < 500
         log = self.log.routine if is_success else self.log.notable
+        if fields.get("code") == Code.UNKNOWN_KEY.name:
+            log = self._unknown_key_lines.record
         log(
             outcome,
             request=self._header_codec.parse_caller(exchange.request.headers).request_id,
--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from camphorshelf_core.retrybudget import RetryLimits
+from camphorshelf_core.storecontact import RevocationSettings
 from camphorshelf_core.warmup import WarmUpBounds
 
 
@@ -53,6 +54,7 @@
     :param probes_per_s: the largest number of health probes of the target per second.
     :param is_first_start: whether the whole system starts for the first time.
     :param warm_up: the :class:`~camphorshelf_core.warmup.WarmUpBounds` of every service.
+    :param revocation: the :class:`~camphorshelf_core.storecontact.RevocationSettings`.
     """
 
     name: str
@@ -64,6 +66,7 @@
     probes_per_s: float
     is_first_start: bool = True
     warm_up: WarmUpBounds = WarmUpBounds()
+    revocation: RevocationSettings = RevocationSettings()
 
 
 class CallerMetadata(NamedTuple):
--- a/tests/standins/relays.py
+++ b/tests/standins/relays.py
@@ -185,6 +185,13 @@
         lines = journal.read_text().splitlines() if journal.exists() else []
         return Counter(line.split()[0] for line in lines)
 
+    def identities(self):
+        """Return the organisation and the key that each run's target saw, by request id."""
+        journal = self.directory / "identities.log"
+        lines = journal.read_text().splitlines() if journal.exists() else []
+        parsed = [json.JSONDecoder().raw_decode(line)[0] for line in lines]
+        return {request_id: (name, key) for request_id, name, key in parsed}
+
     def run_times(self, name):
         """Return the start times of the runs at the targets of a host, in Unix seconds."""
         journal = self.directory / "runs.log"
@@ -221,12 +228,13 @@
         return "".join(f"{name}={value}\n" for name, value in fields.items())
 
 
-def make_document(version, routes=None, **limits):
+def make_document(version, routes=None, organisations=None, **limits):
     """Make an operators' document.
 
     :param version: its version.
     :param routes: the fields of each route that differ from the defaults, by prefix; two default
         routes if None.
+    :param organisations: the specification of each organisation, by name; None for none.
     :param limits: the limits that differ from the defaults.
     :return: the document.
     """
@@ -238,6 +246,8 @@
     for service in ("counter", "orders"):
         spec = {"health_path": "/health", "max_conns": 100}
         resources.append({"type": "services", "meta": {"name": service}, "spec": spec})
+    for name, spec in (organisations or {}).items():
+        resources.append({"type": "tenants", "meta": {"name": name}, "spec": spec})
     bounds = {
         "max_header_bytes": 16_384,
         "max_body_bytes": 1_048_576,
--- a/tests/standins/relaytarget.py
+++ b/tests/standins/relaytarget.py
@@ -5,6 +5,7 @@
 
 - ``work_ms``: run for that long.
 - ``fail``: answer with that status.
+- ``refuse``: answer that the request did not run.
 - ``echo``: answer with the body of the request.
 - ``cut``: close the connection without a response.
 - ``extra``: send a second response after the first, with the id of no request.
@@ -29,6 +30,7 @@
 
 _HEARTBEAT_SECONDS = 0.5
 _WORK_MS = 5
+_IDENTITY_HEADERS = ("tenant", "key")
 
 
 class RelayTarget:
@@ -94,6 +96,8 @@
             return Reply(hang_up=True)
         if "mute" in query:
             await asyncio.Event().wait()
+        if "refuse" in query:
+            return self._reply(503, request, not_run=True)
         if "echo" in query:
             return self._reply(200, request)._replace(body=request.body)
         if "extra" in query:
@@ -107,8 +111,10 @@
         header_names = ("request-id", "caller", "deadline-ms", "expect-instance", "host")
         headers = {name: request.headers.get(name) for name in header_names}
         run = {"method": request.method, "path": request.path, **headers}
+        run |= {name: request.headers.get(name) for name in _IDENTITY_HEADERS}
         self._runs.append(run)
         self._journal("runs", headers["request-id"])
+        self._journal("identities", json.dumps([headers["request-id"], run["tenant"], run["key"]]))
         return run
 
     def _journal(self, name, *fields):
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -62,7 +62,8 @@
         self._url += url
 
     def on_header(self, name, value):
-        self._headers[name.decode().lower()] = value.decode("latin-1")
+        key, text = name.decode().lower(), value.decode("latin-1")
+        self._headers[key] = f"{self._headers[key]}, {text}" if key in self._headers else text
 
     def on_body(self, body):
         self._body.append(body)
