--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 import time
 from typing import NamedTuple
 
+from soak.keys import make_headers
 from standins.advertised import ADVERTISED_HEADERS, Sent
 from standins.callerthreads import CallerThreads
 
@@ -17,7 +18,7 @@
 class Outcome(NamedTuple):
     """The response or error that a caller got to one request.
 
-    ``sent`` is the request's :class:`~standins.advertised.Sent`.
+    ``sent`` is the request's :class:`~standins.advertised.Sent`, ``key`` the key that it carried.
     """
 
     request_id: str
@@ -26,6 +27,7 @@
     status: object
     body: bytes
     sent: Sent
+    key: object
 
 
 class SoakCallers:
@@ -33,10 +35,12 @@
 
     :param deployment: the :class:`~standins.relays.RelayDeployment`.
     :param count: how many callers each host has.
+    :param keys: the :class:`~soak.keys.KeyHistory`.
     """
 
-    def __init__(self, deployment, count):
+    def __init__(self, deployment, count, keys):
         self._deployment = deployment
+        self._keys = keys
         self.outcomes = []
         callers = [(name, number) for number in range(count) for name in deployment.names]
         self._threads = CallerThreads(self._run, callers)
@@ -48,20 +52,23 @@
 
     def _run(self, name, number):
         rng = random.Random(f"{name} {number}")
+        key_rng = random.Random(f"keys {name} {number}")
         is_patient = rng.random() < _PATIENT_SHARE
         caller = None
         while not self._threads.is_stopped:
             request_id = self._deployment.next_id()
             kind = rng.choice(["look", "look", "order"])
             path = f"/{kind}/{request_id}?work_ms={rng.choice([1, 5, 20, 100])}"
+            key = self._keys.pick(key_rng)
+            headers = make_headers(key, key_rng)
             sent_at = time.time()
             try:
                 if caller is None:
                     caller = self._deployment.connect(name)
-                response = _send(caller, kind, path, request_id)
+                response = _send(caller, kind, path, request_id, headers)
             except (OSError, EOFError) as error:
                 sent = Sent(request_id, name, sent_at, time.time(), {})
-                self._record(Outcome(request_id, kind, path, type(error).__name__, b"", sent))
+                self._record(Outcome(request_id, kind, path, type(error).__name__, b"", sent, key))
                 caller = caller and caller.close()
                 time.sleep(_RETRY_SECONDS)
                 continue
@@ -69,7 +76,7 @@
                 key: response.headers[key] for key in ADVERTISED_HEADERS if key in response.headers
             }
             sent = Sent(request_id, name, sent_at, time.time(), advertised)
-            self._record(Outcome(request_id, kind, path, response.status, response.body, sent))
+            self._record(Outcome(request_id, kind, path, response.status, response.body, sent, key))
             if response.headers.get("connection") == "close":
                 caller = caller.close()
             time.sleep(_pause_s(response) if is_patient else _THINK_SECONDS)
@@ -78,8 +85,8 @@
         self.outcomes.append(outcome)
 
 
-def _send(caller, kind, path, request_id):
-    headers = (("Request-Id", request_id), ("Deadline-Ms", "2000"))
+def _send(caller, kind, path, request_id, headers):
+    headers = (("Request-Id", request_id), ("Deadline-Ms", "2000"), *headers)
     return caller.request("POST" if kind == "order" else "GET", "shop", path, headers)
 
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,7 +1,9 @@
 """The guarantees that the fault soak checks, from what callers and targets have seen."""
 
+from itertools import islice
 from typing import NamedTuple
 
+from soak.keys import find_key_violations
 from standins.advertised import find_rate_excess, find_requests_after_leaving, read_history
 
 _UNSENT_MARGIN = 0.05
@@ -24,6 +26,8 @@
     :param versions: for each probe of a version, the host, the process id, the version and the
         status.
     :param interruptions: when each host was restarted or suspended, by host.
+    :param keys: the :class:`~soak.keys.KeyHistory`.
+    :param store_outages: from when to when the store answered no node, or answered late.
     """
 
     deployment: object
@@ -31,6 +35,8 @@
     leaves: list
     versions: list
     interruptions: dict
+    keys: object
+    store_outages: list
 
 
 def find_violations(seen):
@@ -45,6 +51,7 @@
         *_check_leaves(seen),
         *_check_versions(seen),
         *_check_advertised(seen),
+        *[Finding(*one) for one in islice(find_key_violations(seen), _SHOWN)],
     ]
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,7 +4,8 @@
 Callers send lookups and orders all the time over connections that they keep until the process is
 gone. Meanwhile processes are killed, frozen, stopped and restarted, also several times in a row,
 the store is unreachable or slow, hides changes or loses its history, targets advertise rate limits,
-leave and crash, and new configuration versions are published. These faults overlap.
+leave and crash, new configuration versions are published, and keys of organisations are replaced.
+These faults overlap. Some callers send unknown, removed or no keys, and forged organisations.
 """
 
 import random
@@ -15,6 +16,7 @@
 
 from soak.callers import SoakCallers
 from soak.checks import Finding, Observations, find_violations
+from soak.keys import CALM_APPLY_SECONDS, KeyHistory
 from soak.proxy import Proxy
 from standins.relays import RelayDeployment, RelayPlan, make_document
 
@@ -26,6 +28,8 @@
 _FIRST_VERSION = 10
 _RATE_LIMITS_PER_S = (1, 2, 3.8, 6, 20)
 _SEED_SECONDS = 15.0
+_KEY_INTERVAL_SECONDS = 2.0
+_JUDGED_SECONDS = 1.5
 # The interpreter has started by then. Before that, SIGHUP ends any process.
 _INTERPRETER_START_SECONDS = 1.0
 
@@ -50,6 +54,9 @@
         self._leaves = []
         self._version_results = []
         self._version = _FIRST_VERSION
+        self._keys = KeyHistory()
+        self._key_replaced_at = time.monotonic()
+        self._store_outages = []
         self._stop = threading.Event()
         self._undo_actions = []
         # Hosts whose node is down or suspended, and hosts whose target is down or leaves.
@@ -72,12 +79,13 @@
         """
         try:
             self._deployment.wait_ready()
-            self._deployment.wait_served()
-            self._callers = SoakCallers(self._deployment, _CALLERS_PER_HOST)
+            self._deployment.wait_served(f"/v{self._version}/warm")
+            self._callers = SoakCallers(self._deployment, _CALLERS_PER_HOST, self._keys)
             watch = threading.Thread(target=self._watch_versions)
             watch.start()
             self._inject_faults()
             recovered = self._recover()
+            self._replace_key_calmly()
             self._stop.set()
             self._callers.stop()
             watch.join(15)
@@ -101,15 +109,17 @@
             self._leaves,
             self._version_results,
             self._interruptions,
+            self._keys,
+            self._store_outages,
         )
 
     def _document(self):
         routes = {
             "/look/": {"service": "counter", "kind": "idempotent"},
             "/order/": {"service": "orders", "kind": "non_idempotent", "priority": 0},
-            f"/v{self._version}/": {"service": "counter", "kind": "idempotent"},
+            f"/v{self._version}/": {"service": "counter", "kind": "idempotent", "public": True},
         }
-        return make_document(self._version, routes)
+        return make_document(self._version, routes, self._keys.organisations)
 
     def _inject_faults(self):
         end = time.monotonic() + self._seconds
@@ -135,6 +145,7 @@
             fault = self._random.choice(faults)
             self._record(fault.__name__)
             fault()
+            self._replace_key_if_due()
             self._undo_due()
             self._wait(self._random.uniform(0.1, 0.8))
 
@@ -365,12 +376,25 @@
         )
         self._record(fault)
         self._deployment.set_faults(**fault)
-        self._undo_after(self._random.uniform(0.5, 3.0), self._deployment.set_faults)
+        started_at = time.time()
+
+        def undo():
+            self._deployment.set_faults()
+            if fault.get("down") is True or "slow_ms" in fault:
+                self._store_outages.append((started_at, time.time()))
+
+        self._undo_after(self._random.uniform(0.5, 3.0), undo)
 
     def _cut_store(self):
         self._proxy.mode = self._random.choice(["delay", "silent", "one_way", "reset"])
         self._record(self._proxy.mode)
-        self._undo_after(self._random.uniform(0.3, 2.0), self._heal)
+        started_at = time.time()
+
+        def undo():
+            self._heal()
+            self._store_outages.append((started_at, time.time()))
+
+        self._undo_after(self._random.uniform(0.3, 2.0), undo)
 
     def _heal(self):
         self._proxy.mode = "pass"
@@ -379,6 +403,17 @@
         self._version += 1
         self._deployment.configure(self._document())
 
+    def _replace_key_if_due(self):
+        # Not one of the random faults: these would then differ for seeds that have failed before.
+        if time.monotonic() - self._key_replaced_at >= _KEY_INTERVAL_SECONDS:
+            self._key_replaced_at = time.monotonic()
+            self._keys.replace(self._version, self._configure)
+
+    def _replace_key_calmly(self):
+        """Replace a key without faults, so that its removal can be judged in every run."""
+        self._keys.replace(self._version, self._configure)
+        self._wait(CALM_APPLY_SECONDS + _JUDGED_SECONDS)
+
     def _watch_versions(self):
         while not self._stop.is_set():
             for plan in self._plans:
@@ -421,7 +456,8 @@
     def _is_healthy(self, name):
         try:
             looked = self._deployment.send(name, "GET", f"/v{self._version}/x").status
-            ordered = self._deployment.send(name, "POST", "/order/x").status
+            headers = (("Key", self._keys.organisations["north"]["api_keys"][0]),)
+            ordered = self._deployment.send(name, "POST", "/order/x", headers).status
         except (OSError, EOFError):
             return False
         return self._deployment.is_ready(name) and (looked, ordered) == (200, 200)
