Test the restart of a node with strict revocation

Cause: the design note says that a restarted node accepts keys from its first contact on; nothing tested it.

Change: the scenario on strict revocation restarts a node, which must accept keys within 3 s.

--- a/tests/features/organisation_changes.feature
+++ b/tests/features/organisation_changes.feature
@@ -41,6 +41,8 @@
     And every node is strict and needs contact every 2.5 s
     When the store refuses only "a" for 5 s
     Then all nodes accept "key-north-1" meanwhile
+    When the strict node of "b" is killed and started again
+    Then within 3 s each node accepts "key-north-1"
     When the store is down
     Then within 5 s each node refuses "key-north-1" with 503 and code 214
     And all nodes serve "/open/x" without a key
--- a/tests/features/steps/organisations_path_steps.py
+++ b/tests/features/steps/organisations_path_steps.py
@@ -1,6 +1,7 @@
 """Steps about organisations and keys with real processes."""
 
 import json
+import signal
 import subprocess
 import sys
 import threading
@@ -221,6 +222,14 @@
     time.sleep(1.0)
 
 
+@when('the strict node of "{name}" is killed and started again')
+def restart_strict(context, name):
+    context.relays.signal(f"node-{name}", signal.SIGKILL)
+    context.relays.wait_end(f"node-{name}")
+    context.relays.run_node(name)
+    context.relays.wait_ready(name)
+
+
 def _reloads(context, name):
     return [one for one in context.relays.events(name, "reload") if one["changed"]]
 
