Test contacts with the store in a simulated partition

Cause: strict revocation was tested with outages of the store only.

Change: the simulated fleet of bench/store_contacts.py can be cut; a scenario checks that a node that reaches one other with contact goes on, that nodes that reach only each other refuse, and that all accept keys again afterwards.

--- a/bench/store_contacts.py
+++ b/bench/store_contacts.py
@@ -39,6 +39,8 @@
 
     def __init__(self, count, loss):
         self.count, self._loss = count, loss
+        # Returns whether datagrams from one host to another are lost.
+        self.is_cut = lambda source, target: False
         self._random = random.Random(count)
         self.loop = FakeLoop()
         self.sent, self.received, self.cross_domain_bytes = 0, Counter(), 0
@@ -76,8 +78,11 @@
                     self._send(own, other, report._replace(must_forward=True))
 
         def request():
-            other = self._random.randrange(self.count - 1)
-            self._send(own, other + (other >= own), ContactRequest())
+            # Hosts that are cut off count as gone.
+            live = [other for other in range(self.count) if not self.is_cut(own, other)]
+            others = [other for other in live if other != own]
+            if others:
+                self._send(own, self._random.choice(others), ContactRequest())
 
         return SimpleNamespace(announce_contact=announce, request_contact=request)
 
@@ -85,7 +90,7 @@
         self.sent += 1
         if source % _DOMAINS != target % _DOMAINS:
             self.cross_domain_bytes += len(encode(message)) + _UDP_HEADER_BYTES
-        if self._random.random() >= self._loss:
+        if not self.is_cut(source, target) and self._random.random() >= self._loss:
             self.received[target] += 1
             self.loop.call_later(_DELAY_SECONDS, lambda: self._receive(source, target, message))
 
--- a/tests/features/organisations.feature
+++ b/tests/features/organisations.feature
@@ -58,6 +58,15 @@
     When they report to each other for 6.0 s
     Then both are stale
 
+  Scenario: In a partition those stay able to decide who reach a node that reaches the store
+    # Guards against a node that refuses keys although it can hear of a removal, and against nodes
+    # without any contact that go on accepting removed keys.
+    Given 24 strict nodes of which 3 poll the store
+    When 1 node reaches only one other that doesn't poll, and 6 reach only each other, for 20 s
+    Then just those 6 are stale
+    When the partition ends for 2 s
+    Then none of the nodes is stale
+
   Scenario: Reports that waited while the node was suspended do not count
     # Guards against a resumed node that takes the reports in its socket for new ones.
     Given a node whose contact is tracked
--- a/tests/features/steps/organisations_steps.py
+++ b/tests/features/steps/organisations_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from bench.store_contacts import Fleet
 from camphorshelf_core.errors import ProtocolError
 from camphorshelf_core.hostdatagrams import ContactReport, ContactRequest, decode, encode
 from camphorshelf_core.organisations import Organisation, request_priority
@@ -147,6 +148,43 @@
     assert all(one.is_stale(context.settings, context.now) for one in context.contacts)
 
 
+@given("24 strict nodes of which 3 poll the store")
+def give_fleet(context):
+    context.fleet = Fleet(24, 0.0)
+    context.fleet.loop.advance(5.0)
+    check_none_stale(context)
+
+
+@when("1 node reaches only one other that doesn't poll, and 6 reach only each other, for 20 s")
+def partition(context):
+    context.cut_off = set(range(18, 24))
+
+    def is_cut(source, target):
+        ends = {source, target}
+        return len(ends & context.cut_off) == 1 or (17 in ends and ends != {16, 17})
+
+    context.fleet.is_cut = is_cut
+    context.fleet.loop.advance(20.0)
+
+
+@then("just those 6 are stale")
+def check_cut_off(context):
+    trackers = enumerate(context.fleet.trackers)
+    stale = {number for number, tracker in trackers if tracker.is_stale()}
+    assert stale == context.cut_off, stale
+
+
+@when("the partition ends for 2 s")
+def end_partition(context):
+    context.fleet.is_cut = lambda source, target: False
+    context.fleet.loop.advance(2.0)
+
+
+@then("none of the nodes is stale")
+def check_none_stale(context):
+    assert not any(tracker.is_stale() for tracker in context.fleet.trackers)
+
+
 class _Recorder(SimpleNamespace):
     """The peers and the configuration synchronizer that the tracker of contacts needs."""
 
