--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from camphorshelf_core.retrybudget import RetryLimits
+from camphorshelf_core.storecontact import RevocationSettings
 from camphorshelf_core.warmup import WarmUpBounds
 
 
@@ -54,6 +55,7 @@
     :param is_first_start: whether the whole system starts for the first time.
     :param warm_up: the :class:`~camphorshelf_core.warmup.WarmUpBounds` of every service.
     :param link_mbps: the rate of the host's link, in Mbit/s; None if it is not known.
+    :param revocation: the :class:`~camphorshelf_core.storecontact.RevocationSettings`.
     """
 
     name: str
@@ -66,6 +68,7 @@
     is_first_start: bool = True
     warm_up: WarmUpBounds = WarmUpBounds()
     link_mbps: float | None = None
+    revocation: RevocationSettings = RevocationSettings()
 
 
 class CallerMetadata(NamedTuple):
