Order a target's queue by fair shares of organisations

Cause: one organisation that sends more requests than the slots serve takes nearly all places in the queue, and small organisations beside it are refused.

Change: core/fairshares.py smooths the slot-seconds of each organisation over 5 s. Within one priority, jobs of organisations within their share go before those that are over, and displace their last queued job when the queue is full. Calls are never over. The weights come from the configuration in force at the target's node; without organisations no use is stored.

--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -10,6 +10,12 @@
 shed. Not every slot of the target is used either: in most servers the last slots slow down all
 requests and so cost more throughput than they add.
 
+Where organisations are configured, jobs of one priority are ordered by fair shares: those of
+organisations within their share go before those of organisations that are over; see
+``camphorshelf_core.fairshares``. A job's place is fixed when it is queued. It is queued for less
+than its latency objective, in which a share smoothed over 5 s hardly changes, and the queued work
+of its organisation is counted at once. So the places needn't be computed again at each start.
+
 Used by the package ``relay``; the package ``node`` uses the module ``admission`` instead.
 """
 
@@ -18,6 +24,7 @@
 from collections import Counter
 from typing import NamedTuple
 
+from .fairshares import CALLS, FairShares
 from .jobs import JobState, LatePolicy, QueueClass
 from .slotlimit import SlotLimit
 from .startlimits import StartLimits
@@ -32,6 +39,13 @@
 # With less time left than this share of its mean run time, a job would seldom meet its deadline.
 _MIN_TIME_LEFT_SHARE = 0.7
 _WORK_SMOOTHING = 0.05
+# A job of an organisation that is over its share displaces only jobs of organisations that have
+# used at least this many times as much of theirs. With 1.0, organisations that are over by about
+# the same would displace each other's jobs, and each is refused only after it was held.
+_MIN_EXCESS_RATIO = 2.0
+# Entries of jobs that were displaced or cancelled are removed when there are more of them.
+_MAX_STALE_SHARE = 2
+_MIN_STALE_ENTRIES = 16
 
 
 class AdmissionResult(NamedTuple):
@@ -50,6 +64,8 @@
 
     The attribute ``running`` is the number of running jobs, ``slowness`` how long requests take
     now, relative to usual (1.0), and ``work_s`` their smoothed run time at a slowness of 1.0.
+    ``shares`` are the :class:`~camphorshelf_core.fairshares.FairShares` of organisations, and
+    ``displaced_counts`` counts the jobs that were displaced, by what the other job was better in.
 
     :param slots: how many requests the target says it can process at once.
     :param start_limits: the target's :class:`~camphorshelf_core.startlimits.StartLimits`.
@@ -65,6 +81,8 @@
         self.slowness = 1.0
         self.work_s = 0.0
         self.closed = False
+        self.shares = FairShares()
+        self.displaced_counts = {"priority": 0, "share": 0}
         self.start_limits = StartLimits() if start_limits is None else start_limits
         self._limit = SlotLimit(slots)
 
@@ -100,6 +118,8 @@
         """
         if self.closed or not self.limit:
             return AdmissionResult(False, 0.0)
+        if self.shares.is_enabled:
+            self._classify(job, now)
         if now + self._run_s(job) * _MIN_TIME_LEFT_SHARE > job.expires_at:
             # The job would take a slot and be cancelled at its deadline.
             return AdmissionResult(False, self.expected_wait(job, now))
@@ -109,7 +129,7 @@
         wait_s = self.expected_wait(job, now)
         if not self._find_queue_place(job, now + wait_s, now):
             return AdmissionResult(False, wait_s)
-        self._enqueue(job)
+        self._enqueue(job, now)
         if self._limit.consider_trial(now):
             self.dispatch(now)
         return AdmissionResult(True)
@@ -150,6 +170,8 @@
         if job.state is JobState.RUNNING:
             job.state = JobState.DONE
             self.running -= 1
+            if self.shares.is_enabled:
+                self._charge_run(job, now)
             self.dispatch(now)
 
     def cancel(self, job):
@@ -161,6 +183,7 @@
         if job.state is not JobState.QUEUED:
             return False
         self._dequeue(job)
+        self._refund(job)
         job.state = JobState.DONE
         return True
 
@@ -264,7 +287,11 @@
             is_full = self._queued[QueueClass.IN_TIME] >= self.limit * _QUEUE_PER_SLOT
             return not is_full or self._displace_for(job, now)
         job.queue_class, job.due_at = QueueClass.LATE, job.expires_at
-        return self._is_late_queue_open(job) and not self._is_late(job, start_at)
+        if self._is_late(job, start_at):
+            return False
+        if self._is_late_queue_open(job):
+            return True
+        return self._displace_over(job, now)
 
     def _displace_for(self, job, now):
         # Less urgent jobs that came earlier must not block the queue for a more urgent one.
@@ -274,22 +301,80 @@
             if _is_queued_in_time(entry[2]) and entry[2].priority > job.priority
         ]
         if not less_urgent:
+            return self._displace_over(job, now)
+        self._displace(max(less_urgent)[2], "priority", now)
+        return True
+
+    def _displace_over(self, job, now):
+        shares = self.shares
+        if not shares.is_enabled:
             return False
-        last = max(less_urgent)[2]
-        wait_s = self.expected_wait(last, now)
-        self._dequeue(last)
-        self._shed(last, wait_s)
+        over = [
+            (shares.excess(entry[2].organisation), entry)
+            for entry in self._queue
+            if self._is_displaceable(entry[2], job, now)
+        ]
+        if not over:
+            return False
+        _, (_, _, last) = max(over)
+        last.is_displaced = True
+        self._displace(last, "share", now)
         return True
 
-    def _is_late_queue_open(self, job):
+    def _is_displaceable(self, queued, job, now):
+        shares = self.shares
+        if (
+            queued.state is not JobState.QUEUED
+            or queued.queue_class is not job.queue_class
+            or queued.priority != job.priority
+            or queued.organisation in (CALLS, job.organisation)
+        ):
+            return False
+        if queued.queue_class is QueueClass.LATE and not self._is_late_queue_open(job, queued):
+            return False
+        over_level = shares.over_level(queued.organisation, self._run_s(queued), now)
+        if over_level != job.over_level:
+            return over_level > job.over_level
+        min_excess = shares.excess(job.organisation) * _MIN_EXCESS_RATIO
+        return over_level > 0 and shares.excess(queued.organisation) >= min_excess
+
+    def _displace(self, job, cause, now):
+        self.displaced_counts[cause] += 1
+        if self.shares.is_enabled:
+            self._remove_stale_entries()
+        wait_s = self.expected_wait(job, now)
+        self._dequeue(job)
+        self._shed(job, wait_s)
+
+    def _is_late_queue_open(self, job, displaced=None):
         capacity_s = self.limit * _LATE_PER_SLOT * (self.work_s or job.work_s)
         # The capacity grows with the late policy: a job that was held elsewhere (QUEUE_HELD) is
         # still queued where a new one is rejected.
-        return self._late_work_s < capacity_s * job.late_policy
+        freed_s = 0.0 if displaced is None else displaced.work_s
+        return self._late_work_s - freed_s < capacity_s * job.late_policy
 
     def _run_s(self, job):
         return job.work_s * self.slowness
 
+    def _classify(self, job, now):
+        run_s = self._run_s(job)
+        self.shares.record_demand(job.organisation, run_s, now)
+        job.over_level = self.shares.over_level(job.organisation, run_s, now)
+
+    def _charge_in_advance(self, job, now):
+        if self.shares.is_enabled and not job.charged_s:
+            job.charged_s, job.charged_at = self._run_s(job), now
+            self.shares.charge(job.organisation, job.charged_s, now)
+
+    def _charge_run(self, job, now):
+        self._refund(job)
+        self.shares.charge(job.organisation, now - job.started_at, now)
+
+    def _refund(self, job):
+        if job.charged_s:
+            self.shares.charge(job.organisation, -job.charged_s, job.charged_at)
+            job.charged_s = 0.0
+
     def _is_late(self, job, start_at):
         return start_at + self._run_s(job) > job.due_at
 
@@ -304,18 +389,28 @@
 
     def _start(self, job, now):
         job.state = JobState.RUNNING
+        job.started_at = now
+        self._charge_in_advance(job, now)
         self.running += 1
         self.start_limits.record_start(now)
         job.concurrency_at_start = self.running
         job.start()
 
-    def _enqueue(self, job):
+    def _enqueue(self, job, now):
         job.state = JobState.QUEUED
+        self._charge_in_advance(job, now)
         self._queued[job.queue_class] += 1
         if job.queue_class is QueueClass.LATE:
             self._late_work_s += job.work_s
         heapq.heappush(self._queue, (_key(job), next(self._sequence_numbers), job))
 
+    def _remove_stale_entries(self):
+        # Displaced jobs are the last in the queue. While it never gets empty, their entries would
+        # never be reached.
+        if len(self._queue) > _MAX_STALE_SHARE * self.queued + _MIN_STALE_ENTRIES:
+            self._queue = [entry for entry in self._queue if entry[2].state is JobState.QUEUED]
+            heapq.heapify(self._queue)
+
     def _dequeue(self, job):
         self._queued[job.queue_class] -= 1
         if job.queue_class is QueueClass.LATE:
@@ -324,6 +419,7 @@
         job.state = JobState.DEQUEUED
 
     def _shed(self, job, wait_s):
+        self._refund(job)
         job.state = JobState.DONE
         job.reject(wait_s)
 
@@ -334,5 +430,6 @@
 
 def _key(job):
     # Sorts late jobs after all others, then by priority with the most urgent first, then by
-    # objective with the earliest first.
-    return job.queue_class is QueueClass.LATE, job.priority, job.objective_at
+    # organisations within their share before those that are over, then by objective with the
+    # earliest first.
+    return job.queue_class is QueueClass.LATE, job.priority, job.over_level, job.objective_at
--- a/packages/core/src/camphorshelf_core/jobs.py
+++ b/packages/core/src/camphorshelf_core/jobs.py
@@ -44,6 +44,7 @@
     :param late_policy: its :class:`LatePolicy`.
     :param start: called when the job gets a slot.
     :param reject: called with the expected wait in seconds when the queued job is shed.
+    :param organisation: the name of the organisation that it runs for; empty for calls.
     """
 
     __slots__ = (
@@ -58,9 +59,25 @@
         "queue_class",
         "due_at",
         "concurrency_at_start",
+        "organisation",
+        "over_level",
+        "is_displaced",
+        "charged_s",
+        "charged_at",
+        "started_at",
     )
 
-    def __init__(self, priority, objective_at, expires_at, work_s, late_policy, start, reject):
+    def __init__(
+        self,
+        priority,
+        objective_at,
+        expires_at,
+        work_s,
+        late_policy,
+        start,
+        reject,
+        organisation="",
+    ):
         self.priority = priority
         self.objective_at = objective_at
         self.expires_at = expires_at
@@ -74,3 +91,12 @@
         self.due_at = objective_at
         # How many jobs ran when it started, itself included.
         self.concurrency_at_start = 0
+        self.organisation = organisation
+        # How far its organisation was over its share when it was offered, 0 if it was within it.
+        self.over_level = 0
+        # Whether it was shed for a job of an organisation that has used less of its share.
+        self.is_displaced = False
+        # The slot-seconds that its organisation was charged in advance, and when.
+        self.charged_s = 0.0
+        self.charged_at = 0.0
+        self.started_at = 0.0
--- a/packages/relay/src/camphorshelf_relay/admissioncontroller.py
+++ b/packages/relay/src/camphorshelf_relay/admissioncontroller.py
@@ -7,6 +7,10 @@
 # A queue that waits for the limit of the start rate is checked this often, because the limit may be
 # raised or end meanwhile.
 _MAX_DISPATCH_DELAY_SECONDS = 0.1
+# Shares are smoothed over this time, so a line each time shows all changes that last.
+_SHARE_LOG_SECONDS = 5.0
+# How many organisations a line or a scrape contains at most: those that demand most.
+_MAX_LISTED_ORGANISATIONS = 20
 
 
 class AdmissionController:
@@ -32,6 +36,7 @@
         self.counts = {}
         self._dispatch_timer = None
         self._shutdown_at = None
+        self._shares_logged_at = None
         # Called with the seconds that each answered request waited and ran.
         self.on_response = lambda waited_s, ran_s: None
 
@@ -65,10 +70,19 @@
             )
             return None
         cancel = request.offer()
+        if self.admission.shares.is_enabled and self.admission.queued:
+            self._log_shares()
         self.schedule_dispatch()
         self.target.on_change()
         return cancel
 
+    def list_shares(self):
+        """List the shares of the organisations that demand most, a limited number.
+
+        :return: a list of :class:`~camphorshelf_core.fairshares.OrganisationShare`.
+        """
+        return self.admission.shares.list_shares(_MAX_LISTED_ORGANISATIONS, self._loop.now())
+
     def set_shutdown_time(self, moment):
         """Refuse requests whose deadline lies after the node's shutdown.
 
@@ -93,6 +107,28 @@
         self.admission.dispatch(self._loop.now())
         self.schedule_dispatch()
 
+    def _log_shares(self):
+        now = self._loop.now()
+        last = self._shares_logged_at
+        if last is not None and now - last < _SHARE_LOG_SECONDS:
+            return
+        self._shares_logged_at = now
+        self.log.notable(
+            "shares",
+            slots=self.admission.limit,
+            organisations=len(self.admission.shares),
+            displaced=self.admission.displaced_counts["share"],
+            shares=[
+                {
+                    "organisation": one.organisation,
+                    "demanded": round(one.demanded, 2),
+                    "entitled": round(one.entitled, 2),
+                    "served": round(one.served, 2),
+                }
+                for one in self.list_shares()
+            ],
+        )
+
     def count_outcome(self, outcome):
         """Count the outcome of a request.
 
--- a/packages/relay/src/camphorshelf_relay/metrics.py
+++ b/packages/relay/src/camphorshelf_relay/metrics.py
@@ -77,14 +77,9 @@
         :param labels: the names of the labels, separated by spaces.
         :return: None.
         """
-        names = labels.split()
 
         def define(meter, observation):
-            def observe(_options):
-                for key, value in counts.items():
-                    values = key if isinstance(key, tuple) else (key,)
-                    yield observation(value, dict(zip(names, values, strict=True)))
-
+            observe = _make_observer(lambda: counts, labels, observation)
             meter.create_observable_counter(
                 f"camphorshelf.{name}", [observe], description=description
             )
@@ -109,6 +104,25 @@
 
         self._pending_instruments.append(define)
 
+    def add_labelled_gauge(self, name, description, read, labels):
+        """Add a gauge with one value for each combination of labels.
+
+        :param name: the gauge's name without the prefix ``camphorshelf.``.
+        :param description: one sentence for the exported help text.
+        :param read: returns a dict from a tuple of the labels' values to a number; it is called on
+            each scrape.
+        :param labels: the names of the labels, separated by spaces.
+        :return: None.
+        """
+
+        def define(meter, observation):
+            observe = _make_observer(read, labels, observation)
+            meter.create_observable_gauge(
+                f"camphorshelf.{name}", [observe], description=description
+            )
+
+        self._pending_instruments.append(define)
+
     def render(self):
         """Render all metrics for a scrape.
 
@@ -146,6 +160,17 @@
         self._buffer.append((seconds, labels))
 
 
+def _make_observer(read, labels, observation):
+    names = labels.split()
+
+    def observe(_options):
+        for key, value in read().items():
+            values = key if isinstance(key, tuple) else (key,)
+            yield observation(value, dict(zip(names, values, strict=True)))
+
+    return observe
+
+
 def _make_meter():
     from opentelemetry.exporter.prometheus import PrometheusMetricReader
     from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -9,6 +9,7 @@
 from circuits import Component, handler
 
 from camphorshelf_core.admissionqueue import AdmissionQueue
+from camphorshelf_core.fairshares import find_weights
 from camphorshelf_core.hosts import HostStatus, HostView
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_core.ratelimit import RateLimit
@@ -256,6 +257,7 @@
         return view
 
     def _on_config(self, config):
+        self._admission.shares.configure(find_weights(config.organisations))
         self._target.configure(config.services.get(self._settings.service))
         self._peers.announce_version(self._config_sync.announcement_scope)
 
--- a/packages/relay/src/camphorshelf_relay/nodemetrics.py
+++ b/packages/relay/src/camphorshelf_relay/nodemetrics.py
@@ -2,6 +2,10 @@
 
 from typing import NamedTuple
 
+# Without a limit, the number of series would grow with the organisations that come and go.
+_MAX_ORGANISATIONS = 100
+_OTHER_ORGANISATIONS = "(other)"
+
 
 class MetricSources(NamedTuple):
     """The components of a node that metrics are read from.
@@ -33,6 +37,26 @@
     is_ready: object
 
 
+class _SharesReader:
+    def __init__(self, admission_controller):
+        self._admission_controller = admission_controller
+        self._names = set()
+
+    def read(self):
+        values = {}
+        for share in self._admission_controller.list_shares():
+            name = share.organisation
+            if name not in self._names:
+                if len(self._names) >= _MAX_ORGANISATIONS:
+                    name = _OTHER_ORGANISATIONS
+                else:
+                    self._names.add(name)
+            for kind in ("demanded", "entitled", "served"):
+                key = name, kind
+                values[key] = values.get(key, 0.0) + getattr(share, kind)
+        return values
+
+
 def register_node_metrics(metrics, sources):
     """Register the metrics of a node's components.
 
@@ -73,6 +97,18 @@
     add_counter("log.dropped", "Log lines left out.", sources.log.counts, "reason")
     add_gauge("target.running", "Requests that run at the target.", lambda: admission.running)
     add_gauge("target.queued", "Requests that wait for a slot.", lambda: admission.queued)
+    add_counter(
+        "target.displaced",
+        "Queued requests displaced by others of a better priority or share.",
+        admission.displaced_counts,
+        "cause",
+    )
+    metrics.add_labelled_gauge(
+        "target.shares",
+        "Slots demanded, entitled and served, of the organisations that demand most.",
+        _SharesReader(sources.admission_controller).read,
+        "organisation kind",
+    )
     add_gauge("target.limit", "Requests that may run at once.", lambda: admission.limit)
     add_gauge(
         "target.slowness",
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -53,6 +53,7 @@
         self._objective_at = self._received_at + route.objective_s - elapsed_s
         self._late_policy = LatePolicy.QUEUE
         self._organisation = organisation
+        self._log_fields = {} if organisation is None else {"organisation": organisation.name}
         self._headers = router.prepare_headers(
             strip_hop_by_hop(exchange.request.headers), organisation
         )
@@ -295,6 +296,7 @@
             slowness=message.slowness,
             offers=len(self._offered_addresses),
             bytes=len(message.body),
+            **self._log_fields,
         )
         self._exchange.answer(Response(message.status, message.headers, message.body))
 
@@ -328,6 +330,7 @@
             offers=len(self._offered_addresses),
             held_ms=round((now - self._received_at) * 1000, 1),
             under_way=pending_addresses,
+            **self._log_fields,
         )
 
     def _retry_after_s(self, refusal, now):
@@ -356,7 +359,7 @@
 
     def _on_disconnect(self):
         self._end()
-        self._router.log_outcome(self._exchange, self._route, "caller_left")
+        self._router.log_outcome(self._exchange, self._route, "caller_left", **self._log_fields)
 
     def _end(self):
         self._is_finished = True
--- a/packages/relay/src/camphorshelf_relay/targetrequest.py
+++ b/packages/relay/src/camphorshelf_relay/targetrequest.py
@@ -37,6 +37,12 @@
         self._process = None
         self._abort = None
         self._timer = None
+        # The configuration in force at this node decides, not that of the entry node.
+        self._organisation = (
+            controller.header_codec.find_organisation(message.headers)
+            if controller.admission.shares.is_enabled
+            else ""
+        )
         self._job = Job(
             message.priority,
             self._arrived_at + message.objective_s,
@@ -45,6 +51,7 @@
             LatePolicy(message.late_policy),
             self._start,
             self._on_shed,
+            self._organisation,
         )
 
     def offer(self):
@@ -106,8 +113,14 @@
             rate_limit=controller.target.rate_limit_per_s,
             instance=controller.target.record.instance,
             held_ms=round((self._loop.now() - self._arrived_at) * 1000, 1),
+            **self._share_fields(),
         )
 
+    def _share_fields(self):
+        if not self._organisation:
+            return {}
+        return {"organisation": self._organisation, "displaced": self._job.is_displaced}
+
     def _log_cancel(self):
         # When the entry node cancels a request at its deadline, this line is the only trace of it
         # here. It shows which target had the request.
@@ -247,7 +260,10 @@
         )
 
     def _on_shed(self, wait_s):
-        self.send_refusal(Code.TARGET_BUSY, "the wait became too long", Ran.NOT_RUN, wait_s)
+        reason = "the wait became too long"
+        if self._job.is_displaced:
+            reason = "its organisation is over its share"
+        self.send_refusal(Code.TARGET_BUSY, reason, Ran.NOT_RUN, wait_s)
 
     def _on_expiry(self):
         self._timer = None
