Log and count the shares of organisations; losses by organisation

Cause: neither the log nor the metrics tell which organisation a request belongs to, or why a request of one was refused.

--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -23,18 +23,20 @@
         "answered",
         "A caller got a target's response. `expected_ms` is the latency predicted when the target "
         "was chosen.",
-        f"{_REQUEST} status service target expected_ms waited_ms ran_ms slowness offers bytes",
+        f"{_REQUEST} status service target expected_ms waited_ms ran_ms slowness offers bytes "
+        "organisation",
     ),
     Event(
         "refused",
         "A caller got an error response from the node itself. `ran` tells what is known about "
         "whether the request was executed.",
-        f"{_REQUEST} code ran reason retry_after_ms service offers held_ms under_way",
+        f"{_REQUEST} code ran reason retry_after_ms service offers held_ms under_way "
+        "organisation",
     ),
     Event(
         "caller_left",
         "A caller closed its connection before the response; its request is cancelled.",
-        _REQUEST,
+        f"{_REQUEST} organisation",
     ),
     Event(
         "declined",
@@ -54,13 +56,17 @@
     ),
     Event(
         "turned_away",
-        "The target's node refused a request or removed it from the queue. It was not executed.",
-        "request code ran wait_ms running queued limit slowness cold rate_limit instance held_ms",
+        "The target's node refused a request or removed it from the queue. It was not executed. "
+        "`displaced` tells whether it left the queue for a request of an organisation that had "
+        "used less of its share.",
+        "request code ran wait_ms running queued limit slowness cold rate_limit instance held_ms "
+        "organisation displaced",
     ),
     Event(
         "run_failed",
         "A request was started at the target but got no usable response.",
-        "request code ran wait_ms running queued limit slowness cold rate_limit instance held_ms",
+        "request code ran wait_ms running queued limit slowness cold rate_limit instance held_ms "
+        "organisation",
     ),
     Event(
         "run_cancelled",
@@ -86,6 +92,13 @@
         "at once.",
         "before limit slots instance",
     ),
+    Event(
+        "shares",
+        "Requests wait for a slot. For the 20 organisations that demand most: the slots that their "
+        "requests demand, those that their share entitles them to, and those that they have used, "
+        "smoothed over 5 s. At most once in 5 s. `displaced` counts the requests displaced so far.",
+        "slots organisations displaced shares",
+    ),
     Event(
         "rate_limit",
         "The target advertised another rate limit, in requests a second, or none any more. "
--- a/packages/relay/src/camphorshelf_relay/targetrequest.py
+++ b/packages/relay/src/camphorshelf_relay/targetrequest.py
@@ -119,7 +119,10 @@
     def _share_fields(self):
         if not self._organisation:
             return {}
-        return {"organisation": self._organisation, "displaced": self._job.is_displaced}
+        fields = {"organisation": self._organisation}
+        if self._started_at is None:
+            fields["displaced"] = self._job.is_displaced
+        return fields
 
     def _log_cancel(self):
         # When the entry node cancels a request at its deadline, this line is the only trace of it
