Keep a short queue of jobs that are over, so that no slot is idle

Cause: with three slots in use and half of them taken by organisations within their share, jobs that are over were refused although a slot got free soon.

Change: the slots that others leave only count for a job that is over when half a job per slot is queued before it.

Fair shares of fair_shares.feature: 26 passed. 60,000 random offers without organisations: decisions still equal to those before fair shares.

--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -46,6 +46,9 @@
 # Jobs of organisations that are over wait for the slots that others leave, but not longer than if
 # this share were left: a short time in which others use all slots says little about the next.
 _MIN_SLOT_SHARE = 0.1
+# A queue that is shorter takes such a job without regard to those that will overtake it. Otherwise
+# a target with three slots would have idle ones for 4 in 100 of the time, for want of queued jobs.
+_SHORT_QUEUE_PER_SLOT = 0.5
 # How much more of the slots than on average others may take while such a job is queued. With 1.0,
 # twice as many jobs are refused only after they were queued.
 _OVERTAKING_MARGIN = 1.3
@@ -286,7 +289,7 @@
         # this one by its work divided by the number of slots.
         first_work_s = self.work_s or job.work_s
         slots = max(1, self.limit)
-        if job.over_level:
+        if job.over_level and count_ahead >= slots * _SHORT_QUEUE_PER_SLOT:
             # Jobs of organisations within their share that come later go before this one.
             slots = max(
                 slots * _MIN_SLOT_SHARE, slots - _OVERTAKING_MARGIN * self.shares.slots_within(now)
