--- a/tests/features/fair_shares.feature
+++ b/tests/features/fair_shares.feature
@@ -157,3 +157,8 @@
     When random requests come, are cancelled, run long or end, with long pauses, and weights change
     Then no use is negative, and the total is the sum of all
     And without queued and running requests each has used what its requests took
+
+  Scenario: A name that isn't text is taken as the name of an unknown organisation
+    # Guards against a fault at a target's node when an old entry node passes on what a caller sent.
+    When an old entry node passes on the organisation's name "\xff\xfe"
+    Then the target's node reads a name that no organisation has
--- a/tests/features/steps/fair_shares_steps.py
+++ b/tests/features/steps/fair_shares_steps.py
@@ -14,6 +14,7 @@
 from camphorshelf_core.fairshares import Weights, find_weights
 from camphorshelf_core.jobs import Job, JobState, LatePolicy
 from camphorshelf_core.organisations import Organisation, OrganisationTable
+from camphorshelf_platform.headers import HEADER_CODEC
 
 _WORK_S = 0.06
 _OBJECTIVE_S = 0.3
@@ -595,3 +596,14 @@
         )
         # Use from before a pause is forgotten if nothing was offered for 5 s.
         assert abs(one.served - took) <= 1e-6 + took * 0.001, (one, took)
+
+
+@when('an old entry node passes on the organisation\'s name "{name}"')
+def pass_on_name(context, name):
+    value = name.encode().decode("unicode_escape").encode("latin-1")
+    context.name = HEADER_CODEC.find_organisation(((b"tenant", value),))
+
+
+@then("the target's node reads a name that no organisation has")
+def check_name(context):
+    assert context.name and "\ufffd" in context.name, context.name
