Measure fair shares on real nodes and against shares over the service

Cause: the warm-up requests of the trial had more time than those of its load, so that the nodes took all requests as late.

Change: both have the same time.

--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -101,8 +101,9 @@
 
 
 def _is_served(deployment, name):
-    headers = ((("Key", f"key-{_LARGE}")),)
-    return deployment.send(name, "GET", "/look/warm", headers).status == 200
+    # With more time than the load's requests have, the node would take those as sent long ago.
+    headers = (("Key", f"key-{_LARGE}"),)
+    return deployment.send(name, "GET", "/look/warm", headers, wait_ms=_DEADLINE_MS).status == 200
 
 
 def _send(deployment, rates, work_ms, seconds, seed):
--- a/tests/features/steps/fair_shares_path_steps.py
+++ b/tests/features/steps/fair_shares_path_steps.py
@@ -23,14 +23,17 @@
     deployment = RelayDeployment(plans, document)
     context.add_cleanup(deployment.close)
     deployment.wait_ready()
-    headers = (("Key", "key-large"),)
     for name in deployment.names:
-        deployment.wait_until(
-            lambda name=name: deployment.send(name, "GET", "/look/x", headers).status == 200
-        )
+        deployment.wait_until(lambda name=name: _is_served(deployment, name))
     context.relays = deployment
 
 
+def _is_served(deployment, name):
+    # With more time than the load's requests have, the node would take those as sent long ago.
+    headers = (("Key", "key-large"),)
+    return deployment.send(name, "GET", "/look/x", headers, wait_ms=1000).status == 200
+
+
 @when("one sends {large:d} requests a second and eight send {small:d} a second each, for 5 s")
 def send_flood(context, large, small):
     rng = random.Random(4)
