--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -91,6 +91,7 @@
     def _set_organisation(self, organisation):
         router = self._router
         self._organisation = organisation
+        self._log_fields = {} if organisation is None else {"organisation": organisation.name}
         # The table by which the request was authenticated.
         self._organisations = router.organisations
         self._headers = router.prepare_headers(
@@ -335,6 +336,7 @@
             slowness=message.slowness,
             offers=len(self._offered_addresses),
             bytes=len(message.body),
+            **self._log_fields,
         )
         self._exchange.answer(Response(message.status, message.headers, message.body))
 
@@ -368,7 +370,7 @@
             offers=len(self._offered_addresses),
             held_ms=round((now - self._received_at) * 1000, 1),
             under_way=pending_addresses,
-            **({} if self._organisation is None else {"organisation": self._organisation.name}),
+            **self._log_fields,
         )
 
     def _retry_after_s(self, refusal, now):
@@ -397,7 +399,7 @@
 
     def _on_disconnect(self):
         self._end()
-        self._router.log_outcome(self._exchange, self._route, "caller_left")
+        self._router.log_outcome(self._exchange, self._route, "caller_left", **self._log_fields)
 
     def _end(self):
         self._is_finished = True
