--- a/packages/core/src/camphorshelf_core/hostdatagrams.py
+++ b/packages/core/src/camphorshelf_core/hostdatagrams.py
@@ -1,4 +1,4 @@
-"""The datagrams between hosts: statuses, probes, suspicions and addresses.
+"""The datagrams between hosts: statuses, probes, suspicions, addresses and quotas' tokens.
 
 A status has a full and a short form. Most of a full status are names that rarely change. The short
 form has only the numbers that change often. A receiver that doesn't hold a full status of the same
@@ -11,13 +11,16 @@
 
 from .failuredetector import Suspicion
 from .hosts import HostStatus, is_address
+from .quotas import TokenReply, TokenRequest
 
 _FULL_STATUS, _SHORT_STATUS, _STATUS_REQUEST, _GREETING, _MEMBER_UPDATES, _SUSPICION = range(6)
-_PROBE_REQUEST, _ADDRESSES_REQUEST, _ADDRESSES = range(6, 9)
+_PROBE_REQUEST, _ADDRESSES_REQUEST, _ADDRESSES, _TOKEN_REQUEST, _TOKEN_REPLY = range(6, 11)
 _HUNDREDTHS, _THOUSANDTHS = 100, 1000
 _SHORT_FIELD_COUNT = 14
 _MAX_CRASHES = 16
 _ADDRESSES_PER_DATAGRAM = 60
+# A token request or reply with a number beyond this is invalid.
+_MAX_TOKENS = 1_000_000
 # The numeric fields of a full status, apart from its sequence and the fields after its crashes.
 _NUMERIC_FIELDS = slice(HostStatus._fields.index("accepting"), HostStatus._fields.index("crashes"))
 
@@ -198,6 +201,24 @@
     return None
 
 
+def _parse_token_request(organisation, number, wanted, demand_per_s, config_version):
+    are_counts = isinstance(number, int) and isinstance(wanted, int)
+    if not isinstance(organisation, str) or not are_counts or not _are_numbers((config_version,)):
+        return None
+    if abs(wanted) > _MAX_TOKENS or not 0 <= demand_per_s <= _MAX_TOKENS:
+        return None
+    return TokenRequest(organisation, number, wanted, demand_per_s, config_version)
+
+
+def _parse_token_reply(organisation, number, granted, wait_s, fallback_per_s):
+    are_counts = isinstance(number, int) and isinstance(granted, int)
+    if not isinstance(organisation, str) or not are_counts:
+        return None
+    if not all(0 <= value <= _MAX_TOKENS for value in (granted, wait_s, fallback_per_s)):
+        return None
+    return TokenReply(organisation, number, granted, wait_s, fallback_per_s)
+
+
 def split_addresses(known):
     """Split the addresses of all known hosts into messages that fit into a datagram each.
 
@@ -279,6 +300,8 @@
     ProbeRequest: _PROBE_REQUEST,
     AddressesRequest: _ADDRESSES_REQUEST,
     Addresses: _ADDRESSES,
+    TokenRequest: _TOKEN_REQUEST,
+    TokenReply: _TOKEN_REPLY,
 }
 _PARSERS = {
     _STATUS_REQUEST: _parse_status_request,
@@ -286,4 +309,6 @@
     _PROBE_REQUEST: _parse_probe_request,
     _ADDRESSES_REQUEST: AddressesRequest,
     _ADDRESSES: _parse_addresses,
+    _TOKEN_REQUEST: _parse_token_request,
+    _TOKEN_REPLY: _parse_token_reply,
 }
--- a/packages/core/src/camphorshelf_core/retryafter.py
+++ b/packages/core/src/camphorshelf_core/retryafter.py
@@ -10,6 +10,8 @@
 # Without any target a caller can only wait for one to return; keeps callers from polling in a loop.
 _NO_TARGET_SECONDS = 0.25
 _MAX_SECONDS = 1.0
+# Keeps the callers of an organisation over its quota from polling in a loop.
+_MIN_QUOTA_SECONDS = 0.1
 # A target that sheds requests at random, and not for lack of a slot, may accept a retry right away.
 _SHED_SECONDS = 0.01
 
@@ -26,6 +28,19 @@
     return random.uniform(0.5, 1.5) * _SHED_SECONDS
 
 
+def retry_after_quota(wait_s, random):
+    """Choose the delay for a caller whose organisation is over its quota.
+
+    Handles an organisation that sends many times its quota. Its callers are refused within a
+    moment, and most retries that come before the quota has filled again are in vain.
+
+    :param wait_s: the time until the quota's owner expects a token, in seconds.
+    :param random: the source of random numbers.
+    :return: seconds.
+    """
+    return min(_MAX_SECONDS, max(wait_s, _MIN_QUOTA_SECONDS)) * random.uniform(1.0, 3.0)
+
+
 def retry_after(wait_s, objective_left_s, work_s, random, start_wait_s=0.0):
     """Choose the delay for a caller whose request was refused by this node.
 
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -24,6 +24,7 @@
     split_addresses,
 )
 from camphorshelf_core.hosts import HostStatus
+from camphorshelf_core.quotas import TokenReply, TokenRequest
 
 from .announcer import AnnouncementScope, Announcer
 from .datagrams import DatagramSocket
@@ -100,11 +101,18 @@
             ProbeRequest: self._on_probe_request,
             AddressesRequest: self._on_addresses_request,
             Addresses: lambda message, ip: self._on_addresses(message),
+            TokenRequest: lambda message, ip: self.on_token_request(message, ip),
+            TokenReply: lambda message, ip: self.on_token_reply(message),
         }
         self.counts = {"received": 0, "unused": 0, "suspected": 0}
         # Called with the view of each host that has sent a newer status, and whether this node
         # forwards that status in its failure domain.
         self.on_status = lambda view, is_forwarded: None
+        # Called with each datagram about quotas, a request also with its sender's IP address.
+        self.on_token_request = lambda message, ip: None
+        self.on_token_reply = lambda message: None
+        # Called without arguments several times a second, without a wake-up of its own.
+        self.on_tick = lambda: None
 
     @property
     def directory(self):
@@ -204,6 +212,15 @@
         else:
             self._handlers[type(message)](message, ip)
 
+    def send(self, ip, message):
+        """Send a message to another host as a datagram.
+
+        :param ip: the host's IP address.
+        :param message: a message of :mod:`camphorshelf_core.hostdatagrams`.
+        :return: None.
+        """
+        self._datagrams.send(ip, encode(message))
+
     def _is_alive(self, address):
         view = self._directory.view(address)
         if view is None or view.suspected_at is not None:
@@ -247,6 +264,7 @@
         if self._steps >= _STEPS_PER_TICK:
             self._steps = 0
             self._announcer.tick()
+        self.on_tick()
 
     def _announce_suspicion(self, suspicion):
         self._announcer.forward(suspicion, AnnouncementScope.ALL)
