--- a/packages/core/src/camphorshelf_core/ownership.py
+++ b/packages/core/src/camphorshelf_core/ownership.py
@@ -70,7 +70,6 @@
         :return: None.
         """
         self._shrunk_at = now
-        self._due_at = now
 
     def owner(self, organisation):
         """Find the owner of an organisation's quota.
--- a/packages/core/src/camphorshelf_core/quotas.py
+++ b/packages/core/src/camphorshelf_core/quotas.py
@@ -52,7 +52,17 @@
 # These are less than the margins of the quota's window, quota_over and quota_slack.
 _SAVED_SECONDS = 0.05
 _SAVED_REQUESTS = 5.0
-_PROMISE_SAVED_SECONDS = 0.1
+_PROMISE_SAVED_SECONDS = 0.05
+# An owner that is alive, but not reachable, needs this long to hold back what the fallback buckets
+# give. Until then they fill at a part of their rate.
+_ONSET_SECONDS = 1.0
+_ONSET_PART = 0.2
+# After that, a node without a promise may save up its rate of this time, because it gets only a
+# request now and then.
+_BASE_SAVED_SECONDS = 1.0
+# If the owner was alive, what a fallback bucket gave is deducted from its next tokens, up to the
+# bucket's rate in this time.
+_DEBT_SECONDS = 1.0
 
 
 class TokenRequest(NamedTuple):
@@ -92,11 +102,11 @@
 class FleetSize(NamedTuple):
     """How many hosts a node knows, itself included.
 
-    :param responding: the hosts that respond; hosts that are suspected don't count.
+    :param responding: an estimate of how many respond; hosts that are suspected don't count.
     :param known: all hosts.
     """
 
-    responding: int
+    responding: float
     known: int
 
 
@@ -152,25 +162,30 @@
         state = self._askers.get(asker)
         if state is None:
             state = self._askers[asker] = _Asker()
+        elif request.number == state.reply.number:
+            return state.reply
         self._record(state, request, now)
         share = self._share(fleet, is_owner, now)
         fill_per_s = self._fill(organisation, share, now)
         granted = 0
         if request.wanted > 0:
             granted = self._take(request.wanted, rate * share, now, random)
-        elif not state.is_repeated:
-            self._tokens += -request.wanted
+        else:
+            self._tokens -= request.wanted
         wait_s = 0.0
         if granted < request.wanted:
             wait_s = self._wait_s(fill_per_s, rate, random)
         fallback_per_s = self._promise(state, rate, fleet.known)
-        return TokenReply(
-            request.organisation, request.number, granted, round(wait_s, 3), fallback_per_s
+        state.reply = TokenReply(
+            request.organisation,
+            request.number,
+            granted,
+            round(wait_s, 3),
+            round(fallback_per_s, 4),
         )
+        return state.reply
 
     def _record(self, state, request, now):
-        state.is_repeated = request.number <= state.number and now - state.heard_at < TOKEN_SECONDS
-        state.number = request.number
         state.heard_at = now
         state.demand_per_s = request.demand_per_s
         if now - self._swept_at < _SWEEP_SECONDS:
@@ -246,14 +261,14 @@
 class _Asker:
     """What the owner holds of one asking node."""
 
-    __slots__ = ("heard_at", "number", "demand_per_s", "promise_per_s", "is_repeated")
+    __slots__ = ("heard_at", "demand_per_s", "promise_per_s", "reply")
 
     def __init__(self):
         self.heard_at = -math.inf
-        self.number = -1
         self.demand_per_s = 0.0
         self.promise_per_s = 0.0
-        self.is_repeated = False
+        # The last reply, which is also that to a duplicate of the request.
+        self.reply = None
 
 
 def base_fallback(rate, known):
@@ -277,22 +292,28 @@
         self._capacity = 0.0
         self._filled_at = now
 
-    def advance(self, rate, promised_per_s, known, now):
+    def advance(self, rate, promised_per_s, known, silent_s, now):
         """Fill the bucket.
 
         :param rate: the organisation's rate, in requests per second.
         :param promised_per_s: the fallback rate that the owner has sent; None without one.
         :param known: how many hosts are known.
+        :param silent_s: for how long the owner has been silent, in seconds.
         :param now: seconds.
-        :return: None.
+        :return: the rate at which the bucket fills, in requests per second.
         """
         base_per_s = base_fallback(rate, known)
         fill_per_s = base_per_s if promised_per_s is None else promised_per_s
         self._capacity = (_SAVED_SECONDS * rate + _SAVED_REQUESTS) / known
         self._capacity += _PROMISE_SAVED_SECONDS * max(0.0, fill_per_s - base_per_s)
+        if silent_s < _ONSET_SECONDS:
+            fill_per_s *= _ONSET_PART
+        elif fill_per_s <= base_per_s:
+            self._capacity += _BASE_SAVED_SECONDS * base_per_s
         elapsed_s = max(0.0, now - self._filled_at)
         self._tokens = min(self._capacity, self._tokens + fill_per_s * elapsed_s)
         self._filled_at = now
+        return fill_per_s
 
     def spend(self, random):
         """Take a token; a fraction of one counts as a probability.
@@ -336,6 +357,10 @@
         self._unanswered = {}
         self._asked_at = -math.inf
         self._last_number = None
+        # When the first token request was sent of those that the owner has not replied to.
+        self._silent_since = now
+        # Requests admitted by the fallback bucket that the owner doesn't know of.
+        self._debt = 0
         # Whether the owner was silent when the last token request was sent.
         self._was_silent = False
         self._wait_until = -math.inf
@@ -376,16 +401,19 @@
         earliest_s = 0.0 if self._was_silent else HOLD_SECONDS
         return earliest_s <= now - self._asked_at < TOKEN_SECONDS
 
-    def set_owner(self, owner):
+    def set_owner(self, owner, now):
         """Set the owner to ask; tokens of the one before stay valid.
 
         :param owner: the owner's address.
+        :param now: seconds.
         :return: whether another host was the owner before.
         """
         before, self._owner = self._owner, owner
         if before in (None, owner):
             return False
         self._last_number = None
+        self._silent_since = now
+        self._debt = 0
         self._wait_until = -math.inf
         return True
 
@@ -445,6 +473,8 @@
         if is_report_due and wanted == 0:
             wanted = -self._remove_surplus(math.ceil(demand * BATCH_SECONDS), now)
         self._was_silent = self.is_silent(now)
+        if self._last_number not in self._unanswered:
+            self._silent_since = now
         number = self._last_number = next(self._numbers)
         self._unanswered = {
             one: sent for one, sent in self._unanswered.items() if now - sent[0] < TOKEN_SECONDS
@@ -464,8 +494,10 @@
         asked_at, demand = self._unanswered.pop(reply.number, (-math.inf, 0.0))
         if now - asked_at >= TOKEN_SECONDS:
             return
-        if reply.granted > 0:
-            self._add(asked_at + TOKEN_SECONDS, reply.granted)
+        repaid = min(self._debt, reply.granted)
+        self._debt -= repaid
+        if reply.granted > repaid:
+            self._add(asked_at + TOKEN_SECONDS, reply.granted - repaid)
         if reply.number != self._last_number:
             return
         self._replied_at = now
@@ -506,8 +538,11 @@
     def _spend_fallback(self, rate, known, now):
         is_valid = now - self._replied_at < PROMISE_SECONDS
         promised_per_s = self._promised_per_s if is_valid else None
-        self._fallback.advance(rate, promised_per_s, known, now)
+        silent_s = now - self._silent_since
+        fill_per_s = self._fallback.advance(rate, promised_per_s, known, silent_s, now)
         is_admitted = self._fallback.spend(self._random)
+        if is_admitted:
+            self._debt = min(self._debt + 1, 1 + int(fill_per_s * _DEBT_SECONDS))
         return Verdict(is_admitted, is_fallback=True, wait_s=_SILENT_RETRY_SECONDS)
 
     def _may_ask(self, now):
@@ -524,9 +559,9 @@
         batch = int(demand * BATCH_SECONDS)
         needed = max(len(self._held), int(self.is_silent(now)))
         if needed > tokens:
-            return max(needed, batch) - tokens
+            return max(needed, batch) - tokens + self._debt
         if batch >= _MIN_BATCH and tokens <= demand * _LOW_WATER_SECONDS:
-            return batch - tokens
+            return batch - tokens + self._debt
         return 0
 
     def _drop_expired(self, now):
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -31,6 +31,7 @@
 from .metrics import CONTENT_TYPE, Metrics
 from .nodemetrics import MetricSources, register_node_metrics
 from .peers import Peers
+from .quotas import Quotas
 from .router import Router
 from .settings import HeaderCodec
 from .target import Target
@@ -140,6 +141,14 @@
             self._random,
             log,
         )
+        self._router.quotas = Quotas(
+            loop,
+            settings.addresses.links.text,
+            self._peers,
+            self._config_sync,
+            self._random,
+            log,
+        )
         limits = CurrentLimits(self._config_sync)
         addresses = settings.addresses
         self._callers = CallerListener(
--- a/packages/relay/src/camphorshelf_relay/nodemetrics.py
+++ b/packages/relay/src/camphorshelf_relay/nodemetrics.py
@@ -53,6 +53,19 @@
     add_counter(
         "retries", "Retries by service and verdict.", sources.router.retry_counts, "service verdict"
     )
+    quotas = sources.router.quotas
+    add_counter(
+        "quota.requests",
+        "Requests of organisations with a quota (admitted, refused, decided by the fallback"
+        " bucket), and tokens requested from the owner.",
+        quotas.counts,
+        "organisation outcome",
+    )
+    add_gauge(
+        "quota.silent.owners",
+        "Organisations whose quota's owner does not reply.",
+        quotas.count_silent_owners,
+    )
     add_counter("store.calls", "Calls to the store.", sources.store.counts, "kind outcome")
     add_counter("statuses", "Statuses of hosts.", sources.peers.counts, "outcome")
     add_counter("datagrams", "Datagrams to other hosts.", sources.peers.datagram_counts, "outcome")
--- a/packages/relay/src/camphorshelf_relay/quotas.py
+++ b/packages/relay/src/camphorshelf_relay/quotas.py
@@ -14,8 +14,12 @@
 
 # A host that pushes its status several times a second counts as not responding after this time.
 _RESPONDING_SECONDS = 1.0
+# A response to a probe is missing after this time, which is longer than the pauses of slow hosts.
+_OVERDUE_SECONDS = 0.3
 # Without any event for this long, the process was suspended. Other hosts may have taken over.
 _SUSPENDED_SECONDS = 1.0
+# With fewer responding hosts than this share of all, other hosts have become the owners elsewhere.
+_ISOLATED_SHARE = 0.4
 _LOG_SECONDS = 1.0
 _PURGE_SECONDS = 10.0
 # Organisations come and go with configurations. Without a limit, the number of series would only
@@ -57,6 +61,9 @@
         self._timed = set()
         # When refusals of an organisation were last logged, and how many there were since.
         self._refusals = {}
+        # When each host last sent a token request, by its IP address.
+        self._contacts = {}
+        self._is_isolated = False
         self._has_limits = False
         self._active_at = now
         self._purged_at = now
@@ -112,7 +119,7 @@
         if entry is None:
             entry = self._entries[name] = EntryQuota(self._numbers, self._random, now)
         owner = self._ownership.owner(name)
-        if entry.set_owner(owner):
+        if entry.set_owner(owner, now):
             self._log.notable("quota_owner", organisation=name, owner=owner)
         return entry
 
@@ -191,6 +198,8 @@
     def _on_request(self, request, ip):
         now = self._loop.now()
         self._renew(now)
+        if ip != self._own_ip:
+            self._contacts[ip] = now
         table = self._table()
         organisation = None if table is None else table.get(request.organisation)
         if organisation is None:
@@ -233,14 +242,34 @@
     def _list_live(self, now):
         directory = self._peers.directory
         live = directory.live(now)
-        responding = sum(
-            view.suspected_at is None
-            and not (view.pushes_load and now - view.heard_at > _RESPONDING_SECONDS)
-            for view in live
-        )
-        self._fleet = FleetSize(responding + 1, directory.size + 1)
+        responding, heard, overdue = 1, 1, 0
+        for view in live:
+            is_recent = now - view.heard_at <= _RESPONDING_SECONDS
+            if view.suspected_at is None and (is_recent or not view.pushes_load):
+                responding += 1
+                heard += is_recent
+                overdue += view.probed_at is not None and now - view.probed_at > _OVERDUE_SECONDS
+            else:
+                overdue += 1
+        # In a large fleet a host without a network suspects the others only one by one. Compared
+        # with the hosts heard lately, those that don't respond tell at once how many are left.
+        self._contacts = {
+            ip: at for ip, at in self._contacts.items() if now - at <= _RESPONDING_SECONDS
+        }
+        heard += len(self._contacts)
+        known = directory.size + 1
+        self._fleet = FleetSize(min(responding, known * heard / (heard + overdue)), known)
+        self._track_isolation(now)
         return [view.status.address for view in live]
 
+    def _track_isolation(self, now):
+        share = self._fleet.responding / self._fleet.known
+        if share >= _ISOLATED_SHARE and self._is_isolated:
+            # The hosts that have returned had other owners meanwhile.
+            self._buckets.clear()
+            self._ownership.restart(now)
+        self._is_isolated = share < _ISOLATED_SHARE
+
     def _on_tick(self):
         if not self._has_limits:
             return
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -28,10 +28,14 @@
     :param caller_metadata: the :class:`~camphorshelf_relay.settings.CallerMetadata`.
     :param organisation: the :class:`~camphorshelf_core.organisations.Organisation` for which it
         runs, or None.
+    :param on_not_run: called without arguments when the request is refused and has not run.
     """
 
-    def __init__(self, router, exchange, route, caller_metadata, organisation=None):
+    def __init__(
+        self, router, exchange, route, caller_metadata, organisation=None, on_not_run=lambda: None
+    ):
         self._router = router
+        self._on_not_run = on_not_run
         self._loop = router.loop
         self._exchange = exchange
         self._route = route
@@ -317,6 +321,7 @@
         self._end()
         now = self._loop.now()
         if refusal.ran is Ran.NOT_RUN:
+            self._on_not_run()
             seconds = self._retry_after_s(refusal, now)
             refusal = refusal._replace(retry_after_ms=max(1, round(seconds * 1000)))
         self._router.refuse(
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -5,6 +5,7 @@
 from camphorshelf_core.leavinginstances import LeavingInstances
 from camphorshelf_core.loadprobes import choose_probes, is_sufficient
 from camphorshelf_core.organisations import authenticate, request_priority
+from camphorshelf_core.retryafter import retry_after_quota
 from camphorshelf_core.retrybudget import RetryBudget
 from camphorshelf_core.routes import ServicePicker
 
@@ -61,6 +62,9 @@
         self.retry_counts = {}
         # Called with the route's name, the outcome and the seconds of each finished request.
         self.on_outcome = lambda route, outcome, seconds: None
+        # The :class:`~camphorshelf_relay.quotas.Quotas`, of which organisations with a limit need
+        # tokens; without it there are no limits.
+        self.quotas = None
         config_sync.on_change(self._on_config)
 
     def probe(self, candidates, probed, on_done):
@@ -119,7 +123,51 @@
             refusal = Refusal(Code.UNKNOWN_KEY, "no organisation has the request's key")
             self.refuse(exchange, caller_metadata.request_id, refusal, route)
             return
-        Relay(self, exchange, route, caller_metadata, organisation).start()
+        if self.quotas is None or organisation is None or organisation.rate_per_s is None:
+            Relay(self, exchange, route, caller_metadata, organisation).start()
+        else:
+            self._acquire(exchange, route, caller_metadata, organisation)
+
+    def _acquire(self, exchange, route, caller_metadata, organisation):
+        quotas = self.quotas
+
+        def on_result(verdict):
+            def give_back():
+                quotas.give_back(organisation, verdict)
+
+            if not verdict.is_admitted:
+                self._refuse_over_quota(exchange, route, caller_metadata, organisation, verdict)
+            elif exchange.finished:
+                give_back()
+            else:
+                Relay(self, exchange, route, caller_metadata, organisation, give_back).start()
+
+        exchange.set_disconnect_handler(
+            lambda: self.log_outcome(exchange, route, "caller_left", organisation=organisation.name)
+        )
+        quotas.acquire(organisation, exchange.guard(on_result))
+
+    def _refuse_over_quota(self, exchange, route, caller_metadata, organisation, verdict):
+        if exchange.finished:
+            return
+        retry_after_s = retry_after_quota(verdict.wait_s, self.random)
+        refusal = Refusal(
+            Code.QUOTA_EXCEEDED,
+            (
+                "the quota's owner does not reply, and this node's part of the quota is used up"
+                if verdict.is_fallback
+                else "the organisation is over its quota"
+            ),
+            retry_after_ms=max(1, round(retry_after_s * 1000)),
+        )
+        self.refuse(
+            exchange,
+            caller_metadata.request_id,
+            refusal,
+            route,
+            organisation=organisation.name,
+            wait_ms=round(verdict.wait_s * 1000, 1),
+        )
 
     def may_overlap(self, request):
         """Tell whether a request may run concurrently with others of the same connection.
@@ -293,7 +341,9 @@
         label = fields.get("code") or (str(fields["status"]) if "status" in fields else outcome)
         self.on_outcome(name, label, seconds)
         is_success = outcome == "answered" and fields["status"] < 500
-        log = self.log.routine if is_success else self.log.notable
+        # There may be thousands of requests over a quota; the line ``quota_refused`` counts them.
+        is_routine = is_success or label == Code.QUOTA_EXCEEDED.name
+        log = self.log.routine if is_routine else self.log.notable
         log(
             outcome,
             request=self._header_codec.parse_caller(exchange.request.headers).request_id,
