--- a/tests/soak/quotas_world.py
+++ b/tests/soak/quotas_world.py
@@ -113,7 +113,8 @@
 
     def owner(self):
         """Return the number of the host that most hosts hold as the owner."""
-        owners = Counter(host.quotas._ownership.owner(ORGANISATION) for host in self.up())
+        hosts = self.up() or self.hosts.values()
+        owners = Counter(host.quotas._ownership.owner(ORGANISATION) for host in hosts)
         address = owners.most_common(1)[0][0]
         return next(number for number, host in self.hosts.items() if host.address == address)
 
