--- a/packages/core/src/camphorshelf_core/quotas.py
+++ b/packages/core/src/camphorshelf_core/quotas.py
@@ -471,7 +471,7 @@
         if wanted == 0 and not is_report_due:
             return None
         if is_report_due and wanted == 0:
-            wanted = -self._remove_surplus(math.ceil(demand * BATCH_SECONDS), now)
+            wanted = -self._remove_excess(math.ceil(demand * BATCH_SECONDS), now)
         self._was_silent = self.is_silent(now)
         if self._last_number not in self._unanswered:
             self._silent_since = now
@@ -573,10 +573,10 @@
         if len(self._batches) > 1 and self._batches[-2][0] > expires_at:
             self._batches = deque(sorted(self._batches))
 
-    def _remove_surplus(self, needed, now):
+    def _remove_excess(self, needed, now):
         self._drop_expired(now)
-        surplus = sum(batch[1] for batch in self._batches) - needed
-        left = max(0, surplus)
+        excess = sum(batch[1] for batch in self._batches) - needed
+        left = max(0, excess)
         while left:
             batch = self._batches[-1]
             count = min(left, batch[1])
@@ -584,4 +584,4 @@
             left -= count
             if not batch[1]:
                 self._batches.pop()
-        return max(0, surplus)
+        return max(0, excess)
