--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -34,6 +34,7 @@
 from .metrics import CONTENT_TYPE, Metrics
 from .nodemetrics import MetricSources, register_node_metrics
 from .peers import Peers
+from .quotas import Quotas
 from .router import Router
 from .settings import HeaderCodec
 from .storecontacts import StoreContacts
@@ -146,6 +147,14 @@
         )
         self._contacts = StoreContacts(loop, settings, self._peers, self._config_sync, self._random)
         self._router.is_config_stale = self._contacts.is_stale
+        self._router.quotas = Quotas(
+            loop,
+            settings.addresses.links.text,
+            self._peers,
+            self._config_sync,
+            self._random,
+            log,
+        )
         limits = CurrentLimits(self._config_sync)
         addresses = settings.addresses
         self._callers = CallerListener(
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -26,6 +26,7 @@
     split_addresses,
 )
 from camphorshelf_core.hosts import HostStatus
+from camphorshelf_core.quotas import TokenReply, TokenRequest
 
 from .announcer import AnnouncementScope, Announcer
 from .datagrams import DatagramSocket
@@ -104,6 +105,8 @@
             Addresses: lambda message, ip: self._on_addresses(message),
             ContactRequest: self._on_contact_request,
             ContactReport: lambda report, ip: self.on_contact_report(report),
+            TokenRequest: lambda message, ip: self.on_token_request(message, ip),
+            TokenReply: lambda message, ip: self.on_token_reply(message),
         }
         self.counts = {"received": 0, "unused": 0, "suspected": 0}
         # Called with the view of each host that has sent a newer status, and whether this node
@@ -112,6 +115,11 @@
         # Called with each ContactReport of another host; and returns this host's, or None.
         self.on_contact_report = lambda report: None
         self.describe_contact = lambda: None
+        # Called with each datagram about quotas, a request also with its sender's IP address.
+        self.on_token_request = lambda message, ip: None
+        self.on_token_reply = lambda message: None
+        # Called without arguments several times a second, without a wake-up of its own.
+        self.on_tick = lambda: None
 
     @property
     def directory(self):
@@ -229,6 +237,15 @@
         else:
             self._handlers[type(message)](message, ip)
 
+    def send(self, ip, message):
+        """Send a message to another host as a datagram.
+
+        :param ip: the host's IP address.
+        :param message: a message of :mod:`camphorshelf_core.hostdatagrams`.
+        :return: None.
+        """
+        self._datagrams.send(ip, encode(message))
+
     def _is_alive(self, address):
         view = self._directory.view(address)
         if view is None or view.suspected_at is not None:
@@ -272,6 +289,7 @@
         if self._steps >= _STEPS_PER_TICK:
             self._steps = 0
             self._announcer.tick()
+        self.on_tick()
 
     def _announce_suspicion(self, suspicion):
         self._announcer.forward(suspicion, AnnouncementScope.ALL)
