--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -29,7 +29,19 @@
         "refused",
         "A caller got an error response from the node itself. `ran` tells what is known about "
         "whether the request was executed.",
-        f"{_REQUEST} code ran reason retry_after_ms service offers held_ms under_way",
+        f"{_REQUEST} code ran reason retry_after_ms service offers held_ms under_way"
+        " organisation wait_ms",
+    ),
+    Event(
+        "quota_refused",
+        "Requests of an organisation were refused with 429, `count` of them since the last such "
+        "line; at most one line a second and organisation.",
+        "organisation count owner owner_silent config",
+    ),
+    Event(
+        "quota_owner",
+        "Another host holds an organisation's quota.",
+        "organisation owner",
     ),
     Event(
         "caller_left",
--- a/packages/relay/src/camphorshelf_relay/quotas.py
+++ b/packages/relay/src/camphorshelf_relay/quotas.py
@@ -252,13 +252,16 @@
             else:
                 overdue += 1
         # In a large fleet a host without a network suspects the others only one by one. Compared
-        # with the hosts heard lately, those that don't respond tell at once how many are left.
+        # with the hosts heard lately, those that don't respond tell at once how many are left. If
+        # they are the majority, or none was heard, only the hosts heard count.
         self._contacts = {
             ip: at for ip, at in self._contacts.items() if now - at <= _RESPONDING_SECONDS
         }
         heard += len(self._contacts)
         known = directory.size + 1
-        self._fleet = FleetSize(min(responding, known * heard / (heard + overdue)), known)
+        is_cut_off = heard == 1 or overdue > heard
+        estimate = heard if is_cut_off else known * heard / (heard + overdue)
+        self._fleet = FleetSize(min(responding, estimate), known)
         self._track_isolation(now)
         return [view.status.address for view in live]
 
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -142,9 +142,7 @@
             else:
                 Relay(self, exchange, route, caller_metadata, organisation, give_back).start()
 
-        exchange.set_disconnect_handler(
-            lambda: self.log_outcome(exchange, route, "caller_left", organisation=organisation.name)
-        )
+        exchange.set_disconnect_handler(lambda: self.log_outcome(exchange, route, "caller_left"))
         quotas.acquire(organisation, exchange.guard(on_result))
 
     def _refuse_over_quota(self, exchange, route, caller_metadata, organisation, verdict):
--- a/tests/features/quotas_model.feature
+++ b/tests/features/quotas_model.feature
@@ -61,6 +61,7 @@
       | 12    | 5    | the owner is cut off                 |
       | 12    | 200  | the owner is cut off                 |
       | 60    | 200  | the owner is cut off                 |
+      | 60    | 200  | the owner and two more are cut off   |
       | 12    | 200  | half of the hosts are cut off        |
       | 60    | 200  | half of the hosts are cut off        |
       | 12    | 200  | the owner is killed                  |
--- a/tests/features/steps/quotas_model_steps.py
+++ b/tests/features/steps/quotas_model_steps.py
@@ -57,6 +57,13 @@
     context.world.split([context.world.owner()])
 
 
+@when("the owner and two more are cut off")
+def cut_three(context):
+    world = context.world
+    owner = world.owner()
+    world.split([(owner + step) % len(world.hosts) for step in range(3)])
+
+
 @when("half of the hosts are cut off")
 def cut_half(context):
     context.world.split(range(len(context.world.hosts) // 2))
