--- a/tests/features/quotas_model.feature
+++ b/tests/features/quotas_model.feature
@@ -50,7 +50,7 @@
     Given <hosts> hosts that share a quota of <rate> requests a second
     When requests come at 8 times the rate for 6 s, spread evenly
     And <fault>
-    And requests come at 8 times the rate for 6 s, half of them at the owner
+    And requests come at 8 times the rate for 10 s, half of them at the owner
     And the fault ends
     And requests come at 8 times the rate for 6 s, spread evenly
     Then no window has more runs than the rule allows
