--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -32,7 +32,18 @@
         "whether the request was executed. Of the requests refused with `UNKNOWN_KEY`, at most one "
         "a second is logged; `count` tells how many were refused since the line before.",
         f"{_REQUEST} code ran reason retry_after_ms service offers held_ms under_way organisation "
-        "count",
+        "count wait_ms",
+    ),
+    Event(
+        "quota_refused",
+        "Requests of an organisation were refused with 429, `count` of them since the last such "
+        "line; at most one line a second and organisation.",
+        "organisation count owner owner_silent config",
+    ),
+    Event(
+        "quota_owner",
+        "Another host holds an organisation's quota.",
+        "organisation owner",
     ),
     Event(
         "caller_left",
