--- a/tests/features/steps/fair_shares_path_steps.py
+++ b/tests/features/steps/fair_shares_path_steps.py
@@ -34,13 +34,13 @@
     return deployment.send(name, "GET", "/look/x", headers, wait_ms=1000).status == 200
 
 
-@when("one sends {large:d} requests a second and eight send {small:d} a second each, for 5 s")
-def send_flood(context, large, small):
+@when("one sends {large:d} requests a second beside eight that send {small:d}, for {seconds:d} s")
+def send_flood(context, large, small, seconds):
     rng = random.Random(4)
     addresses = [context.relays.address("callers", name) for name in context.relays.names]
     calls = []
     for name in _NAMES:
-        for number, at in enumerate(poisson(large if name == "large" else small, 5.0, rng)):
+        for number, at in enumerate(poisson(large if name == "large" else small, seconds, rng)):
             headers = (
                 ("Request-Id", f"{name}-{number}"),
                 ("Deadline-Ms", "1000"),
