Mark routes of downloads as large and read the rate of the host's link

Cause: responses of downloads are to be streamed, and the sizes on links are to follow the link's rate, but neither the kind nor the rate was known past the platform's formats. Change: Route.is_large, set for the kind download; NodeSettings.link_mbps, read from the optional setting self.limits.link_mbps (0 or left out: not known).

--- a/packages/core/src/camphorshelf_core/routes.py
+++ b/packages/core/src/camphorshelf_core/routes.py
@@ -32,6 +32,7 @@
     :param priority: 0 is the highest priority.
     :param weighted_services: a tuple of :class:`WeightedService` that share the route's requests.
     :param is_public: whether requests need no organisation's key.
+    :param is_large: whether responses may be large and are streamed.
     """
 
     name: str
@@ -44,6 +45,7 @@
     priority: int
     weighted_services: tuple
     is_public: bool = False
+    is_large: bool = False
 
 
 class ServiceSettings(NamedTuple):
--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -53,6 +53,7 @@
     :param probes_per_s: the largest number of health probes of the target per second.
     :param is_first_start: whether the whole system starts for the first time.
     :param warm_up: the :class:`~camphorshelf_core.warmup.WarmUpBounds` of every service.
+    :param link_mbps: the rate of the host's link, in Mbit/s; None if it is not known.
     """
 
     name: str
@@ -64,6 +65,7 @@
     probes_per_s: float
     is_first_start: bool = True
     warm_up: WarmUpBounds = WarmUpBounds()
+    link_mbps: float | None = None
 
 
 class CallerMetadata(NamedTuple):
--- a/tests/features/platform_formats.feature
+++ b/tests/features/platform_formats.feature
@@ -5,9 +5,34 @@
     Then they are parsed
     And without "self.zone" the error names "self.zone"
     And with "terms.bounds.retry_ratio=much" the error names "terms.bounds.retry_ratio"
+    And with "self.limits.link_mbps=fast" the error names "self.limits.link_mbps"
     And with "network.listen.inbound=nowhere" the error names "network.listen.inbound"
     And with "a.new.field=1" they are parsed
 
+  Scenario Outline: The rate of the host's link is optional
+    # Guards against a node that does not start in a deployment without the setting.
+    Given valid settings of the platform
+    Then with "<line>" the rate of its link is <rate>
+
+    Examples:
+      | line                     | rate |
+      |                          | None |
+      | self.limits.link_mbps=   | None |
+      | self.limits.link_mbps=0  | None |
+      | self.limits.link_mbps=6  | 6.0  |
+      | self.limits.link_mbps=5.5 | 5.5 |
+
+  Scenario Outline: Only downloads are large
+    # Guards against streaming where it is not wanted.
+    When the operators' document has a route of kind "<kind>"
+    Then its responses are <size>
+
+    Examples:
+      | kind           | size      |
+      | download       | large     |
+      | idempotent     | not large |
+      | non_idempotent | not large |
+
   Scenario Outline: An invalid document is rejected
     When the operators' document has <fault>
     Then it is rejected
--- a/tests/features/steps/platform_formats_steps.py
+++ b/tests/features/steps/platform_formats_steps.py
@@ -68,6 +68,27 @@
     parse_settings(context.settings + line + "\n")
 
 
+@then('with "{line}" the rate of its link is {rate}')
+def check_link_rate(context, line, rate):
+    settings = parse_settings(context.settings + line + "\n")
+    assert settings.link_mbps == (None if rate == "None" else float(rate)), settings
+
+
+@then('with "" the rate of its link is None')
+def check_no_link_rate(context):
+    check_link_rate(context, "", "None")
+
+
+@when('the operators\' document has a route of kind "{kind}"')
+def give_kind(context, kind):
+    (context.route,) = read_document(json.dumps(_route(kind=kind))).routes
+
+
+@then("its responses are {size}")
+def check_route_size(context, size):
+    assert context.route.is_large is (size == "large"), context.route
+
+
 def _route(**changes):
     return make_document(9, {"/look/": {"service": "counter", "kind": "idempotent", **changes}})
 
