--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -12,6 +12,7 @@
 from websockets.uri import parse_uri
 
 from camphorshelf_core.errors import Code, ProtocolError, Ran, Refusal
+from camphorshelf_core.linkchunks import LinkChunks
 from camphorshelf_core.messages import (
     AnswerMessage,
     CancelMessage,
@@ -27,10 +28,7 @@
 
 _MAX_MESSAGE_BYTES = 32 * 1024 * 1024
 _MAX_BODY_BYTES = _MAX_MESSAGE_BYTES - 1024 * 1024
-# A large body in one frame would delay every other message of its link: 64 MB take 100 s on the
-# slowest links (5 Mbit/s), a fragment 0.1 s. Fragments wait until the data before them is sent.
-_FRAGMENT_BYTES = 64 * 1024
-_SEND_WINDOW_BYTES = 64 * 1024
+_DEFAULT_CHUNKS = LinkChunks()
 _MAX_REASSEMBLED_BYTES = 96 * 1024 * 1024
 # Several lost packets in a row can delay a connection for one or two seconds, so the kernel must
 # not close it earlier than that.
@@ -39,10 +37,17 @@
 
 
 class Channel:
-    """Sends and receives messages over one WebSocket connection, as client or server."""
+    """Sends and receives messages over one WebSocket connection, as client or server.
 
-    def __init__(self, stream, protocol, on_message, on_close):
+    A large message is sent in fragments, which wait until the data before them is sent. In one
+    frame it would delay every other message: 64 MB take 100 s on a link of 5 Mbit/s.
+
+    :param chunks: the :class:`~camphorshelf_core.linkchunks.LinkChunks` of the link.
+    """
+
+    def __init__(self, stream, protocol, on_message, on_close, chunks):
         self._stream = stream
+        self._chunks = chunks
         self._protocol = protocol
         self._on_message = on_message
         self._on_close = on_close
@@ -55,13 +60,20 @@
         self.handshake_done = False
         stream.on_data = self._on_data
         stream.on_close = on_close
-        stream.on_drain = self._send_fragments
+        stream.on_drain = self._on_drain
+        if chunks.is_paced:
+            stream.limit_backlog(chunks.window_bytes)
 
     @property
     def closed(self):
         """Whether the connection is closed."""
         return self._stream.closed
 
+    @property
+    def sending(self):
+        """Whether fragments or other data wait to be sent."""
+        return not self.closed and bool(self._fragmented or self._stream.unsent)
+
     def ping(self):
         """Send a WebSocket ping, which the peer answers with a pong.
 
@@ -89,7 +101,7 @@
             self._unsent.append(message)
             return
         data = encode(message)
-        if len(data) <= _FRAGMENT_BYTES:
+        if len(data) <= self._chunks.fragment_bytes:
             self._protocol.send_binary(data)
             self._flush()
         else:
@@ -162,21 +174,31 @@
         return decode(bytes(self._incoming.pop(message.number)))
 
     def _send_fragments(self):
-        # Sends one fragment of each message in turn, and only while the write buffer is small:
-        # other messages then wait for one fragment, not for the rest of a body.
+        # Sends one fragment of each message in turn, and only while little data waits: other
+        # messages then wait for one fragment, not for the rest of a body.
+        if self._chunks.is_paced:
+            if self._fragmented:
+                self._stream.request_drain()
+            return
         while (
             self._fragmented
-            and self._stream.unsent < _SEND_WINDOW_BYTES
+            and self._stream.unsent < self._chunks.window_bytes
             and not self._stream.closed
         ):
-            fragmented = self._fragmented.popleft()
-            fragment, is_last = fragmented.next_fragment()
-            self._protocol.send_binary(
-                encode(FragmentMessage(fragmented.number, is_last, fragment))
-            )
-            if not is_last:
-                self._fragmented.append(fragmented)
-            self._flush()
+            self._send_fragment()
+
+    def _on_drain(self):
+        if self._chunks.is_paced and self._fragmented:
+            self._send_fragment()
+        self._send_fragments()
+
+    def _send_fragment(self):
+        fragmented = self._fragmented.popleft()
+        fragment, is_last = fragmented.next_fragment(self._chunks.fragment_bytes)
+        self._protocol.send_binary(encode(FragmentMessage(fragmented.number, is_last, fragment)))
+        if not is_last:
+            self._fragmented.append(fragmented)
+        self._flush()
 
     def _flush(self):
         for data in self._protocol.data_to_send():
@@ -195,9 +217,9 @@
         self.call_id = call_id
         self._data = memoryview(data)
 
-    def next_fragment(self):
-        """Return the next fragment, and whether it is the last."""
-        fragment, self._data = self._data[:_FRAGMENT_BYTES], self._data[_FRAGMENT_BYTES:]
+    def next_fragment(self, size):
+        """Return the next fragment of at most this size, and whether it is the last."""
+        fragment, self._data = self._data[:size], self._data[size:]
         return bytes(fragment), not self._data
 
 
@@ -209,9 +231,18 @@
     :param is_host_alive: returns whether the host has been heard from by other means; None if it
         never is.
     :param probe_host: probes the host by other means; None if there are none.
+    :param chunks: the :class:`~camphorshelf_core.linkchunks.LinkChunks` of the link.
     """
 
-    def __init__(self, loop, address, silence_s=None, is_host_alive=None, probe_host=None):
+    def __init__(
+        self,
+        loop,
+        address,
+        silence_s=None,
+        is_host_alive=None,
+        probe_host=None,
+        chunks=_DEFAULT_CHUNKS,
+    ):
         host, port = address
         self._loop = loop
         self._silence_s = silence_s
@@ -226,7 +257,7 @@
         protocol = ClientProtocol(uri, max_size=_MAX_MESSAGE_BYTES)
         stream = dial(loop, address, None if silence_s is None else TCP_TIMEOUT_SECONDS)
         self._retired = False
-        self._channel = Channel(stream, protocol, self._on_message, self._on_close)
+        self._channel = Channel(stream, protocol, self._on_message, self._on_close, chunks)
         stream.on_connect = self._on_connect
 
     @property
@@ -341,21 +372,23 @@
     A handler takes the message and a function that replies to it, and may return a function
     that cancels the message's processing. Messages without a handler are counted and dropped, so
     that an older node can work with a newer peer.
+
+    :param chunks: the :class:`~camphorshelf_core.linkchunks.LinkChunks` of the link.
     """
 
-    def __init__(self, stream, handlers, on_close=None):
+    def __init__(self, stream, handlers, on_close=None, chunks=_DEFAULT_CHUNKS):
         self._handlers = handlers
         self._when_closed = on_close
         self._cancels = {}
         self.unknown_messages = 0
         protocol = ServerProtocol(max_size=_MAX_MESSAGE_BYTES)
-        self._channel = Channel(stream, protocol, self._on_message, self._on_close)
+        self._channel = Channel(stream, protocol, self._on_message, self._on_close, chunks)
         stream.open()
 
     @property
     def busy(self):
-        """Whether a message of the peer is not answered yet."""
-        return bool(self._cancels)
+        """Whether a message of the peer is not answered yet, or answers wait to be sent."""
+        return bool(self._cancels) or self._channel.sending
 
     def send_go_away(self):
         """Ask the peer to send no more calls, and to close the link once all are answered.
--- a/packages/node/src/camphorshelf_node/streams.py
+++ b/packages/node/src/camphorshelf_node/streams.py
@@ -24,6 +24,7 @@
         self._closing = False
         self._lingering = False
         self._reading = True
+        self._drain_requested = False
         self.on_data = None
         self.on_close = None
         self.on_connect = None
@@ -102,6 +103,29 @@
         """
         self._set_reading(True)
 
+    def limit_backlog(self, size):
+        """Let the kernel accept more data only while little of it waits to be sent.
+
+        Without this limit the kernel's buffer grows to megabytes on a slow connection, and data
+        that is written later waits behind them.
+
+        :param size: the socket counts as writable while less than this waits, in bytes.
+        :return: None.
+        """
+        # The kernel reports a socket as writable below half of the option's value.
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, 2 * size)
+
+    def request_drain(self):
+        """Call ``on_drain`` once all data is written and the socket is writable again.
+
+        :return: None.
+        """
+        if self._sock is None or self._closing:
+            return
+        self._drain_requested = True
+        if not self._connecting:
+            self._watch()
+
     def close_when_sent(self):
         """Close after the last byte has been sent and the peer has had time to read it.
 
@@ -111,6 +135,7 @@
             return
         self._closing = True
         self._reading = True
+        self._drain_requested = False
         if self._unsent:
             self._watch()
         else:
@@ -153,7 +178,7 @@
 
     def _watch(self):
         mask = READABLE if self._reading else 0
-        if self._unsent:
+        if self._unsent or self._drain_requested:
             mask |= WRITABLE
         self._loop.watch(self._sock.fileno(), mask, self._on_ready)
 
@@ -172,6 +197,10 @@
             return
         if mask & WRITABLE and self._unsent:
             self._flush()
+        elif mask & WRITABLE and self._drain_requested:
+            self._drain_requested = False
+            self._watch()
+            self._notify_drained()
         if self._sock is not None and mask & ~WRITABLE:
             self._read()
 
@@ -193,6 +222,10 @@
             self._linger()
             return
         self._watch()
+        if not self._drain_requested:
+            self._notify_drained()
+
+    def _notify_drained(self):
         if self.on_drain is not None:
             self.on_drain()
 
--- a/packages/relay/src/camphorshelf_relay/linkpool.py
+++ b/packages/relay/src/camphorshelf_relay/linkpool.py
@@ -13,12 +13,14 @@
     :param is_alive: takes a host's link address, and returns whether datagrams of the host still
         arrive.
     :param probe: takes a host's link address and sends the host a probe.
+    :param chunks: the :class:`~camphorshelf_core.linkchunks.LinkChunks` of the links.
     """
 
-    def __init__(self, loop, is_alive, probe):
+    def __init__(self, loop, is_alive, probe, chunks):
         self._loop = loop
         self._is_alive = is_alive
         self._probe = probe
+        self._chunks = chunks
         self._links = {}
 
     def link(self, address):
@@ -36,6 +38,7 @@
                 LINK_SILENCE_SECONDS,
                 lambda: self._is_alive(address),
                 lambda: self._probe(address),
+                self._chunks,
             )
         return link
 
--- a/packages/relay/src/camphorshelf_relay/listeners.py
+++ b/packages/relay/src/camphorshelf_relay/listeners.py
@@ -132,12 +132,14 @@
     :param address: the :class:`~camphorshelf_relay.settings.Endpoint` to listen on.
     :param make_handlers: returns the message handlers of a new link, see
         :func:`make_link_handlers`.
+    :param chunks: the :class:`~camphorshelf_core.linkchunks.LinkChunks` of the links.
     """
 
-    def __init__(self, loop, address, make_handlers):
+    def __init__(self, loop, address, make_handlers, chunks):
         self._loop = loop
         self._address = address
         self._make_handlers = make_handlers
+        self._chunks = chunks
         self._servers = set()
 
     @property
@@ -153,7 +155,7 @@
         listen(self._loop, self._address, self._on_accept, TCP_TIMEOUT_SECONDS)
 
     def _on_accept(self, stream, _peer):
-        server = PeerServer(stream, self._make_handlers(), self._servers.discard)
+        server = PeerServer(stream, self._make_handlers(), self._servers.discard, self._chunks)
         if not stream.closed:
             self._servers.add(server)
 
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -10,6 +10,7 @@
 
 from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.hosts import HostStatus, HostView
+from camphorshelf_core.linkchunks import choose_chunks
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_core.ratelimit import RateLimit
 from camphorshelf_core.startlimits import StartLimits
@@ -156,7 +157,9 @@
             log.fault,
             {ConfigRequestMessage: self._config_sync.answer_peer},
         )
-        self._links = LinkListener(loop, addresses.links, handlers)
+        self._links = LinkListener(
+            loop, addresses.links, handlers, choose_chunks(settings.link_mbps)
+        )
         self._http_endpoints = (
             (addresses.readiness, self._answer_readiness),
             (addresses.heartbeats, self._answer_target),
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -24,6 +24,7 @@
     split_addresses,
 )
 from camphorshelf_core.hosts import HostStatus
+from camphorshelf_core.linkchunks import choose_chunks
 
 from .announcer import AnnouncementScope, Announcer
 from .datagrams import DatagramSocket
@@ -90,7 +91,8 @@
             loop, settings, self._directory, describe, self._send_to, self._random
         )
         self._prober = Prober(loop, self._directory, self._probe)
-        self._links = LinkPool(loop, self._is_alive, self._probe)
+        chunks = choose_chunks(settings.link_mbps)
+        self._links = LinkPool(loop, self._is_alive, self._probe, chunks)
         self._handlers = {
             HostStatus: lambda status, ip: self._on_status(status),
             Greeting: self._on_greeting,
--- a/tests/features/steps/loop_steps.py
+++ b/tests/features/steps/loop_steps.py
@@ -7,41 +7,17 @@
 from unittest import mock
 
 from behave import given, then, when
-from circuits import Component
 
 from camphorshelf_node import streams
-from camphorshelf_node.loop import READABLE, Loop
+from camphorshelf_node.loop import READABLE
+from standins.realloop import run_until, start_loop
 
 _MINUTE = 60.0
 
 
-class Root(Component):
-    """Stands in for the node that owns the loop."""
-
-
-def run_until(context, condition):
-    """Run the loop until the condition holds, for at most 500 checks 10 ms apart."""
-    checks_left = 500
-
-    def check():
-        nonlocal checks_left
-        checks_left -= 1
-        if condition() or not checks_left:
-            context.root.stop()
-        else:
-            context.loop.call_later(0.01, check)
-
-    context.loop.call_later(0, check)
-    context.root.run()
-    assert condition()
-
-
 @given("a loop of a node")
 def give_loop(context):
-    context.root = Root()
-    context.loop = Loop().register(context.root)
-    context.errors = []
-    context.loop.on_error = context.errors.append
+    start_loop(context)
 
 
 @when("a timer's callback raises and a socket's callback raises")
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,6 +6,10 @@
 
 _CHUNK = 65_536
 _POLL_SECONDS = 0.05
+# With a rate, small reads and receive buffers: data that waits in the proxy's own buffers is out
+# of its sender's control.
+_RATED_CHUNK = 512
+_RATED_BUFFER = 2_048
 
 
 class Proxy:
@@ -13,14 +17,20 @@
 
     Modes: ``pass``, ``delay`` (50 ms per chunk), ``silent`` (nothing is forwarded or closed),
     ``one_way`` (responses are held back) and ``reset`` (connections are closed).
+
+    :param rate: bytes per second and direction of each connection; None for no limit.
     """
 
-    def __init__(self, address, server):
+    def __init__(self, address, server, rate=None):
         self._server = server
+        self._rate = rate
         self.mode = "pass"
         self._open = True
         host, port = address.split(":")
         self._listener = socket.create_server((host, int(port)), backlog=128)
+        if rate is not None:
+            # Accepted connections inherit the size.
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RATED_BUFFER)
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self):
@@ -40,7 +50,7 @@
         host, port = self._server.split(":")
         try:
             # Uses the client's own address, by which the server identifies its callers.
-            server = socket.create_connection((host, int(port)), 1, source_address=(peer, 0))
+            server = self._connect(host, int(port), peer)
         except OSError:
             client.close()
             return
@@ -50,7 +60,18 @@
             )
             thread.start()
 
+    def _connect(self, host, port, peer):
+        if self._rate is None:
+            return socket.create_connection((host, port), 1, source_address=(peer, 0))
+        server = socket.socket()
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RATED_BUFFER)
+        server.settimeout(1)
+        server.bind((peer, 0))
+        server.connect((host, port))
+        return server
+
     def _forward(self, source, sink, is_response):
+        free_at = 0.0
         try:
             source.settimeout(_POLL_SECONDS)
             while self._open:
@@ -59,8 +80,12 @@
                 if self.mode == "silent" or (self.mode == "one_way" and is_response):
                     time.sleep(_POLL_SECONDS)
                     continue
-                if not self._forward_chunk(source, sink):
+                size = self._forward_chunk(source, sink)
+                if size == 0:
                     break
+                if self._rate is not None and size is not None:
+                    free_at = max(time.monotonic(), free_at) + size / self._rate
+                    time.sleep(max(0.0, free_at - time.monotonic()))
         except OSError:
             pass
         finally:
@@ -68,13 +93,12 @@
                 end.close()
 
     def _forward_chunk(self, source, sink):
+        """Forward some bytes and return their number, 0 at the end, None if there were none."""
         try:
-            data = source.recv(_CHUNK)
+            data = source.recv(_CHUNK if self._rate is None else _RATED_CHUNK)
         except TimeoutError:
-            return True
-        if not data:
-            return False
-        if self.mode == "delay":
+            return None
+        if self.mode == "delay" and data:
             time.sleep(_POLL_SECONDS)
         sink.sendall(data)
-        return True
+        return len(data)
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -68,6 +68,7 @@
         self.paused = False
         self.stale = False
         self.takes = True
+        self.drain_requested = False
         self.on_data = self.on_close = self.on_drain = self.on_connect = None
 
     def open(self):
@@ -87,6 +88,13 @@
         """Resume reading."""
         self.paused = False
 
+    def limit_backlog(self, size):
+        """Limit the kernel's buffer; the fake has none."""
+
+    def request_drain(self):
+        """Record that ``on_drain`` is to be called when the peer accepts data."""
+        self.drain_requested = True
+
     def close_when_sent(self):
         """Record that the stream is to be closed once all data has been sent."""
         self.ending = True
