Check streamed bodies for other responses in random reads; bound the scan

Cause: the check of a whole body for heads of other responses could not run on a body in parts without a test that both find the same. Change: the random answers of answer_cuts.feature are also streamed; a head split between reads is found; what the scan holds is bounded. A request whose slot is free counts once. A gauge of the windows.

--- a/packages/node/src/camphorshelf_node/embeddedheads.py
+++ b/packages/node/src/camphorshelf_node/embeddedheads.py
@@ -6,7 +6,8 @@
 
 _VERSION = b"HTTP/1."
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})[^\r\n]*\r\n")
-_PARTIAL_LINE = re.compile(rb"HTTP/1\.(?:[01](?: \d{0,2}| \d{3}[^\r\n]*\r?)?)?")
+_LINE_START = re.compile(rb"HTTP/1\.[01] \d{3}")
+_MAX_PARTIAL_START_BYTES = len(b"HTTP/1.1 20")
 _NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _HEAD_END = b"\r\n\r\n"
 _MAX_HEAD_BYTES = 65_536
@@ -99,11 +100,12 @@
 
 def _find_line_start(body, position):
     # From where a status line may continue in the next part.
-    start = body.rfind(_VERSION, position)
-    is_short = start >= 0 and len(body) - start <= _MAX_HEAD_BYTES
-    if is_short and _PARTIAL_LINE.fullmatch(body, start):
-        return start
-    return max(position, len(body) - len(_VERSION) + 1)
+    end = len(body) - body.endswith(b"\r")
+    line_ends = (body.rfind(b"\r", position, end), body.rfind(b"\n", position, end))
+    match = _LINE_START.search(body, max(position, *[one + 1 for one in line_ends]))
+    if match is not None and len(body) - match.start() <= _MAX_HEAD_BYTES:
+        return match.start()
+    return max(position, len(body) - _MAX_PARTIAL_START_BYTES)
 
 
 def _read_headers(data):
--- a/packages/relay/src/camphorshelf_relay/nodemetrics.py
+++ b/packages/relay/src/camphorshelf_relay/nodemetrics.py
@@ -109,6 +109,12 @@
         lambda: sources.config_sync.store_age_s,
     )
     add_gauge("callers", "Connections of callers.", lambda: sources.callers.connections)
+    windows = sources.router.windows
+    add_gauge(
+        "streams.window.bytes",
+        "Bytes of streamed responses that may be in flight to this entry node.",
+        lambda: windows.reserved_bytes,
+    )
     live = sources.peers.directory.live
     add_gauge(
         "hosts",
--- a/packages/relay/src/camphorshelf_relay/targetrequest.py
+++ b/packages/relay/src/camphorshelf_relay/targetrequest.py
@@ -80,6 +80,9 @@
         self._reply = None
         if self._body is not None:
             self._body.stop()
+        if self._is_released:
+            self._timer.cancel()
+            return
         self._log_cancel()
         self._release()
         self._controller.count_outcome("cancelled")
@@ -305,7 +308,10 @@
 
     def _on_expiry(self):
         self._timer = None
-        if self._started_at is None:
+        if self._is_released:
+            self._reply = None
+            self._body.cut("its time passed before the caller had the body")
+        elif self._started_at is None:
             self.send_refusal(
                 Code.DEADLINE_UNREACHABLE, "its time passed in the queue", Ran.NOT_RUN
             )
--- a/tests/features/answer_cuts.feature
+++ b/tests/features/answer_cuts.feature
@@ -16,6 +16,39 @@
       | 400   | first  | new        |
       | 400   | second | used       |
 
+  Scenario Outline: A streamed answer is the same as a whole one, however reads are split
+    # Guards against parts of a streamed body that are lost, doubled or of another answer.
+    Given <count> random sequences of complete answers from seed "<seed>"
+    When each sequence is streamed for request A on a <connection> connection, split in many ways
+    Then the caller of A gets the first answer of the sequence to A, once
+    And only a connection without other bytes is kept open
+
+    Examples:
+      | count | seed   | connection |
+      | 300   | third  | new        |
+      | 300   | fourth | used       |
+
+  Scenario: A truncated chunked answer is not streamed to its end with bytes of the next answer
+    # Guards against a streamed success whose body continues with the head of a second answer.
+    Given 200 random answers to A in chunks that are truncated, with a second answer behind
+    When each sequence is streamed for request A on a used connection, split in many ways
+    Then the caller of A never gets a success
+
+  Scenario: A truncated answer with a length is not streamed to its end with bytes of the next answer
+    # Guards against a streamed success whose body continues with the head of a second answer.
+    Given 200 random answers to A with a length that are truncated, with a second answer behind
+    When each sequence is streamed for request A on a used connection, split in many ways
+    Then the caller of A never gets a success
+
+  Scenario: Heads inside a body are found alike when the body arrives in parts
+    # Guards against a head that is split between two reads and not seen.
+    Given 1500 random bodies with pieces of heads from seed "fifth"
+    Then the same heads are found in each body and in its parts
+
+  Scenario: A body in parts is scanned without being held
+    # Guards against memory that grows with the size of a body.
+    Then no more than 200 KB of 20 MB of hostile bodies is held while they are scanned
+
   Scenario: A truncated chunked answer is not completed with bytes of the next answer
     # Guards against a success whose body continues with the head of a second answer.
     Given 200 random answers to A in chunks that are truncated, with a second answer behind
--- a/tests/features/steps/answer_cuts_steps.py
+++ b/tests/features/steps/answer_cuts_steps.py
@@ -7,8 +7,9 @@
 from behave import given, then, when
 
 from camphorshelf_core.calls import Request
+from camphorshelf_node.embeddedheads import HeadScanner, find_heads
 from camphorshelf_platform.headers import HEADER_CODEC
-from camphorshelf_relay import targetpool
+from camphorshelf_relay import targetconnection, targetpool
 from camphorshelf_relay.targetconnection import TargetResponse
 from camphorshelf_relay.targetpool import TargetConnectionPool
 from standins.fakes import FakeLoop, FakeStream
@@ -40,10 +41,12 @@
 
     :param results: all results that the caller of A got.
     :param kept: how many connections are kept open.
+    :param parts: the number of parts in which the body was streamed.
     """
 
     results: list
     kept: int
+    parts: int
 
 
 @given('{count:d} random sequences of complete answers from seed "{seed}"')
@@ -137,13 +140,22 @@
     return _Sequence(first + second, (), False)
 
 
+@when("each sequence is streamed for request A on a {connection} connection, split in many ways")
+def stream_sequences(context, connection):
+    with mock.patch.object(targetconnection, "_MIN_STREAMED_BYTES", 1):
+        deliver_sequences(context, connection, is_streamed=True)
+    assert any(outcome.parts > 1 for _, _, outcome in context.outcomes)
+
+
 @when("each sequence arrives for request A on a {connection} connection, split in many ways")
-def deliver_sequences(context, connection):
+def deliver_sequences(context, connection, is_streamed=False):
     rng = random.Random(context.seed)
     context.outcomes = []
     for sequence in context.sequences:
         for splits in _choose_splits(rng, len(sequence.data)):
-            outcome = _deliver(sequence, splits, connection == "used", rng.random() < 0.5)
+            outcome = _deliver(
+                sequence, splits, connection == "used", rng.random() < 0.5, is_streamed
+            )
             context.outcomes.append((sequence, splits, outcome))
 
 
@@ -154,7 +166,7 @@
         yield sorted(rng.sample(range(1, size), rng.randint(1, 3)))
 
 
-def _deliver(sequence, splits, is_used, in_one_turn):
+def _deliver(sequence, splits, is_used, in_one_turn, is_streamed):
     loop, streams = FakeLoop(), []
 
     def dial(_loop, _address):
@@ -170,8 +182,8 @@
                 b"HTTP/1.1 200 X\r\nRequest-Id: Z\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"
             )
             loop.advance(0)
-        results = []
-        _send(pool, "A", results)
+        results, parts = [], []
+        _send(pool, "A", results, parts if is_streamed else None)
     (stream,) = streams
     if not is_used:
         stream.on_connect()
@@ -185,12 +197,22 @@
     # An answer that is still incomplete is ended by the end of the connection.
     stream.ended_cleanly = True
     stream.close()
-    return _Outcome(results, kept)
+    if parts:
+        results = [_join(result, parts) for result in results]
+    return _Outcome(results, kept, len(parts))
+
+
+def _join(result, parts):
+    if not isinstance(result, TargetResponse):
+        return result
+    assert not result.response.body
+    return result._replace(response=result.response._replace(body=b"".join(parts)))
 
 
-def _send(pool, request_id, results):
+def _send(pool, request_id, results, parts=None):
     request = Request("GET", b"/", ((b"host", b"a"),), b"")
-    pool.send(request, request_id, True, results.append)
+    on_head = None if parts is None else lambda _head, _connection: parts.append
+    pool.send(request, request_id, True, results.append, on_head=on_head)
 
 
 @then("the caller of A gets the first answer of the sequence to A, once")
@@ -231,3 +253,64 @@
     results = context.results[request_id] = []
     context.link.send(request, request_id, True, results.append)
     context.loop.advance(0)
+
+
+_PIECES = (
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.0 500 \r\n",
+    b"HTTP/1.1 2",
+    b"HTTP/1.",
+    b"HTTP/1.1 204",
+    b"Request-Id: A\r\n",
+    b"X-A: b\r\n",
+    b"X-A",
+    b"no name\r\n",
+    b"\r\n",
+    b"\r",
+    b"\n",
+    b": ",
+    b"text",
+    b"",
+)
+_WEIGHTS = (6, 3, 1, 1, 1, 6, 6, 1, 1, 6, 1, 1, 1, 1, 1)
+
+
+@given('{count:d} random bodies with pieces of heads from seed "{seed}"')
+def give_bodies(context, count, seed):
+    rng = context.rng = random.Random(seed)
+    context.bodies = [
+        b"".join(rng.choices(_PIECES, _WEIGHTS, k=rng.randrange(30))) for _ in range(count)
+    ]
+
+
+@then("the same heads are found in each body and in its parts")
+def check_heads(context):
+    found = 0
+    for body in context.bodies:
+        whole = list(find_heads(body))
+        found += len(whole)
+        for splits in ([], range(1, len(body)), _choose_places(context.rng, len(body))):
+            scanner, heads = HeadScanner(), []
+            for start, end in zip([0, *splits], [*splits, len(body)], strict=True):
+                heads += scanner.feed(body[start:end])
+            heads += scanner.end()
+            assert heads == whole, (body, list(splits), heads, whole)
+    assert found > len(context.bodies) / 4, found
+
+
+def _choose_places(rng, size):
+    return sorted(rng.sample(range(1, size), min(3, size - 1))) if size > 1 else []
+
+
+@then("no more than {limit:d} KB of {total:d} MB of hostile bodies is held while they are scanned")
+def check_held(context, limit, total):
+    part = 50_000
+    for piece in (b"HTTP/1.1 200 ", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\nA: b", b"x"):
+        for filler in (b"", b"A: b\r\n", b"y" * 100):
+            scanner = HeadScanner()
+            data = piece + filler * (part // max(1, len(filler)))
+            for _ in range(total * 1_000_000 // 12 // max(1, len(data))):
+                scanner.feed(data)
+                if len(data) < 100:
+                    break
+                assert len(scanner._held) <= limit * 1000, (piece, filler, len(scanner._held))
