Read large responses ahead of their credit, within the memory of the target's node

Cause: a slot is free when the target's response has been read to its end. With credit for 0.1 s of a link of 5.5 Mbit/s, a response of 540 kB held one of a target's two slots while the link carried it. Change: the target's node reads up to 640 KiB of a response ahead, 8 MiB for all together, and less for each as that is used up.

--- a/packages/core/src/camphorshelf_core/creditwindows.py
+++ b/packages/core/src/camphorshelf_core/creditwindows.py
@@ -15,6 +15,9 @@
 _MAX_WINDOW_BYTES = 256 * 1024
 # Responses that are streamed at the same time share this memory. A small host has 200 MB.
 _NODE_BYTES = 8 * 1024 * 1024
+# What the target's node reads ahead of the credit: most large responses as a whole. The target's
+# slot is then free as soon as the target has written its response, however slow the link is.
+_MAX_READ_AHEAD_BYTES = 640 * 1024
 # What a response gets when the node's memory is used up: it goes on, slowly.
 _SPARE_WINDOW_BYTES = 4 * 1024
 # A response takes at most this share of the free memory, so that a few don't take all of it.
@@ -33,6 +36,14 @@
     return int(min(_MAX_WINDOW_BYTES, max(_MIN_WINDOW_BYTES, size)))
 
 
+def make_read_ahead_budget():
+    """Create the memory of a target's node for what it reads ahead of the credit.
+
+    :return: a :class:`WindowBudget`.
+    """
+    return WindowBudget(_MAX_READ_AHEAD_BYTES)
+
+
 class WindowBudget:
     """Divides the node's memory for streamed responses among them.
 
--- a/packages/relay/src/camphorshelf_relay/admissioncontroller.py
+++ b/packages/relay/src/camphorshelf_relay/admissioncontroller.py
@@ -1,5 +1,6 @@
 """Admission control at the local target: decides whether and when a request may run there."""
 
+from camphorshelf_core.creditwindows import make_read_ahead_budget
 from camphorshelf_core.errors import Code, Ran
 from camphorshelf_core.linkchunks import choose_chunks
 
@@ -30,6 +31,7 @@
         self.admission = admission
         self.target = target
         self.log = log
+        self.read_ahead = make_read_ahead_budget()
         self.counts = {}
         self._dispatch_timer = None
         self._shutdown_at = None
--- a/packages/relay/src/camphorshelf_relay/outgoingbody.py
+++ b/packages/relay/src/camphorshelf_relay/outgoingbody.py
@@ -6,22 +6,25 @@
 class OutgoingBody:
     """The body of one streamed response at the target's node.
 
-    While the credit is used up, reading from the target is paused. What is held here is then at
-    most what had been read from the connection at once.
+    What the target sends beyond the credit is held here up to a limit; then reading from the target
+    is paused. One read from the connection may exceed the limit.
 
     :param loop: the node's loop.
     :param reply: called with each message of the body.
     :param window: the :class:`~camphorshelf_core.creditwindows.SendWindow`.
     :param chunk_bytes: the size of the largest chunk.
+    :param read_ahead: the :class:`~camphorshelf_core.creditwindows.WindowBudget` of what is held.
     :param connection: the :class:`~camphorshelf_relay.targetconnection.TargetConnection` from which
         the body comes.
     """
 
-    def __init__(self, loop, reply, window, chunk_bytes, connection):
+    def __init__(self, loop, reply, window, chunk_bytes, read_ahead, connection):
         self._loop = loop
         self._reply = reply
         self._window = window
         self._chunk_bytes = chunk_bytes
+        self._read_ahead = read_ahead
+        self._max_held_bytes = read_ahead.reserve()
         self._connection = connection
         self._unsent = bytearray()
         self._is_sending = False
@@ -76,7 +79,9 @@
 
         :return: None.
         """
-        self._is_ended = True
+        if not self._is_ended:
+            self._is_ended = True
+            self._read_ahead.release(self._max_held_bytes)
         self._connection = None
         self._unsent.clear()
 
@@ -91,9 +96,9 @@
             self._is_sending = False
         if self._is_ended:
             return
-        self._set_paused(bool(self._unsent))
+        self._set_paused(len(self._unsent) > self._max_held_bytes)
         if self._on_sent is not None and not self._unsent:
-            self._is_ended = True
+            self.stop()
             self._reply(BodyEndMessage(0, True, "", self._ran_s))
             self._on_sent()
 
--- a/packages/relay/src/camphorshelf_relay/targetrequest.py
+++ b/packages/relay/src/camphorshelf_relay/targetrequest.py
@@ -183,7 +183,12 @@
         head = streamed.head
         waited_s = self._started_at - self._arrived_at
         self._body = OutgoingBody(
-            self._loop, self._reply, self._window, self._controller.chunk_bytes, connection
+            self._loop,
+            self._reply,
+            self._window,
+            self._controller.chunk_bytes,
+            self._controller.read_ahead,
+            connection,
         )
         self._reply(
             RelayHeadMessage(0, head.status, head.headers, head.length, waited_s, self._slowness)
--- a/tests/features/steps/streamed_parts_steps.py
+++ b/tests/features/steps/streamed_parts_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from camphorshelf_core.calls import Response
-from camphorshelf_core.creditwindows import ReceiveWindow
+from camphorshelf_core.creditwindows import ReceiveWindow, SendWindow, make_read_ahead_budget
 from camphorshelf_core.errors import Code, Refusal
 from camphorshelf_core.linkchunks import LinkChunks, choose_chunks
 from camphorshelf_core.messages import (
@@ -229,7 +229,14 @@
     context.replies, context.bodies = [], []
 
     def handle_streamed(_message, reply, window):
-        body = OutgoingBody(context.loop, reply, window, chunks.fragment_bytes, _NullConnection())
+        body = OutgoingBody(
+            context.loop,
+            reply,
+            window,
+            chunks.fragment_bytes,
+            make_read_ahead_budget(),
+            _NullConnection(),
+        )
         context.bodies.append((reply, body))
         return body.stop
 
@@ -414,3 +421,94 @@
 def check_ends(context, part):
     assert context.stream.sent.endswith(part.encode()), context.stream.sent
     assert context.stream.ending
+
+
+class _PausableConnection:
+    """The connection to a target that writes 64 KB at a time while it is not paused."""
+
+    def __init__(self):
+        self.pauses = 0
+        self.is_paused = False
+
+    def set_paused(self, is_paused):
+        """Pause or resume it."""
+        self.pauses += is_paused
+        self.is_paused = is_paused
+
+
+class _Response:
+    def __init__(self, context, size, credit):
+        self.messages = []
+        self.window = SendWindow(credit * 1000)
+        self.connection = _PausableConnection()
+        self.body = OutgoingBody(
+            context.loop,
+            self.messages.append,
+            self.window,
+            65_536,
+            context.read_ahead,
+            self.connection,
+        )
+        self.left = size * 1000
+        while self.left and not self.connection.is_paused:
+            part = min(self.left, 64_000)
+            self.left -= part
+            self.body.write(bytes(part))
+
+    @property
+    def sent(self):
+        """The number of bytes that were sent."""
+        return sum(len(one.data) for one in self.messages if isinstance(one, BodyChunkMessage))
+
+
+@given("a response of {size:d} KB that the target writes with credit for {credit:d} KB")
+def give_response(context, size, credit):
+    give_responses(context, 1, size, credit)
+
+
+@given("{count:d} responses of {size:d} KB that the target writes with credit for {credit:d} KB")
+def give_responses(context, count, size, credit):
+    context.loop = FakeLoop()
+    context.read_ahead = make_read_ahead_budget()
+    context.size = size * 1000
+    context.responses = [_Response(context, size, credit) for _ in range(count)]
+
+
+@then("reading from the target is never paused")
+def check_never_paused(context):
+    (response,) = context.responses
+    assert response.connection.pauses == 0 and response.left == 0
+
+
+@then("the rest is sent when there is credit")
+def check_rest(context):
+    (response,) = context.responses
+    ended = []
+    response.body.finish(0.1, lambda: ended.append(True))
+    assert response.sent == 64_000 and not ended
+    response.window.add(context.size)
+    assert response.sent == context.size and ended
+    assert response.messages[-1] == BodyEndMessage(0, True, "", 0.1), response.messages[-1]
+    assert context.read_ahead.reserved_bytes == 0
+
+
+@then("no more than {limit:d} MB of them are held")
+def check_held_bytes(context, limit):
+    held = sum(context.size - one.left - one.sent for one in context.responses)
+    assert held <= limit * 1_000_000, held
+    assert all(one.connection.is_paused for one in context.responses)
+
+
+@when("half of them are cut and half of them are cancelled")
+def end_all(context):
+    for number, response in enumerate(context.responses):
+        if number % 2:
+            response.body.cut("cut by this test")
+            assert not response.messages[-1].is_whole
+        else:
+            response.body.stop()
+
+
+@then("all of the memory for reading ahead is free")
+def check_free(context):
+    assert context.read_ahead.reserved_bytes == 0
--- a/tests/features/streamed_parts.feature
+++ b/tests/features/streamed_parts.feature
@@ -140,3 +140,17 @@
     Then the connection is not yet ending
     When the response to "/1" ends
     Then the connection ends after "one"
+
+  Scenario: A target's slot is free once it has written a response of the usual size
+    # Guards against a slot that is held while a slow link carries the response.
+    Given a response of 540 KB that the target writes with credit for 64 KB
+    Then reading from the target is never paused
+    And the rest is sent when there is credit
+
+  Scenario: What is read ahead of the credit is bounded and given back
+    # Guards against slow readers that fill the memory of the target's node, and against memory that
+    # is not given back after a cut or a cancellation.
+    Given 40 responses of 5000 KB that the target writes with credit for 64 KB
+    Then no more than 13 MB of them are held
+    When half of them are cut and half of them are cancelled
+    Then all of the memory for reading ahead is free
