Let only links that send answers later count as busy while they do

Cause: a peer that is paused would hold up the end of a node of the own interface, which has no bound. Change: only links with paced fragments or streams wait for what is unsent; their nodes end in time.

--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -500,6 +500,8 @@
         self.unknown_messages = 0
         protocol = ServerProtocol(max_size=_MAX_MESSAGE_BYTES)
         announces_streams = StreamedRelayMessage in handlers
+        # Otherwise a peer that is paused would hold up the end of a node that has answered it.
+        self._sends_later = announces_streams or chunks.is_paced
         self._channel = Channel(
             stream, protocol, self._on_message, self._on_close, chunks, announces_streams
         )
@@ -508,7 +510,7 @@
     @property
     def busy(self):
         """Whether a message of the peer is not answered yet, or answers wait to be sent."""
-        return bool(self._cancels) or self._channel.sending
+        return bool(self._cancels) or (self._sends_later and self._channel.sending)
 
     def send_go_away(self):
         """Ask the peer to send no more calls, and to close the link once all are answered.
