--- a/bench/idle.py
+++ b/bench/idle.py
@@ -119,6 +119,7 @@
         name=f"h{number}",
         domain=status.domain,
         is_first_start=True,
+        link_mbps=None,
         addresses=SimpleNamespace(links=Endpoint(ip, int(links)), datagrams=Endpoint(ip, port)),
     )
     return Peers(loop, settings, lambda: status, _Log(), random.Random(number))
--- a/tests/features/large_responses.feature
+++ b/tests/features/large_responses.feature
@@ -126,6 +126,18 @@
     When the same caller downloads "GET /file/y?size=200000"
     Then it gets the whole body of 200000 bytes, sent by length
 
+  Scenario Outline: A stopping node finishes a streamed response
+    # Guards against a body that is cut off by an orderly stop.
+    When a caller at "c" reads the first bytes of "GET /file/x?size=600000&pace_ms=30"
+    And the node beside <whom> gets SIGTERM
+    Then it gets the whole body of 600000 bytes, sent by length
+    And the stopped node ends and is started again
+
+    Examples:
+      | whom       |
+      | its target |
+      | the caller |
+
   Scenario: The loss of the target's node in the middle of the body
     # Guards against a caller that waits for ever, or takes the part for the whole.
     When a caller at "c" reads the first bytes of "GET /file/x?size=800000&pace_ms=100"
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -30,6 +30,7 @@
             name=f"h{number}",
             domain=self.domain,
             is_first_start=True,
+            link_mbps=None,
             addresses=SimpleNamespace(
                 links=Endpoint(self.ip, 8600), datagrams=Endpoint(self.ip, 8600)
             ),
