Let the streamed test's window exceed what a slow link may carry ahead

Cause: with a window of 64 KiB, chunks that don't wait their turn put 65 KB ahead of a small response, close to the test's bound of 60 KB. Change: a window of 256 KiB; then it is 198 KB in the median.

--- a/tests/features/steps/streamed_parts_steps.py
+++ b/tests/features/steps/streamed_parts_steps.py
@@ -34,7 +34,8 @@
 _ANSWER = RelayAnswerMessage(0, 200, (), b"whole", 0.0, 0.0, 1.0)
 _HEAD = RelayHeadMessage(0, 200, (), None, 0.0, 1.0)
 _CHUNK = BodyChunkMessage(0, bytes(3_000))
-_WINDOW_BYTES = 65_536
+# Larger than on a slow link, so that chunks would fill it if they did not wait their turn.
+_WINDOW_BYTES = 262_144
 
 
 class _NullConnection:
