--- a/packages/core/src/camphorshelf_core/linkpacing.py
+++ b/packages/core/src/camphorshelf_core/linkpacing.py
@@ -32,8 +32,7 @@
         self._updated_at = now
 
     @property
-    def fragment_bytes(self):
-        """The largest size of a fragment, in bytes."""
+    def _fragment_bytes(self):
         size = int(self._bytes_per_s * _FRAGMENT_SECONDS)
         return min(_MAX_FRAGMENT_BYTES, max(_MIN_FRAGMENT_BYTES, size))
 
@@ -54,7 +53,7 @@
         :return: seconds; 0.0 if it may be sent now.
         """
         self._refill(now)
-        missing = min(self.fragment_bytes, self._max_tokens) - self._tokens
+        missing = min(self._fragment_bytes, self._max_tokens) - self._tokens
         # Less than a byte is a rounding error; a timer for it would fire at once, again and again.
         return missing / self._bytes_per_s if missing >= 1 else 0.0
 
--- a/packages/node/src/camphorshelf_node/fragmentpacer.py
+++ b/packages/node/src/camphorshelf_node/fragmentpacer.py
@@ -19,11 +19,7 @@
         # The channels with fragments to send, in the order in which they were added.
         self._channels = {}
         self._timer = None
-
-    @property
-    def fragment_bytes(self):
-        """The largest size of a fragment, in bytes."""
-        return self._pacing.fragment_bytes
+        self._is_sending = False
 
     def record_sent(self, size):
         """Record that a channel has sent data.
@@ -34,25 +30,35 @@
         self._pacing.record_sent(size, self._loop.now())
 
     def schedule(self, channel):
-        """Send the fragments of a channel, as soon as it is their turn.
+        """Send one fragment of a channel, as soon as it is its turn.
 
-        :param channel: the :class:`~camphorshelf_node.links.Channel`.
+        :param channel: the :class:`~camphorshelf_node.links.Channel`, which can take a fragment now
+            and schedules itself again when it can take the next one.
         :return: None.
         """
         self._channels[channel] = None
-        if self._timer is None:
+        if self._timer is None and not self._is_sending:
             self._send_due()
 
     def _send_due(self):
         self._timer = None
+        self._is_sending = True
+        try:
+            self._send_while_allowed()
+        finally:
+            self._is_sending = False
+
+    def _send_while_allowed(self):
         while channels := self._list_ready():
             wait_s = self._pacing.wait_s(self._loop.now())
             if wait_s > 0:
                 self._timer = self._loop.call_later(wait_s, self._send_due)
                 return
-            min(channels, key=lambda channel: channel.fewest_bytes_left).send_fragment()
+            channel = min(channels, key=lambda channel: channel.fewest_bytes_left)
+            del self._channels[channel]
+            channel.send_fragment()
 
     def _list_ready(self):
-        # A channel whose buffer is full schedules itself again when the buffer has been sent.
+        # The connection of a channel may have been lost since it was scheduled.
         self._channels = {channel: None for channel in self._channels if channel.can_send_fragment}
         return list(self._channels)
--- a/packages/relay/src/camphorshelf_relay/linkpool.py
+++ b/packages/relay/src/camphorshelf_relay/linkpool.py
@@ -36,6 +36,7 @@
                 LINK_SILENCE_SECONDS,
                 lambda: self._is_alive(address),
                 lambda: self._probe(address),
+                announces_streams=True,
             )
         return link
 
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -11,6 +11,7 @@
 from camphorshelf_core.admissionqueue import AdmissionQueue
 from camphorshelf_core.fairshares import find_weights
 from camphorshelf_core.hosts import HostStatus, HostView
+from camphorshelf_core.linkchunks import choose_chunks
 from camphorshelf_core.linkpacing import FAST_LINK_MBPS
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_core.ratelimit import RateLimit
@@ -172,7 +173,11 @@
             {ConfigRequestMessage: self._config_sync.answer_peer},
         )
         self._links = LinkListener(
-            loop, addresses.links, handlers, _make_pacer(loop, settings.link_mbps)
+            loop,
+            addresses.links,
+            handlers,
+            choose_chunks(settings.link_mbps),
+            _make_pacer(loop, settings.link_mbps),
         )
         self._http_endpoints = (
             (addresses.readiness, self._answer_readiness),
--- a/tests/features/steps/link_pacing_steps.py
+++ b/tests/features/steps/link_pacing_steps.py
@@ -28,8 +28,12 @@
         self.carried += size
 
 
+# The size of the fragments that the fake connections send.
+_FRAGMENT_BYTES = 3_750
+
+
 class FakeChannel:
-    """One connection with one large message to send."""
+    """One connection with one large message to send; it can take each fragment at once."""
 
     def __init__(self, pacer, link, size, is_writable=True):
         self._pacer = pacer
@@ -42,10 +46,11 @@
         return self._is_writable and self.fewest_bytes_left > 0
 
     def send_fragment(self):
-        size = min(self._pacer.fragment_bytes, self.fewest_bytes_left)
+        size = min(_FRAGMENT_BYTES, self.fewest_bytes_left)
         self.fewest_bytes_left -= size
         self._link.send(size)
         self._pacer.record_sent(size)
+        self._pacer.schedule(self)
 
 
 @given("a host whose link carries {mbps:d} Mbit/s")
