--- a/tests/features/quotas_model.feature
+++ b/tests/features/quotas_model.feature
@@ -103,3 +103,10 @@
     When a host leaves and another one comes
     Then only organisations of the host that left, or those that the new one gets, change owners
     And 10000 look-ups take less than 500 ms
+
+  Scenario: Datagrams about tokens are read as they were sent, and invalid ones are ignored
+    # Guards against tokens from a damaged datagram, and against a node that fails on one.
+    When a token request and a reply are encoded
+    Then each is decoded to the same message
+    And none of their variants with a wrong field is decoded
+    And a datagram of an unknown kind is ignored
--- a/tests/features/steps/quotas_model_steps.py
+++ b/tests/features/steps/quotas_model_steps.py
@@ -4,9 +4,12 @@
 from contextlib import ExitStack
 from unittest.mock import patch
 
+import cbor2
 from behave import given, then, when
 
+from camphorshelf_core.hostdatagrams import decode, encode
 from camphorshelf_core.ownership import Ownership
+from camphorshelf_core.quotas import TokenReply, TokenRequest
 from soak.members_world import patch_fleet
 from soak.quotas import QuotasMachine
 from soak.quotas_world import World
@@ -15,6 +18,7 @@
 _SEED = 4
 _STEPS = 12
 _JUMP_SECONDS = 0.4
+_WRONG_VALUES = ("x", None, -1e9, 1e9, float("nan"), [])
 _CORE = "camphorshelf_core.quotas"
 _MUTANTS = {
     "slow_onset": ((f"{_CORE}._ONSET_PART", 1.0),),
@@ -212,3 +216,37 @@
         context.ownership.renew(1.1)
         context.ownership.owner(context.names[1])
     assert time.process_time() - started < limit_ms / 1000
+
+
+@when("a token request and a reply are encoded")
+def encode_messages(context):
+    context.messages = (
+        TokenRequest("tannery", 7, -3, 12.5, 4),
+        TokenReply("tannery", 7, 3, 0.25, 1.5),
+    )
+
+
+@then("each is decoded to the same message")
+def check_decoded(context):
+    for message in context.messages:
+        assert decode(encode(message), lambda incarnation: None) == message
+
+
+@then("none of their variants with a wrong field is decoded")
+def check_variants(context):
+    for message in context.messages:
+        kind, *fields = cbor2.loads(encode(message))
+        variants = [fields[:-1], [*fields, 0]]
+        for index, name in enumerate(message._fields):
+            # A number or a version of any size is valid, and any text is a name.
+            is_free = name in ("organisation", "number", "config_version")
+            wrong = (None, []) if is_free else _WRONG_VALUES
+            variants += [[*fields[:index], value, *fields[index + 1 :]] for value in wrong]
+        for variant in variants:
+            decoded = decode(cbor2.dumps([kind, *variant]), lambda incarnation: None)
+            assert decoded is None, (variant, decoded)
+
+
+@then("a datagram of an unknown kind is ignored")
+def check_unknown(context):
+    assert decode(cbor2.dumps([99, "tannery", 7]), lambda incarnation: None) is None
