--- a/packages/core/src/camphorshelf_core/loadprobes.py
+++ b/packages/core/src/camphorshelf_core/loadprobes.py
@@ -14,9 +14,8 @@
 _BEST_HOSTS = 2
 _RANKED_HOSTS = 6
 _RANDOM_HOSTS = 1
-# With few slots a target has none free most of the time, so more of them have to be asked: with six
+# With at most FEW_SLOTS slots a target has none free most of the time, so more of them have to be asked: with six
 # of 35 targets at half load, one request in a hundred meets no free slot, with three one in six.
-FEW_SLOTS = 3
 _BEST_HOSTS_FEW_SLOTS = 3
 _RANKED_HOSTS_FEW_SLOTS = 16
 _RANDOM_HOSTS_FEW_SLOTS = 3
@@ -34,7 +33,8 @@
     :param candidates: a request's :class:`~camphorshelf_core.placement.Candidate`, the best first.
     :param probed: the addresses that were already probed for this request.
     :param random: the source of random numbers.
-    :param has_few_slots: whether the service's targets have at most :data:`FEW_SLOTS` slots.
+    :param has_few_slots: whether the service's targets have at most
+        :data:`~camphorshelf_core.slotlimit.FEW_SLOTS` slots.
     :return: a list of addresses; empty when the best candidate's status is fresh, or when all were
         probed.
     """
--- a/packages/core/src/camphorshelf_core/slotlimit.py
+++ b/packages/core/src/camphorshelf_core/slotlimit.py
@@ -11,9 +11,9 @@
 
 # The limit starts here, because most servers work at full speed up to this share of their slots.
 _STARTING_SHARE = 0.8
-# Below this many slots the limit starts with all of them: with two slots, one that stays free costs
-# half of the target, more than the slowdown near saturation does.
-_MIN_SLOTS_TO_SPARE = 4
+# With at most this many slots each one is a large part of the target. The limit then starts with
+# all of them: of two slots, a free one costs more than the slowdown near saturation does.
+FEW_SLOTS = 3
 # The limit never falls below half of the slots: with so few concurrent requests, what looks like
 # saturation is mostly waiting for other services.
 _MIN_SHARE = 0.5
@@ -95,7 +95,7 @@
         :return: None.
         """
         self.slots = slots
-        share = _STARTING_SHARE if slots >= _MIN_SLOTS_TO_SPARE else 1.0
+        share = _STARTING_SHARE if slots > FEW_SLOTS else 1.0
         self.stable_value = int(slots * share)
         self._min_value = max(1, round(slots * _MIN_SHARE))
         self._samples_by_concurrency.clear()
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -5,11 +5,12 @@
 from camphorshelf_core.creditwindows import SendWindow, WindowBudget, choose_window_bytes
 from camphorshelf_core.errors import Code, Refusal
 from camphorshelf_core.leavinginstances import LeavingInstances
-from camphorshelf_core.loadprobes import FEW_SLOTS, choose_probes, is_sufficient
+from camphorshelf_core.loadprobes import choose_probes, is_sufficient
 from camphorshelf_core.organisations import authenticate, request_priority
 from camphorshelf_core.retryafter import retry_after_quota
 from camphorshelf_core.retrybudget import RetryBudget
 from camphorshelf_core.routes import ServicePicker
+from camphorshelf_core.slotlimit import FEW_SLOTS
 
 from .countedlines import CountedLines
 from .relay import Relay
