--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -39,10 +39,10 @@
 # With less time left than this share of its mean run time, a job would seldom meet its deadline.
 _MIN_TIME_LEFT_SHARE = 0.7
 _WORK_SMOOTHING = 0.05
-# With few slots the running requests don't average out: one that runs several times as long as usual
-# holds up half of the target. So a job is only admitted if it would be in time with this multiple of
-# its work, and only started with time for all of its usual work. Those that would probably be late
-# would take the slots of others that can still be in time.
+# With few slots the running requests don't average out: one that takes several times as long as
+# usual holds up half of the target. So a job is only admitted if this multiple of its work fits
+# before its objective, and only started with time for all of its usual work. Jobs that would
+# probably be late would take the slots of others that can still be in time.
 _WORK_MARGIN_FEW_SLOTS = 1.25
 _MIN_WORK_SHARE = 0.5
 _MIN_WORK_SHARE_FEW_SLOTS = 1.0
