--- a/packages/core/src/camphorshelf_core/loadprobes.py
+++ b/packages/core/src/camphorshelf_core/loadprobes.py
@@ -15,8 +15,8 @@
 _RANKED_HOSTS = 6
 _RANDOM_HOSTS = 1
 # With at most FEW_SLOTS slots a target has none free most of the time, so more of them have to be
-# asked: with six of 35 targets at half load, one request in a hundred meets no free slot, with three
-# one in six.
+# asked: with six of 35 targets at half load, one request in a hundred meets no free slot; with
+# three, one in six.
 _BEST_HOSTS_FEW_SLOTS = 3
 _RANKED_HOSTS_FEW_SLOTS = 16
 _RANDOM_HOSTS_FEW_SLOTS = 3
