--- a/packages/core/src/camphorshelf_core/callroutes.py
+++ b/packages/core/src/camphorshelf_core/callroutes.py
@@ -3,13 +3,14 @@
 A call that fails fails the request that made it, and the work that was done for that request is
 lost. Where targets have few slots this is most of the work: when every third call finds no slot,
 half of the time of the slots goes to requests that fail. So calls are worth waiting for longer than
-other requests. They carry no mark. But a target makes them only while it runs something, so calls
-never arrive while the target beside the entry node is idle, and other requests sometimes do.
+other requests. Nothing in a request says that it is a call. But a target makes calls only while it
+runs something, so they never arrive while the target beside the entry node is idle, and other
+requests sometimes do.
 """
 
 # Below this probability of so few arrivals while idle, the route carries calls.
 _SIGNIFICANCE = 0.005
-# Arrivals are counted with this half-life, in arrivals of the same route.
+# When this many arrivals of a route are counted, its counts are halved.
 _MAX_ARRIVALS = 400
 # A call that finds no slot is offered again after this time, until its deadline is too near.
 CALL_PAUSE_SECONDS = 0.02
