--- a/packages/core/src/camphorshelf_core/admissionqueue.py
+++ b/packages/core/src/camphorshelf_core/admissionqueue.py
@@ -26,7 +26,7 @@
 
 from .fairshares import CALLS, FairShares
 from .jobs import JobState, LatePolicy, QueueClass
-from .slotlimit import FEW_SLOTS, SlotLimit
+from .slotlimit import SlotLimit
 from .startlimits import StartLimits
 
 # A queued request is overtaken by more urgent ones that arrive later. In a long queue so many
@@ -39,13 +39,6 @@
 # With less time left than this share of its mean run time, a job would seldom meet its deadline.
 _MIN_TIME_LEFT_SHARE = 0.7
 _WORK_SMOOTHING = 0.05
-# With few slots the running requests don't average out: one that takes several times as long as
-# usual holds up half of the target. So a job is only admitted if this multiple of its work fits
-# before its objective, and only started with time for all of its usual work. Jobs that would
-# probably be late would take the slots of others that can still be in time.
-_WORK_MARGIN_FEW_SLOTS = 1.25
-_MIN_WORK_SHARE = 0.5
-_MIN_WORK_SHARE_FEW_SLOTS = 1.0
 # A job of an organisation that is over its share displaces only jobs of organisations that have
 # used at least this many times as much of theirs. With 1.0, organisations that are over by about
 # the same would displace each other's jobs, and each is refused only after it was held.
@@ -112,10 +105,6 @@
         """How many jobs may run at once, without trials of one slot more or less."""
         return self._limit.stable_value
 
-    @property
-    def _has_few_slots(self):
-        return self.slots <= FEW_SLOTS
-
     @property
     def queued(self):
         """How many jobs are queued."""
@@ -402,8 +391,7 @@
             job.charged_s = 0.0
 
     def _is_late(self, job, start_at):
-        margin = _WORK_MARGIN_FEW_SLOTS if self._has_few_slots else 1.0
-        return start_at + self._run_s(job) * margin > job.due_at
+        return start_at + self._run_s(job) > job.due_at
 
     def _must_shed(self, job, start_at):
         if job.queue_class is QueueClass.LATE:
@@ -414,9 +402,7 @@
         must_be_on_time = job.queue_class is QueueClass.LATE or job.late_policy is LatePolicy.REJECT
         # Times to run differ, so a job that is a little overdue may still be answered in time. One
         # whose organisation is over yields to jobs behind it that are more surely in time.
-        min_share = _MIN_WORK_SHARE_FEW_SLOTS if self._has_few_slots else _MIN_WORK_SHARE
-        if job.over_level:
-            min_share = 1.0
+        min_share = 1.0 if job.over_level else 0.5
         return must_be_on_time and now + self._run_s(job) * min_share > job.due_at
 
     def _start(self, job, now):
