--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 PYTHONPATH="target/deps:tests:review/common" python3 -c '
-import deployment, memorylimit, requesters
+import deployment, memorylimit, readers, requesters
 import standins.caller, standins.relays, standins.relaytarget, standins.rowstore, standins.server
 '
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -3,8 +3,10 @@
 import os
 import subprocess
 import sys
+import time
 from pathlib import Path
 
+from readers import NotingProxy
 from standins.relays import RelayDeployment
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -39,11 +41,33 @@
     :param document: the first desired state.
     """
 
+    def __init__(self, plans, document):
+        self._proxies = {}
+        super().__init__(plans, document)
+
     def run_node(self, name):
         """Start the node of a host: ``run`` of the deploy file, at the root of the repository."""
+        if name not in self._proxies:
+            self._proxies[name] = NotingProxy(self._proxy_address(name), self.store)
         variables = {"CAMPHORSHELF_SETTINGS": str(self.settings_path(name))}
         self._start(f"node-{name}", ["python3", "deploy/node.py"], **variables)
 
+    def find_readers(self, seconds):
+        """Return the hosts that have used the store in the last seconds."""
+        since = time.time() - seconds
+        return [name for name, proxy in self._proxies.items() if proxy.used_at > since]
+
+    def close(self):
+        """End all processes and the proxies in front of the store."""
+        super().close()
+        for proxy in self._proxies.values():
+            proxy.close()
+
+    def _proxy_address(self, name):
+        # Above the addresses of the hosts.
+        number = self._host_numbers[name] + 100
+        return f"{self._network_prefix}.{number}:{self._ports['store']}"
+
     def _start(self, name, command, **variables):
         environment = {key: os.environ[key] for key in _PASSED_ON if key in os.environ}
         is_node = name.startswith("node-")
@@ -83,7 +107,11 @@
             "terms.tolerate.regions": 0,
             **{f"terms.bounds.{key}": value for key, value in BOUNDS.items()},
         }
-        own = super()._render_settings(name)
+        own = (
+            super()
+            ._render_settings(name)
+            .replace(f"addr={self.store}\n", f"addr={self._proxy_address(name)}\n")
+        )
         known = {line.partition("=")[0] for line in own.splitlines()}
         more = "".join(f"{key}={value}\n" for key, value in fields.items() if key not in known)
         return own + more
