--- a/review/3/change.py
+++ b/review/3/change.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from deployment import BOUNDS, Deployment, check_build
+
 from standins.relays import RelayPlan, make_document
 
 _RECORD = Path(__file__).with_name("record.txt")
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from readers import NotingProxy
+
 from standins.relays import RelayDeployment
 
 ROOT = Path(__file__).resolve().parent.parent.parent
