Take no request that the exit of a stopping node would cut off

An order may run once at most, so its caller couldn't repeat it.

Cause: the exit has a fixed time and a request ends at its own; nothing at the entry compared the two. While requests run at the own target, callers' connections stay open until 1.4 s before the end of the grace period, and whatever came in was started. Besides, the times of a stop were constants for a grace period of 6 s: with 2.6 s or less the process was killed before it had closed anything.

Evidence: all cut requests end within 1 ms, together with the process, not when connections are closed, and the targets' node cancels them 11 ms after the exit.

Until callers can know of the stop, requests are taken that usually end before the exit; after that only those whose deadline or timeout comes before it. All others are refused at once with NODE_STOPPING (not run) and a Retry-After behind the exit.

--- a/packages/core/src/camphorshelf_core/retryafter.py
+++ b/packages/core/src/camphorshelf_core/retryafter.py
@@ -12,6 +12,8 @@
 _MAX_SECONDS = 1.0
 # Keeps the callers of an organisation over its quota from polling in a loop.
 _MIN_QUOTA_SECONDS = 0.1
+# How long a node takes to start again.
+_RESTART_SECONDS = 1.0
 # A target that sheds requests at random, and not for lack of a slot, may accept a retry right away.
 _SHED_SECONDS = 0.01
 
@@ -41,6 +43,19 @@
     return min(_MAX_SECONDS, max(wait_s, _MIN_QUOTA_SECONDS)) * random.uniform(1.0, 3.0)
 
 
+def retry_after_stop(exit_s, random):
+    """Choose the delay for a caller that was refused by a node that stops.
+
+    Handles callers that can only use the node on their own host. Until that has started again, each
+    retry would be refused; afterwards all of them would come at once.
+
+    :param exit_s: the time until the node exits at the latest, in seconds.
+    :param random: the source of random numbers.
+    :return: seconds.
+    """
+    return max(0.0, exit_s) + random.uniform(0.5, 1.5) * _RESTART_SECONDS
+
+
 def retry_after(wait_s, objective_left_s, work_s, random, start_wait_s=0.0):
     """Choose the delay for a caller whose request was refused by this node.
 
--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -181,8 +181,13 @@
     Event("start", "The node has started.", "service domain"),
     Event("reload", "The settings were reloaded.", "changed"),
     Event("reload_failed", "The settings could not be reloaded; the old ones remain in force.", ""),
-    Event("stop", "The node was told to stop.", "running callers"),
-    Event("stopped", "The node exits; `idle` tells whether no work was cut off.", "idle"),
+    Event("stop", "The node was told to stop; it exits within `exit_s`.", "running callers exit_s"),
+    Event(
+        "stopped",
+        "The node exits; `idle` tells whether no work was cut off. If not, `callers` waited for a "
+        "response and `running` requests ran at the target.",
+        "idle callers running",
+    ),
     Event("lines_dropped", "Number of dropped log lines so far, by reason.", "rate unread"),
     Event("fault", "An unhandled exception in the node's own code.", "traceback"),
 )
--- a/packages/relay/src/camphorshelf_relay/listeners.py
+++ b/packages/relay/src/camphorshelf_relay/listeners.py
@@ -94,6 +94,11 @@
         """Whether any caller waits for a response."""
         return any(connection.busy for connection in self._connections)
 
+    @property
+    def busy_connections(self):
+        """The number of connections whose callers wait for a response."""
+        return sum(connection.busy for connection in self._connections)
+
     def start(self):
         """Start listening.
 
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -15,6 +15,7 @@
 from camphorshelf_core.linkpacing import FAST_LINK_MBPS
 from camphorshelf_core.messages import ConfigRequestMessage
 from camphorshelf_core.ratelimit import RateLimit
+from camphorshelf_core.shutdown import plan_shutdown
 from camphorshelf_core.startlimits import StartLimits
 from camphorshelf_core.warmup import WarmUp
 from camphorshelf_node.fragmentpacer import FragmentPacer
@@ -41,18 +42,7 @@
 from .storecontacts import StoreContacts
 from .target import Target
 
-# Callers notice that a stopping node is not ready by two failed readiness checks, one second apart.
-# Until then they still send requests, which are served.
-_CALLER_DRAIN_SECONDS = 2.6
-# The target outlives its node, so it still gets work for this long after SIGTERM. A rolling restart
-# then costs a service only the time of the start, not that of the stop.
-_TARGET_DRAIN_SECONDS = 2.0
-# The node exits this long before it would be killed, so that the last responses are sent.
-_EXIT_MARGIN_SECONDS = 0.4
 _STOP_POLL_SECONDS = 0.05
-# If requests at the target do not end, callers' connections are closed this long before the exit.
-# That leaves time for responses in progress.
-_CALLER_CLOSE_MARGIN_SECONDS = 1.0
 # How often the settings file is read again; short compared with the time windows of the limits in
 # it.
 _RELOAD_SECONDS = 3.0
@@ -330,28 +320,38 @@
             self._loop.call_from_signal(self._shut_down)
 
     def _shut_down(self):
+        now = self._loop.now()
+        plan = plan_shutdown(now, self._settings.grace_s)
         self._log.notable(
-            "stop", running=self._admission.running, callers=self._callers.connections
+            "stop",
+            running=self._admission.running,
+            callers=self._callers.connections,
+            exit_s=round(plan.exit_at - now, 3),
         )
-        exit_at = self._loop.now() + self._settings.grace_s - _EXIT_MARGIN_SECONDS
-        self._admission_controller.set_shutdown_time(exit_at)
-        self._loop.call_later(_TARGET_DRAIN_SECONDS, self._target.stop)
-        self._loop.call_later(_CALLER_DRAIN_SECONDS, lambda: self._finish_callers(exit_at))
+        self._router.set_shutdown(plan)
+        self._admission_controller.set_shutdown_time(plan.exit_at)
+        self._loop.call_later(plan.target_closes_at - now, self._target.stop)
+        self._loop.call_later(plan.callers_drained_at - now, lambda: self._finish_callers(plan))
 
-    def _finish_callers(self, exit_at):
+    def _finish_callers(self, plan):
         # Requests that run at the target may send requests of their own through this node.
-        if self._admission.running and self._loop.now() < exit_at - _CALLER_CLOSE_MARGIN_SECONDS:
-            self._loop.call_later(_STOP_POLL_SECONDS, lambda: self._finish_callers(exit_at))
+        if self._admission.running and self._loop.now() < plan.callers_close_at:
+            self._loop.call_later(_STOP_POLL_SECONDS, lambda: self._finish_callers(plan))
             return
         self._callers.finish()
-        self._exit_when_idle(exit_at)
+        self._exit_when_idle(plan.exit_at)
 
     def _exit_when_idle(self, exit_at):
         busy = self._callers.busy or self._links.busy or self._admission.running
         if busy and self._loop.now() < exit_at:
             self._loop.call_later(_STOP_POLL_SECONDS, lambda: self._exit_when_idle(exit_at))
             return
-        self._log.notable("stopped", idle=not busy)
+        self._log.notable(
+            "stopped",
+            idle=not busy,
+            callers=self._callers.busy_connections,
+            running=self._admission.running,
+        )
         self._log.flush()
         self.stop()
 
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -26,6 +26,7 @@
 # A request that was held for up to this share of its latency objective may still be refused: its
 # caller has most of the time left for a retry.
 _MAX_HELD_SHARE = 0.125
+_MAY_BE_CUT_OFF = Code.NODE_STOPPING, "the node may end before the request"
 
 
 class Relay:
@@ -98,6 +99,9 @@
         if self._expires_at <= now + _MIN_REMAINING_SECONDS:
             self._refuse(Code.DEADLINE_UNREACHABLE, "its time has passed")
             return
+        if not self._router.can_start(self._expires_at, self._stats.work_s):
+            self._refuse(*_MAY_BE_CUT_OFF)
+            return
         guard = self._exchange.guard
         self._exchange.set_disconnect_handler(self._on_disconnect)
         self._expiry_timer = self._loop.call_later(self._expires_at - now, guard(self._on_expiry))
@@ -124,10 +128,12 @@
 
     def _offer_next(self):
         refusal = self._find_revocation()
-        if refusal is None:
-            self._offer_to_next_target()
-        else:
+        if refusal is not None:
             self._refuse(refusal.code, refusal.reason)
+        elif not self._router.can_finish(self._stats.work_s):
+            self._refuse(*_MAY_BE_CUT_OFF)
+        else:
+            self._offer_to_next_target()
 
     def _offer_to_next_target(self):
         candidates = self._rank_targets(self._loop.now())
@@ -494,6 +500,8 @@
 
     def _retry_after_s(self, refusal, now):
         random = self._router.random
+        if refusal.code is Code.NODE_STOPPING:
+            return self._router.retry_after_stop()
         if refusal.code is Code.TARGET_SHED:
             return retry_after_shed(random)
         start_wait_s = shortest_start_wait(self._router.list_targets(self._service), now)
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -7,7 +7,7 @@
 from camphorshelf_core.leavinginstances import LeavingInstances
 from camphorshelf_core.loadprobes import choose_probes, is_sufficient
 from camphorshelf_core.organisations import authenticate, request_priority
-from camphorshelf_core.retryafter import retry_after_quota
+from camphorshelf_core.retryafter import retry_after_quota, retry_after_stop
 from camphorshelf_core.retrybudget import RetryBudget
 from camphorshelf_core.routes import ServicePicker
 from camphorshelf_core.slotlimit import FEW_SLOTS
@@ -75,6 +75,8 @@
         # The :class:`~camphorshelf_relay.quotas.Quotas`, of which organisations with a limit need
         # tokens; without it there are no limits.
         self.quotas = None
+        # The ShutdownPlan of a node that stops, None before.
+        self._shutdown = None
         config_sync.on_change(self._on_config)
 
     def probe(self, candidates, probed, on_done):
@@ -107,6 +109,40 @@
             self._retry_budgets = {}
         self._settings = settings
 
+    def set_shutdown(self, plan):
+        """Start only requests that the stop of this node does not cut off.
+
+        :param plan: the :class:`~camphorshelf_core.shutdown.ShutdownPlan`.
+        :return: None.
+        """
+        self._shutdown = plan
+
+    def can_start(self, expires_at, work_s):
+        """Tell whether a request may be started now, or must be refused because the node stops.
+
+        :param expires_at: when the request ends at the latest, on the loop's clock.
+        :param work_s: how long such a request usually runs, in seconds.
+        :return: True or False.
+        """
+        return self._shutdown is None or self._shutdown.can_start(
+            self.loop.now(), expires_at, work_s
+        )
+
+    def can_finish(self, work_s):
+        """Tell whether a request that was started before would probably end before a stop.
+
+        :param work_s: how long such a request usually runs, in seconds.
+        :return: True or False.
+        """
+        return self._shutdown is None or self._shutdown.can_finish(self.loop.now(), work_s)
+
+    def retry_after_stop(self):
+        """Choose the delay for a caller that was refused because this node stops.
+
+        :return: seconds.
+        """
+        return retry_after_stop(self._shutdown.exit_at - self.loop.now(), self.random)
+
     def handle(self, exchange):
         """Handle a caller's request.
 
--- /dev/null
+++ b/tests/features/relay_stop.feature
@@ -0,0 +1,22 @@
+@fixture.fresh_relay_deployment
+Feature: Requests at a node that is told to stop while its target works
+
+  The three hosts of relay_path.feature, started anew for each scenario. Routes have a timeout of
+  5 s, the grace period is 6 s, and callers keep the connections that they opened before.
+
+  Scenario: A stopping node takes no request that it may not finish
+    # Guards against orders that run elsewhere and are cut off when the node that took them exits.
+    Given lookups of 4500 ms run at all targets of "counter"
+    And 3 callers are connected to "a"
+    When the node of "a" is told to stop
+    And 3.2 s later each caller sends "POST /order/x?work_ms=2600" with a deadline of 4000 ms
+    Then each is refused at once with 503 and code 206, and none has run
+    And Retry-After leads to a time after the exit of "a"
+
+  Scenario: A stopping node serves a request whose deadline comes before its exit
+    # Guards against a stop that refuses the requests of its own target's runs.
+    Given lookups of 4500 ms run at all targets of "counter"
+    And 3 callers are connected to "a"
+    When the node of "a" is told to stop
+    And 3.2 s later each caller sends "POST /order/x?work_ms=300" with a deadline of 1500 ms
+    Then each is served
