Poll the store when the last contact is old, whoever the pollers are

Cause: other nodes began to poll only once the lost ones counted as gone, after 3 s of silence or 1.5 s of suspicion. How soon a change is read rested on failure detection, which has no bound of its own.

Evidence: in a run with six real hosts nobody called the store from 0.2 s before the loss until 2.8 s after it; the others logged host_silent at 1.2 to 1.4 s. Then one of them read the change, and the two others had it 3 ms later, so the way from node to node isn't the cause.

Fix: each node tracks its last contact, a moment at which the store had nothing newer than the node itself, by its own polls and by reports of other nodes. A node whose contact is older than 0.55 to 0.75 of config_apply_s polls by itself. So each node reads a change within 0.75 of that time or knows that it has it, whatever the number of hosts and whichever processes are lost, also in a row. Reports carry the evacuations' version too: these had the same fault, as had removed keys under strict revocation. Only failures since the last contact count as an outage, and a host that hears nobody tries each second.

--- a/bench/store_contacts.py
+++ b/bench/store_contacts.py
@@ -20,8 +20,9 @@
 _HOSTS = (60, 300, 2_100)
 _LOSSES = (0.0, 0.0015, 0.05)
 _DOMAINS = 4
-_FORWARDERS = 2
+_FORWARDERS = 1
 _POLLERS = 3
+_TICK_SECONDS = 0.2
 _REVOKE_SECONDS = 5.0
 _DELAY_SECONDS = 0.002
 _WARM_UP_SECONDS = 10
@@ -44,17 +45,23 @@
         self._random = random.Random(count)
         self.loop = FakeLoop()
         self.sent, self.received, self.cross_domain_bytes = 0, Counter(), 0
-        settings = SimpleNamespace(revocation=RevocationSettings(True, _REVOKE_SECONDS))
+        settings = SimpleNamespace(
+            revocation=RevocationSettings(True, _REVOKE_SECONDS), contact_limit_s=_REVOKE_SECONDS
+        )
         self._peers = [self._make_peers(number) for number in range(count)]
         self._syncs = [
-            SimpleNamespace(version=1, on_change=lambda callback: None) for _ in range(count)
+            SimpleNamespace(
+                version=1,
+                on_change=lambda callback: None,
+                misses_change=lambda config_version, evacuation_version: config_version > 1,
+                evacuations=SimpleNamespace(current=SimpleNamespace(changed_at=0)),
+            )
+            for _ in range(count)
         ]
         self.trackers = [
             StoreContacts(self.loop, settings, peers, sync, self._random)
             for peers, sync in zip(self._peers, self._syncs, strict=True)
         ]
-        for tracker in self.trackers:
-            self.loop.call_later(self._random.random(), tracker.start)
         for number in range(_POLLERS):
             self.loop.call_later(self._random.random(), lambda number=number: self._poll(number))
 
@@ -84,7 +91,11 @@
             if others:
                 self._send(own, self._random.choice(others), ContactRequest())
 
-        return SimpleNamespace(announce_contact=announce, request_contact=request)
+        def on_tick(callback):
+            start_s = self._random.random()
+            self.loop.call_later(start_s, lambda: self.loop.call_every(_TICK_SECONDS, callback))
+
+        return SimpleNamespace(announce_contact=announce, request_contact=request, on_tick=on_tick)
 
     def _send(self, source, target, message):
         self.sent += 1
--- a/packages/core/src/camphorshelf_core/hostdatagrams.py
+++ b/packages/core/src/camphorshelf_core/hostdatagrams.py
@@ -93,17 +93,19 @@
 class ContactReport(NamedTuple):
     """How old the sender's last contact with the store is, directly or through others.
 
-    Sent only where nodes refuse requests when their contact is too old. It isn't a part of the
-    status because older nodes drop statuses with more fields than they know.
+    It isn't a part of the status because older nodes drop statuses with more fields than they know.
 
     :param must_forward: whether the receiver has to forward it in its failure domain.
     :param config_version: the version of the configuration in force at the sender.
     :param age_ms: the age in milliseconds.
+    :param evacuation_version: the version of the last change of evacuations that the sender knows;
+        0 if there was none.
     """
 
     must_forward: bool
     config_version: int
     age_ms: int
+    evacuation_version: int = 0
 
 
 class UnresolvedShortStatus(NamedTuple):
@@ -183,6 +185,9 @@
         return (_GREETING, *message.status)
     if isinstance(message, MemberUpdates):
         return (_MEMBER_UPDATES, message.must_forward, [_to_fields(item) for item in message.items])
+    if isinstance(message, ContactReport) and not message.evacuation_version:
+        # Older nodes drop reports with more fields than they know.
+        return (_CONTACT_REPORT, *message[:-1])
     return (_KINDS[type(message)], *message)
 
 
@@ -223,9 +228,10 @@
     return None
 
 
-def _parse_contact_report(must_forward, config_version, age_ms):
-    if isinstance(config_version, int) and isinstance(age_ms, int) and age_ms >= 0:
-        return ContactReport(bool(must_forward), config_version, age_ms)
+def _parse_contact_report(must_forward, config_version, age_ms, evacuation_version=0):
+    numbers = config_version, age_ms, evacuation_version
+    if all(isinstance(number, int) for number in numbers) and age_ms >= 0:
+        return ContactReport(bool(must_forward), *numbers)
     return None
 
 
--- a/packages/core/src/camphorshelf_core/storecontact.py
+++ b/packages/core/src/camphorshelf_core/storecontact.py
@@ -1,7 +1,8 @@
-"""Decides whether a configuration may be too old to authenticate requests by it.
+"""Tracks for how long what operators have written may be unknown to a node.
 
-A contact is a moment at which the store had no version newer than the node's own. The store's
-response to the node's poll is one; another node's report passes its contact on.
+A contact is a moment at which the store had nothing newer than the node itself. The store's
+response to the node's poll is one; another node's report passes its contact on. A node whose last
+contact is old has to poll the store itself, and may refuse to authenticate requests.
 """
 
 import math
@@ -26,6 +27,11 @@
     def __init__(self):
         self._at = -math.inf
 
+    @property
+    def at(self):
+        """When the last contact was, in seconds on the monotonic clock; -inf without any."""
+        return self._at
+
     def record_response(self, sent_at):
         """Record a response of the store; its version must have been applied.
 
@@ -37,19 +43,17 @@
         """
         self._at = max(self._at, sent_at)
 
-    def record_report(self, version, age_s, own_version, now):
+    def record_report(self, is_outdated, age_s, now):
         """Record another node's report of its contact.
 
-        A report of a newer version says that this node's version is outdated, so it is no contact
-        until this node has that version.
+        A report of something newer is no contact until this node has that as well.
 
-        :param version: the version in force at the reporting node.
+        :param is_outdated: whether the reporting node has something newer than this node.
         :param age_s: how old its contact was, in seconds.
-        :param own_version: the version in force at this node.
         :param now: seconds on the monotonic clock.
         :return: whether the report counted.
         """
-        if version > own_version:
+        if is_outdated:
             return False
         self._at = max(self._at, now - age_s)
         return True
--- a/packages/relay/src/camphorshelf_relay/announcer.py
+++ b/packages/relay/src/camphorshelf_relay/announcer.py
@@ -208,7 +208,8 @@
         self._send_to_each(same_domain, encode(report._replace(must_forward=False)))
         for domain in self._directory.domains:
             if is_for_all and domain != self._domain:
-                forwarders = self._choose_forwarders(domain, now)
+                # A node that misses a report asks for another one, so one host forwards it.
+                forwarders = self._choose_forwarders(domain, now)[:1]
                 self._send_to_each(forwarders, encode(report._replace(must_forward=True)))
 
     def refute(self):
--- a/packages/relay/src/camphorshelf_relay/configsync.py
+++ b/packages/relay/src/camphorshelf_relay/configsync.py
@@ -1,5 +1,6 @@
 """Keeps the configuration and the evacuations up to date, from the store or from other nodes."""
 
+import math
 import zlib
 from typing import NamedTuple
 
@@ -11,6 +12,10 @@
     first_poll_probability,
     is_default_poller,
     is_poller,
+    min_overdue_age_s,
+    overdue_age_s,
+    overdue_poll_probability,
+    poll_interval_s,
 )
 
 from .announcer import AnnouncementScope
@@ -19,11 +24,12 @@
 
 # The store is polled and not watched: a watch whose connection hangs, or whose history the store
 # has compacted, may report nothing for seconds although there is a change.
-_POLL_INTERVAL_SECONDS = 1.0
 # A poll without an answer for this long counts as lost store access; a slow store answers sooner.
 _POLL_OVERDUE_SECONDS = 0.4
-# How often a node that does not poll checks whether it has become a poller.
+# How often a node that does not poll checks whether it has to.
 _POLLER_CHECK_INTERVAL_SECONDS = 0.25
+# A node that has heard no other host for this long counts as alone.
+_ALONE_SECONDS = 1.0
 # Longest retry delay of a node that has a configuration. It is longer in large fleets, so that not
 # every node calls the store each second in an outage.
 _OUTAGE_RETRY_SECONDS = 4.0
@@ -85,12 +91,19 @@
         self._poll_sent_at = None
         self._is_polling_started = False
         self._failures = 0
+        # When the last poll failed, and the earliest time of the next one.
+        self._failed_at = -math.inf
+        self._retry_at = -math.inf
+        # Since when each host is known to lack store access, by its address.
+        self._lacking_since = {}
         # The versions last requested from each peer and when, by the peer's address.
         self._fetches = {}
         self._on_change = []
         self._cross_domain_fetch_timer = None
         # Called with the time at which a poll was sent after its response has been applied.
         self.on_store_response = lambda sent_at: None
+        # Returns when the last contact was, on the loop's clock; see StoreContacts.
+        self.find_contact_at = loop.now
         # The hosts to which this node has to announce the version in force.
         self.announcement_scope = AnnouncementScope.NOBODY
         self.config = None
@@ -119,6 +132,14 @@
         is_overdue = sent_at is not None and self._loop.now() - sent_at >= _POLL_OVERDUE_SECONDS
         return bool(self._failures) or is_overdue
 
+    def apply_settings(self, settings):
+        """Apply reloaded settings.
+
+        :param settings: the :class:`~camphorshelf_relay.settings.NodeSettings`.
+        :return: None.
+        """
+        self._settings = settings
+
     def on_change(self, callback):
         """Register a callback for new versions of the configuration.
 
@@ -161,7 +182,8 @@
         :return: None.
         """
         status = view.status
-        if not self._is_newer(status):
+        self._record_store_access(status)
+        if not self.misses_change(status.config_version, status.evacuation_version):
             return
         is_same_domain = status.domain == self._settings.domain
         if self.config is None or is_same_domain or is_forwarded or view.pushes_load:
@@ -175,12 +197,27 @@
     def _fetch_across_domains(self, address):
         self._cross_domain_fetch_timer = None
         view = self._peers.directory.view(address)
-        if view is not None and self._is_newer(view.status):
-            self._fetch(view.status)
+        if view is None:
+            return
+        status = view.status
+        if self.misses_change(status.config_version, status.evacuation_version):
+            self._fetch(status)
 
-    def _is_newer(self, status):
-        has_newer_evacuations = self.evacuations.current.misses_change(status.evacuation_version)
-        return has_newer_evacuations or status.config_version > self.version
+    def misses_change(self, config_version, evacuation_version):
+        """Tell whether another node has something newer than this node.
+
+        :param config_version: the version of the configuration in force at the other node.
+        :param evacuation_version: the version of the last change of evacuations that it knows.
+        :return: True or False.
+        """
+        misses_evacuations = self.evacuations.current.misses_change(evacuation_version)
+        return misses_evacuations or config_version > self.version
+
+    def _record_store_access(self, status):
+        if status.lacks_store_access:
+            self._lacking_since.setdefault(status.address, self._loop.now())
+        else:
+            self._lacking_since.pop(status.address, None)
 
     def _fetch(self, status):
         now = self._loop.now()
@@ -253,25 +290,83 @@
         self.evacuations.apply_rows(self._readers.evacuations(result.rows), result.version)
         self._apply_rows(result.rows)
         # Jitter keeps the pollers from polling at the same moment.
-        self._loop.call_later(
-            _POLL_INTERVAL_SECONDS * self._random.uniform(0.75, 1.0), self._poll_if_due
-        )
+        interval_s = poll_interval_s(self._settings.contact_limit_s)
+        self._loop.call_later(interval_s * self._random.uniform(0.75, 1.0), self._poll_if_due)
 
     def _poll_if_due(self):
-        # A node without a configuration doesn't poll either unless it is a poller: when all nodes
-        # start together, the others get the configuration from the pollers.
-        if is_poller(self._settings.name, self._live_peers()) and self._is_poll_due():
-            self._poll()
+        # A node without a configuration doesn't poll either unless it has to: when all nodes start
+        # together, the others get the configuration from the pollers.
+        wait_s = self._find_poll_wait_s()
+        if wait_s > 0:
+            wait_s = min(wait_s, _POLLER_CHECK_INTERVAL_SECONDS)
+            self._loop.call_later(wait_s, self._poll_if_due)
         else:
-            self._loop.call_later(_POLLER_CHECK_INTERVAL_SECONDS, self._poll_if_due)
+            self._poll()
+
+    def _find_poll_wait_s(self):
+        now = self._loop.now()
+        is_alone = self._failures > 0 and self._is_alone(now)
+        if is_alone or is_poller(self._settings.name, self._live_peers()):
+            retry_at = self._find_retry_at(is_alone)
+            if now < retry_at:
+                return min(retry_at - now, self._find_overdue_wait_s(now))
+            return 0.0 if self._is_poll_due() else _POLLER_CHECK_INTERVAL_SECONDS
+        return self._find_overdue_wait_s(now)
+
+    def _is_alone(self, now):
+        # In a large fleet it takes long until many hosts that fail at once count as gone. Meanwhile
+        # a host that is left would wait for their polls.
+        views = self._peers.directory.views()
+        return all(now - view.heard_at > _ALONE_SECONDS for view in views)
+
+    def _find_retry_at(self, is_alone):
+        # A node may have become a default poller since its last poll failed.
+        early_at = self._failed_at + MAX_RETRY_DELAY_SECONDS
+        if early_at < self._retry_at and (
+            is_alone or is_default_poller(self._settings.name, self._live_peers())
+        ):
+            return early_at
+        return self._retry_at
+
+    def _find_overdue_wait_s(self, now):
+        """Find for how long the last contact may count as recent enough."""
+        contact_at, limit_s = self.find_contact_at(), self._settings.contact_limit_s
+        if contact_at <= self._failed_at:
+            # Nobody is known to have had contact since this node failed to reach the store.
+            return _POLLER_CHECK_INTERVAL_SECONDS
+        due_at = contact_at + min_overdue_age_s(limit_s)
+        if now < due_at:
+            return due_at - now
+        others = [host for host, _ in self._live_peers()]
+        due_at = contact_at + overdue_age_s(self._settings.name, others, limit_s)
+        if now < due_at:
+            return due_at - now
+        probability = overdue_poll_probability(
+            self._count_lacking(contact_at), len(others), _POLLER_CHECK_INTERVAL_SECONDS
+        )
+        if self._random.random() >= probability and not self._is_alone(now):
+            return _POLLER_CHECK_INTERVAL_SECONDS
+        self._log.notable("contact_overdue", age_ms=round((now - contact_at) * 1000))
+        return 0.0
+
+    def _count_lacking(self, since):
+        # Hosts that failed earlier may have no reason to poll again, and would still count.
+        directory = self._peers.directory
+        self._lacking_since = {
+            address: lacking_since
+            for address, lacking_since in self._lacking_since.items()
+            if directory.view(address) is not None
+        }
+        return sum(lacking_since > since for lacking_since in self._lacking_since.values())
 
     def _is_poll_due(self):
         others = list(self._live_peers())
         has_polled = self._last_answer_at is not None or self._failures
         if has_polled or is_default_poller(self._settings.name, others):
             return True
+        lacking_count = sum(lacks_access for _, lacks_access in others)
         return self._random.random() < first_poll_probability(
-            others, _POLLER_CHECK_INTERVAL_SECONDS
+            lacking_count, len(others), _POLLER_CHECK_INTERVAL_SECONDS
         )
 
     def _live_peers(self):
@@ -285,8 +380,10 @@
         if self._failures == 1:
             self._log.notable("store_lost", trouble=failure.kind.value, reason=failure.reason)
             self._peers.announce_changes()
+        now = self._loop.now()
         delay_s = retry_delay(self._failures, self._random, self._max_retry_delay_s())
-        self._loop.call_later(delay_s, self._poll_if_due)
+        self._failed_at, self._retry_at = now, now + delay_s
+        self._loop.call_later(min(delay_s, _POLLER_CHECK_INTERVAL_SECONDS), self._poll_if_due)
 
     def _max_retry_delay_s(self):
         others = list(self._live_peers())
--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -158,6 +158,12 @@
         "the operators' row that says so.",
         "domain evacuated row_version as_of",
     ),
+    Event(
+        "contact_overdue",
+        "For `age_ms` no contact with the store is known that could have brought a change, of this "
+        "node or of another one. This node polls the store.",
+        "age_ms",
+    ),
     Event(
         "config_refused",
         "A configuration document was invalid; the configuration is unchanged.",
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -217,7 +217,6 @@
         self._peers.start()
         self._config_sync.start(self._platform.document_table, self._platform.document_key)
         self._discovery.start()
-        self._contacts.start()
         # The settings file may be changed without a SIGHUP.
         self._loop.call_every(_RELOAD_SECONDS, lambda: self._reload(is_requested=False))
         self._log.notable("start", service=self._settings.service, domain=self._settings.domain)
@@ -310,6 +309,7 @@
         )
         self._router.apply_settings(self._settings)
         self._target.apply_settings(self._settings)
+        self._config_sync.apply_settings(self._settings)
         self._contacts.apply_settings(self._settings)
 
     def _on_sigterm(self, _number, _frame):
--- a/packages/relay/src/camphorshelf_relay/peers.py
+++ b/packages/relay/src/camphorshelf_relay/peers.py
@@ -118,8 +118,7 @@
         # Called with each datagram about quotas, a request also with its sender's IP address.
         self.on_token_request = lambda message, ip: None
         self.on_token_reply = lambda message: None
-        # Called without arguments several times a second, without a wake-up of its own.
-        self.on_tick = lambda: None
+        self._tick_handlers = []
 
     @property
     def directory(self):
@@ -141,6 +140,14 @@
         """Counts of the datagrams sent to other hosts, by outcome."""
         return self._datagrams.counts
 
+    def on_tick(self, callback):
+        """Register a callback that needs no wake-up of its own.
+
+        :param callback: called without arguments several times a second.
+        :return: None.
+        """
+        self._tick_handlers.append(callback)
+
     def start(self):
         """Start receiving datagrams, probing and announcing.
 
@@ -289,7 +296,8 @@
         if self._steps >= _STEPS_PER_TICK:
             self._steps = 0
             self._announcer.tick()
-        self.on_tick()
+        for callback in self._tick_handlers:
+            callback()
 
     def _announce_suspicion(self, suspicion):
         self._announcer.forward(suspicion, AnnouncementScope.ALL)
--- a/packages/relay/src/camphorshelf_relay/quotas.py
+++ b/packages/relay/src/camphorshelf_relay/quotas.py
@@ -72,7 +72,7 @@
         self.counts = {}
         peers.on_token_request = self._on_request
         peers.on_token_reply = self._on_reply
-        peers.on_tick = self._on_tick
+        peers.on_tick(self._on_tick)
         config_sync.on_change(self._on_config)
 
     def count_silent_owners(self):
--- a/packages/relay/src/camphorshelf_relay/settings.py
+++ b/packages/relay/src/camphorshelf_relay/settings.py
@@ -56,6 +56,8 @@
     :param warm_up: the :class:`~camphorshelf_core.warmup.WarmUpBounds` of every service.
     :param link_mbps: the rate of the host's link, in Mbit/s; None if it is not known.
     :param revocation: the :class:`~camphorshelf_core.storecontact.RevocationSettings`.
+    :param apply_s: the time in which what operators write to the store has to be in force, in
+        seconds.
     """
 
     name: str
@@ -69,6 +71,14 @@
     warm_up: WarmUpBounds = WarmUpBounds()
     link_mbps: float | None = None
     revocation: RevocationSettings = RevocationSettings()
+    apply_s: float = 2.0
+
+    @property
+    def contact_limit_s(self):
+        """How old a contact with the store may get without any effect on callers, in seconds."""
+        if self.revocation.is_strict:
+            return min(self.apply_s, self.revocation.revoke_s)
+        return self.apply_s
 
 
 class CallerMetadata(NamedTuple):
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -140,6 +140,22 @@
     context.relays = deployment
 
 
+_SIX = tuple(
+    RelayPlan(f"{service}-{domain}", service, f"fd-{domain}")
+    for domain in "abc"
+    for service in ("counter", "orders")
+)
+
+
+@fixture
+def six_relay_hosts(context):
+    """Six hosts on the users' platform, two in each of three failure domains."""
+    deployment = RelayDeployment(_SIX, make_document(7))
+    context.add_cleanup(deployment.close)
+    deployment.wait_ready()
+    context.relays = deployment
+
+
 _LARGE = (
     RelayPlan("a", "counter", "fd-a"),
     RelayPlan("b", "counter", "fd-b", link_mbps=50),
@@ -171,6 +187,8 @@
         use_fixture(entry_deployment, context)
     if tag == "fixture.edge_deployment":
         use_fixture(edge_deployment, context)
+    if tag == "fixture.six_relay_hosts":
+        use_fixture(six_relay_hosts, context)
     if tag == "fixture.small_deployment":
         use_fixture(small_deployment, context)
 
--- a/tests/features/platform_formats.feature
+++ b/tests/features/platform_formats.feature
@@ -22,6 +22,24 @@
       | self.limits.link_mbps=6  | 6.0  |
       | self.limits.link_mbps=5.5 | 5.5 |
 
+  Scenario Outline: The time in which a change has to be in force
+    # Guards against nodes that read changes later than the deployment's settings allow.
+    Given valid settings of the platform
+    Then with "<lines>" a change may be unknown for <seconds> s
+
+    Examples:
+      | lines                                                                      | seconds |
+      |                                                                            | 2       |
+      | terms.bounds.config_apply_s=3                                              | 3       |
+      | terms.bounds.config_apply_s=3 terms.bounds.evac_s=5                        | 3       |
+      | terms.bounds.config_apply_s=3 terms.bounds.evac_s=1.5                      | 1.5     |
+      | terms.bounds.strict_revoke=true terms.bounds.revoke_s=1                    | 1       |
+      | terms.bounds.strict_revoke=false terms.bounds.revoke_s=1                   | 2       |
+
+  Scenario: A time of 0 for a change is an error
+    Given valid settings of the platform
+    Then with "terms.bounds.config_apply_s=0" the error names "terms.bounds.config_apply_s"
+
   Scenario Outline: Only downloads are large
     # Guards against streaming where it is not wanted.
     When the operators' document has a route of kind "<kind>"
--- a/tests/features/steps/config_reads_steps.py
+++ b/tests/features/steps/config_reads_steps.py
@@ -43,6 +43,7 @@
 class _FakeSettings:
     name = "a"
     domain = "d0"
+    contact_limit_s = 2.0
 
 
 class _FakePeers:
@@ -258,7 +259,7 @@
         loop = FakeLoop()
         store, peers = _FakeStore(loop), _FakePeers()
         store.answers = False
-        settings = SimpleNamespace(name=name, domain="d0")
+        settings = SimpleNamespace(name=name, domain="d0", contact_limit_s=2.0)
         rng = random.Random(number)
         synchronizer = ConfigSynchronizer(loop, settings, store, peers, READERS, rng, _FakeLog())
         synchronizer.config = RoutingConfig(1, (), {}, None)
--- a/tests/features/steps/finding_hosts_steps.py
+++ b/tests/features/steps/finding_hosts_steps.py
@@ -77,6 +77,7 @@
         settings = SimpleNamespace(
             name=self.name,
             is_first_start=is_first_start,
+            contact_limit_s=2.0,
             addresses=SimpleNamespace(links=Endpoint(f"10.0.0.{number + 1}", port)),
         )
         self.peers = _Peers()
--- a/tests/features/steps/organisations_steps.py
+++ b/tests/features/steps/organisations_steps.py
@@ -4,6 +4,7 @@
 import math
 from types import SimpleNamespace
 
+import cbor2
 from behave import given, then, when
 
 from bench.store_contacts import Fleet
@@ -124,7 +125,7 @@
 
 @when("another node with version {version:d} reports a contact of {age_s:f} s ago")
 def report_contact(context, version, age_s):
-    context.contact.record_report(version, age_s, 1, context.now)
+    context.contact.record_report(version > 1, age_s, context.now)
 
 
 @given("two nodes of which one has had contact")
@@ -140,7 +141,7 @@
     while context.now < end:
         context.now += 0.1
         for one, other in (context.contacts, reversed(context.contacts)):
-            other.record_report(1, one.age_s(context.now), 1, context.now)
+            other.record_report(False, one.age_s(context.now), context.now)
 
 
 @then("both are stale")
@@ -189,6 +190,15 @@
     """The peers and the configuration synchronizer that the tracker of contacts needs."""
 
     version = 1
+    evacuations = SimpleNamespace(current=SimpleNamespace(changed_at=0))
+
+    def on_tick(self, callback):
+        """Call back as often as a node does."""
+        self.loop.call_every(0.2, callback)
+
+    def misses_change(self, config_version, evacuation_version):
+        """Tell whether a version is newer than the only one here."""
+        return config_version > self.version
 
     def announce_contact(self, report, is_for_all):
         """Record a report that would be sent."""
@@ -202,12 +212,11 @@
 
 
 def _track(context):
-    context.loop, context.peers = FakeLoop(), _Recorder(announced=[])
+    context.loop = FakeLoop()
+    context.peers = _Recorder(announced=[], loop=context.loop)
     random = SimpleNamespace(uniform=lambda low, high: high)
-    settings = SimpleNamespace(revocation=RevocationSettings(True, 5.0))
-    tracker = StoreContacts(context.loop, settings, context.peers, _Recorder(), random)
-    tracker.start()
-    return tracker
+    settings = SimpleNamespace(revocation=RevocationSettings(True, 5.0), contact_limit_s=5.0)
+    return StoreContacts(context.loop, settings, context.peers, _Recorder(), random)
 
 
 @given("a node whose contact is tracked")
@@ -232,9 +241,13 @@
 
 @then("a report of a contact is decoded as it was sent, and an invalid one is ignored")
 def check_datagrams(context):
-    for message in (ContactReport(True, 9, 1200), ContactRequest()):
+    messages = ContactReport(True, 9, 1200), ContactReport(True, 9, 1200, 7), ContactRequest()
+    for message in messages:
         assert decode(encode(message), None) == message
+    # Without evacuations a report has the form that older nodes know.
+    assert len(cbor2.loads(encode(messages[0]))) == 4
     for invalid in (
+        ContactReport(True, 9, 1, "7"),
         ContactReport(True, 9, -1),
         ContactReport(True, "9", 1),
         ContactReport(1, 9, 0.5),
--- a/tests/features/steps/platform_formats_steps.py
+++ b/tests/features/steps/platform_formats_steps.py
@@ -68,6 +68,17 @@
     parse_settings(context.settings + line + "\n")
 
 
+@then('with "{lines}" a change may be unknown for {seconds:g} s')
+def check_contact_limit(context, lines, seconds):
+    settings = parse_settings(context.settings + "\n".join(lines.split()) + "\n")
+    assert settings.contact_limit_s == seconds, settings
+
+
+@then('with "" a change may be unknown for {seconds:g} s')
+def check_default_contact_limit(context, seconds):
+    assert parse_settings(context.settings).contact_limit_s == seconds
+
+
 @then('with "{line}" the rate of its link is {rate}')
 def check_link_rate(context, line, rate):
     settings = parse_settings(context.settings + line + "\n")
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -47,8 +47,10 @@
             push_interval_s=0.0,
         )
         self.settings = settings
+        # Returns the status that the host sends.
+        self.describe = lambda: self.status
         self.rng = rng = random.Random(f"{fleet.seed}-{number}-{fleet.loop.now()}")
-        self.peers = Peers(fleet.loop, settings, lambda: self.status, _Log(), rng)
+        self.peers = Peers(fleet.loop, settings, lambda: self.describe(), _Log(), rng)
         self.peers._datagrams = SimpleNamespace(send=lambda ip, data: fleet.send(self, data, ip))
 
 
--- a/tests/standins/relays.py
+++ b/tests/standins/relays.py
@@ -76,6 +76,10 @@
         """The names of the hosts."""
         return list(self._plans)
 
+    def service(self, name):
+        """Return the service of a host's target."""
+        return self._plans[name].service
+
     def ip(self, name):
         """Return the IP address of a host; None stands for the store."""
         return f"{self._network_prefix}.{1 if name is None else self._host_numbers[name]}"
