Bound what is read of a response, and what all responses hold

A test of our own shows what follows: a node reads a body without end up to 128 MB on each connection, and interim heads, responses to other requests, chunk extensions and trailers until the request's deadline, a single trailer in quadratic time.

Cause: limits were set for heads and bodies, not for what is read on the way to them. The count of a head began anew with each interim head and each skipped response; framing and trailers counted nowhere; nothing limited the bodies of all connections together.

Fix: the reader compares the bytes that it was fed with the body that they brought. A probe reads 64 KiB at most. What a response held is released with it.

--- a/packages/node/src/camphorshelf_node/responsereader.py
+++ b/packages/node/src/camphorshelf_node/responsereader.py
@@ -11,6 +11,10 @@
 from .headers import BODILESS, strip_hop_by_hop
 
 _MAX_HEAD_BYTES = 65_536
+# How many responses to other requests are skipped before the expected response.
+_MAX_SKIPPED = 32
+# How many bytes of framing a byte of a chunked body may have; chunks of one byte have five.
+_MAX_FRAMING_RATIO = 16
 _INTERIM_STATUSES = range(100, 200)
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
 
@@ -62,7 +66,9 @@
         self._keep_alive = False
         self._has_trailing_data = False
         self._skipped_count = 0
+        self._skipped_body_bytes = 0
         self._head_bytes = 0
+        self._fed_bytes = 0
         self._start()
 
     @property
@@ -80,6 +86,13 @@
         """The size of the part of the body that has arrived and was not taken."""
         return self._body_bytes - self._taken_bytes
 
+    @property
+    def declared_bytes(self):
+        """The length of the body according to its head; None if the head doesn't tell."""
+        if self._in_head or self._framing is not Framing.LENGTH:
+            return None
+        return int(header(self._headers, b"content-length") or 0)
+
     @property
     def first_header_name(self):
         """The name of the first header of the response, empty when it has none."""
@@ -143,6 +156,7 @@
         if self._response is not None:
             self._has_trailing_data = True
             return
+        self._fed_bytes += len(data)
         if self._in_head:
             self._head_bytes += len(data)
         try:
@@ -152,6 +166,16 @@
         if self._response is None:
             self._raise_error()
 
+    def discard(self):
+        """Release the memory of the response.
+
+        The reader and its connection refer to each other, so they may outlive the request by far.
+
+        :return: None.
+        """
+        self._response = None
+        self._body = []
+
     def end(self):
         """Handle an orderly close of the connection by the server.
 
@@ -194,7 +218,7 @@
             self._has_trailing_data = True
             return
         self._body_bytes += len(body)
-        if self._body_bytes > self._max_body_bytes:
+        if self._skipped_body_bytes + self._body_bytes > self._max_body_bytes:
             self._error = f"the body is larger than {self._max_body_bytes} bytes"
         else:
             self._body.append(body)
@@ -221,6 +245,7 @@
         status = self._parser.get_status_code()
         if not self._is_expected(status, self._headers):
             self._skipped_count += 1
+            self._skipped_body_bytes += self._body_bytes
             self._start()
             return
         self._error = self._find_head_error()
@@ -249,6 +274,13 @@
             raise ResponseError(self._error)
         if self._in_head and self._head_bytes > _MAX_HEAD_BYTES:
             raise ResponseError(f"the head is larger than {_MAX_HEAD_BYTES} bytes")
+        if self._skipped_count > _MAX_SKIPPED:
+            raise ResponseError(f"more than {_MAX_SKIPPED} responses to other requests")
+        # Interim responses, framing and trailers may go on without end as well.
+        body_bytes = self._skipped_body_bytes + self._body_bytes
+        max_heads_bytes = _MAX_HEAD_BYTES * (1 + self._skipped_count)
+        if self._fed_bytes - body_bytes > max_heads_bytes + _MAX_FRAMING_RATIO * body_bytes:
+            raise ResponseError(f"{self._fed_bytes} bytes hold a body of {body_bytes} bytes only")
 
 
 def find_framing(status, headers, method):
--- a/packages/relay/src/camphorshelf_relay/healthprobe.py
+++ b/packages/relay/src/camphorshelf_relay/healthprobe.py
@@ -10,6 +10,7 @@
 # requests carry the same load report as those to probes, so a busy target is probed less often.
 _PROBE_INTERVAL_SECONDS = 0.05
 _TIMEOUT_SECONDS = 0.25
+_MAX_BODY_BYTES = 65_536
 _MIN_TIMER_SECONDS = 0.005
 # Longer interval while the target is down, because a refused connection costs as much as an
 # accepted one.
@@ -132,7 +133,13 @@
         host = self._settings.addresses.target.text
         request = Request("GET", self._path.encode(), ((b"host", host.encode()),), b"")
         timer = self._loop.call_later(_TIMEOUT_SECONDS, lambda: self._on_timeout(abort))
-        abort = self._pool.send(request, "", True, lambda result: self._on_result(result, timer))
+        abort = self._pool.send(
+            request,
+            "",
+            True,
+            lambda result: self._on_result(result, timer),
+            max_body_bytes=_MAX_BODY_BYTES,
+        )
 
     def _on_timeout(self, abort):
         abort()
--- a/packages/relay/src/camphorshelf_relay/targetconnection.py
+++ b/packages/relay/src/camphorshelf_relay/targetconnection.py
@@ -12,7 +12,8 @@
 from camphorshelf_node.headers import render_request
 from camphorshelf_node.responsereader import Framing, ResponseError, ResponseReader
 
-_MAX_BODY_BYTES = 128 * 1024 * 1024
+# The largest body, of which all but the part that is held has been passed on.
+MAX_BODY_BYTES = 128 * 1024 * 1024
 # Smaller bodies are passed on as a whole.
 _MIN_STREAMED_BYTES = 16 * 1024
 # Request ids remembered per connection, to recognise a late second response to one of them. Few
@@ -120,7 +121,15 @@
         """
         return request_id in self._carried_ids
 
-    def send(self, request, request_id, on_done, is_wanted, on_head=None):
+    def send(
+        self,
+        request,
+        request_id,
+        on_done,
+        is_wanted,
+        on_head=None,
+        max_body_bytes=MAX_BODY_BYTES,
+    ):
         """Send a request.
 
         :param request: the complete :class:`~camphorshelf_core.calls.Request`.
@@ -132,6 +141,7 @@
             successful response arrives; returns a function that takes the parts of the body, or
             None to get the whole response at once. If the body is streamed, the body of the
             :class:`TargetResponse` is empty. None to stream no response.
+        :param max_body_bytes: the largest body that is accepted.
         :return: None.
         """
         self._on_head = on_head
@@ -142,7 +152,7 @@
         self._on_done = on_done
         self._sent = False
         self._reused = self._reader is not None
-        self._reader = ResponseReader(request.method, _MAX_BODY_BYTES, self._is_expected_response)
+        self._reader = ResponseReader(request.method, max_body_bytes, self._is_expected_response)
         if self._connected:
             self._write()
 
@@ -203,8 +213,22 @@
             return
         if self._reader.response is not None:
             self._deliver()
-        elif self._on_head is not None:
+            return
+        if self._on_head is not None:
             self._stream_body()
+        elif (self._reader.declared_bytes or 0) > self._pool.buffer.max_bytes:
+            self._fail_for_memory()
+        if self._on_done is not None:
+            self._hold()
+
+    def _hold(self):
+        largest = self._pool.buffer.hold(self, self._reader.buffered_bytes)
+        if largest is not None:
+            largest._fail_for_memory()
+
+    def _fail_for_memory(self):
+        reason = "the response holds more memory than the node has for responses"
+        self._fail(RequestFailure(reason, sent=True))
 
     def _stream_body(self):
         # The body of a streamed response is not known to be whole until its end. What is passed on
@@ -266,6 +290,7 @@
         response = reader.response
         if self._on_body is not None:
             response = response._replace(body=b"")
+        self._release_memory()
         on_done(TargetResponse(response, metadata, origin))
         # The reader of a streamed body may have paused the connection.
         self._stream.resume()
@@ -325,12 +350,14 @@
     def _fail(self, failure):
         on_done, self._on_done = self._on_done, None
         self._stream.close()
+        self._release_memory()
         if on_done is not None:
             on_done(failure)
 
     def _on_close(self):
         self._pool.discard(self)
         if self._on_done is None:
+            self._release_memory()
             return
         if self._stream.ended_cleanly:
             # A response without a length ends when the target closes the connection. A reset does
@@ -348,3 +375,8 @@
             )
         else:
             self._fail(RequestFailure("no connection", sent=False))
+
+    def _release_memory(self):
+        self._pool.buffer.hold(self, 0)
+        if self._reader is not None:
+            self._reader.discard()
--- a/packages/relay/src/camphorshelf_relay/targetpool.py
+++ b/packages/relay/src/camphorshelf_relay/targetpool.py
@@ -1,8 +1,9 @@
 """A pool of keep-alive connections to the local target."""
 
+from camphorshelf_core.responsebuffer import ResponseBuffer
 from camphorshelf_node.streams import dial
 
-from .targetconnection import RequestFailure, TargetConnection
+from .targetconnection import MAX_BODY_BYTES, RequestFailure, TargetConnection
 
 # Share of the target's keep-alive timeout after which idle connections are closed. The node closes
 # them before the target does: a request sent while the target closes the connection is lost, and if
@@ -45,6 +46,8 @@
         self._address = address
         self._header_codec = header_codec
         self._idle = []
+        # The memory for responses that are not whole yet.
+        self.buffer = ResponseBuffer()
         self.keep_alive_s = _DEFAULT_KEEP_ALIVE_SECONDS
         self._on_dial = on_dial
         self.on_stray = on_stray
@@ -58,6 +61,7 @@
         on_done,
         is_wanted=_is_always_wanted,
         on_head=None,
+        max_body_bytes=MAX_BODY_BYTES,
     ):
         """Send a request on an idle or a new connection.
 
@@ -70,6 +74,7 @@
         :param is_wanted: called when a new connection is open; if it returns False, the request is
             withdrawn.
         :param on_head: as for :meth:`~camphorshelf_relay.targetconnection.TargetConnection.send`.
+        :param max_body_bytes: the largest body that is accepted.
         :return: a function that cancels the request; ``on_done`` is not called then.
         """
         connection = self._take_idle(request_id, idempotent) or self._dial()
@@ -77,7 +82,7 @@
             failure = RequestFailure("no connection could be opened", sent=False)
             self._loop.call_later(0, lambda: on_done(failure))
             return _do_nothing
-        connection.send(request, request_id, on_done, is_wanted, on_head)
+        connection.send(request, request_id, on_done, is_wanted, on_head, max_body_bytes)
         return connection.abort
 
     def close_idle(self):
--- a/tests/features/steps/large_responses_steps.py
+++ b/tests/features/steps/large_responses_steps.py
@@ -8,25 +8,15 @@
 
 from soak.downloads import RandomDownloads, expect_body
 from standins.caller import call
+from standins.memory import read_peaks
 from standins.streamcaller import StreamCaller
 
 _POLL_SECONDS = 0.05
 _SLOW_BUFFER_BYTES = 16_384
 
 
-def _read_peak_bytes(pid):
-    with open(f"/proc/{pid}/status", encoding="ascii") as status:
-        (line,) = (line for line in status if line.startswith("VmHWM"))
-    return int(line.split()[1]) * 1024
-
-
-def _peaks(context):
-    names = context.relays.names
-    return {name: _read_peak_bytes(context.relays.pid(f"node-{name}")) for name in names}
-
-
 def _open(context, name, receive_bytes=None):
-    context.peaks = _peaks(context)
+    context.peaks = read_peaks(context.relays)
     context.caller = StreamCaller(context.relays.address("callers", name), receive_bytes)
     context.add_cleanup(context.caller.close)
     context.is_head_read = False
@@ -182,7 +172,7 @@
 
 @then("no node's memory has grown by more than {limit:d} MB")
 def check_memory(context, limit):
-    for name, peak in _peaks(context).items():
+    for name, peak in read_peaks(context.relays).items():
         growth = peak - context.peaks[name]
         assert growth <= limit << 20, (name, growth)
 
--- a/tests/standins/relaytarget.py
+++ b/tests/standins/relaytarget.py
@@ -12,6 +12,7 @@
 - ``twice``: send a second response after the first, with the same request id and another body.
 - ``mute``: send no response.
 - ``crash``: end the process.
+- ``endless``: send bytes until the client closes the connection, see :func:`make_endless`.
 - ``size``: stream a body of that many bytes, see :func:`make_body`. ``framing`` is ``length``,
   ``chunked`` or ``none``; ``pace_ms`` is the time between two pieces of 16 KiB; after ``at`` bytes
   the ``end`` follows: ``reset``, ``close`` or ``garbage``.
@@ -29,6 +30,7 @@
 import time
 from urllib.parse import parse_qs, parse_qsl, urlsplit
 
+from standins.endless import make_endless
 from standins.server import Reply, run_server
 
 _HEARTBEAT_SECONDS = 0.5
@@ -90,7 +92,7 @@
             run["cancelled"] = True
             raise
         finally:
-            if "size" not in query:
+            if not {"size", "endless"} & query.keys():
                 self._end_run(run)
 
     def _answer_probe(self, request):
@@ -113,6 +115,8 @@
             return Reply(hang_up=True)
         if "size" in query:
             return Reply(stream=lambda writer: self._stream(writer, request, query, run))
+        if "endless" in query:
+            return Reply(stream=lambda writer: self._write_endlessly(writer, request, query, run))
         if "mute" in query:
             await asyncio.Event().wait()
         if "refuse" in query:
@@ -136,6 +140,16 @@
         finally:
             self._end_run(run)
 
+    async def _write_endlessly(self, writer, request, query, run):
+        pairs = self._reply(200, request).headers
+        headers = "".join(f"{name}: {value}\r\n" for name, value in pairs).encode()
+        try:
+            for piece in make_endless(query["endless"], headers):
+                await writer.write(piece)
+                await asyncio.sleep(0)
+        finally:
+            self._end_run(run)
+
     async def _send_body(self, writer, request, query):
         size, framing = int(query["size"]), query.get("framing", "length")
         head = self._reply(200, request).headers
