Add a soak of stops, losses of power and changes

Callers keep their connections until the process is gone and send requests of up to 2.6 s; signals, losses of power and changes come in series and overlap. The checker judges connections that end without a response around a planned stop, and the service that runs requests of a route that moves.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SOURCES := packages platform deploy tests models bench demo
 
-.PHONY: setup demo test soak faults lint format bench bench-scenarios clean
+.PHONY: setup demo test soak faults stops lint format bench bench-scenarios clean
 
 setup: $(VENV)/.ready
 
@@ -31,6 +31,11 @@
 faults: setup
 	PYTHONPATH=tests $(BIN)/python -m soak.faults $(SECONDS) $(SEED) $(HOSTS)
 
+# Stops, losses of power and changes on real processes, e.g. make stops SEEDS=50 SEED=1 STOP_HOSTS=8
+STOP_HOSTS ?= 8
+stops: setup
+	PYTHONPATH=tests $(BIN)/python -m soak.stops $(or $(SEEDS),50) $(SEED) $(STOP_HOSTS)
+
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/ruff check --quiet $(SOURCES)
--- /dev/null
+++ b/tests/soak/stops.py
@@ -0,0 +1,363 @@
+"""Stops nodes, cuts hosts' power and changes the configuration, all of it overlapping.
+
+Real processes run. Callers send short and long requests over connections that they keep until the
+process is gone. What they see is checked against guarantees: a planned stop cuts off no request
+that it could have refused, a change is in force in time at all hosts that were left alone, and a
+request that is reported as not run has not run.
+"""
+
+import random
+import signal
+import sys
+import time
+from typing import NamedTuple
+
+from camphorshelf_core.storepollers import POLLER_COUNT
+from soak.checks import Finding
+from standins.caller import render
+from standins.callerthreads import CallerThreads
+from standins.configfleet import rank_names
+from standins.relays import RelayDeployment, RelayPlan, make_document
+
+_HOST_COUNT = 8
+_SERVICES = ("counter", "orders")
+_DOMAINS = ("fd-a", "fd-b", "fd-c")
+_CALLERS_PER_HOST = 3
+_TIMEOUT_SECONDS = 3.0
+_DEADLINE_MS = 4000
+_WORK_MS = (5, 20, 200, 1000, 2600)
+_GRACE_SECONDS = 6.0
+_APPLY_SECONDS = 2.0
+# A host counts as left alone when nothing was done to it for this long.
+_CALM_SECONDS = 3.0
+_LATE_STOP_SECONDS = 3.0
+_FIRST_VERSION = 10
+_MIN_HOSTS_UP = 2
+_RECOVERY_SECONDS = 20.0
+_PROMISES_NOT_RUN = (408, 421, 429, 503)
+_SEED_SECONDS = 15.0
+
+
+class Attempt(NamedTuple):
+    """One request of a caller.
+
+    :param request_id: its id.
+    :param host: the host that it was sent to.
+    :param kind: ``look``, ``order`` or ``move``.
+    :param sent_at: when its last byte was sent, in Unix seconds.
+    :param ended_at: when its response or the end of the connection came.
+    :param result: the status, or the name of the error.
+    :param ran_at: the host whose target answered; None without such an answer.
+    """
+
+    request_id: str
+    host: str
+    kind: str
+    sent_at: float
+    ended_at: float
+    result: object
+    ran_at: str | None
+
+
+class Change(NamedTuple):
+    """A change of the route ``/move/``.
+
+    :param service: the service that it leads to.
+    :param sent_at: when it was sent to the store, in Unix seconds.
+    :param acknowledged_at: when the store had acknowledged it.
+    """
+
+    service: str
+    sent_at: float
+    acknowledged_at: float
+
+
+class StopRun:
+    """A run of one seed.
+
+    :param seed: the seed.
+    :param seconds: for how long hosts are disturbed, in seconds.
+    :param hosts: how many hosts run.
+    """
+
+    def __init__(self, seed, seconds, hosts=_HOST_COUNT):
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._version = _FIRST_VERSION
+        self._changes = []
+        # When something was done to each host's node, and which of these were signals to stop.
+        self._disturbed = {}
+        self._stopped = {}
+        self._lost_power = {}
+        self._down = set()
+        self._pending = []
+        self.attempts = []
+        self.log = []
+        self._deployment = RelayDeployment(_make_plans(hosts), self._make_document("counter"))
+        self._threads = None
+
+    def run(self):
+        """Disturb the hosts and check the guarantees.
+
+        :return: a list of :class:`~soak.checks.Finding`.
+        """
+        relays = self._deployment
+        try:
+            relays.wait_ready()
+            relays.wait_served("/move/warm")
+            now = time.time()
+            self._changes.append(Change("counter", now, now))
+            callers = [(name, n) for name in relays.names for n in range(_CALLERS_PER_HOST)]
+            self._threads = CallerThreads(self._call, callers)
+            self._threads.start()
+            time.sleep(_CALM_SECONDS)
+            self._disturb()
+            findings = self._recover()
+            self._threads.stop()
+            return [*findings, *self._check()]
+        finally:
+            if self._threads is not None:
+                self._threads.stop()
+            relays.close()
+
+    def _make_document(self, service):
+        times = {"timeout_s": _TIMEOUT_SECONDS, "goal_s": _TIMEOUT_SECONDS}
+        routes = {
+            "/look/": {"service": "counter", "kind": "idempotent", **times},
+            "/order/": {"service": "orders", "kind": "non_idempotent", "priority": 0, **times},
+            "/move/": {"service": service, "kind": "idempotent", **times},
+        }
+        return make_document(self._version, routes)
+
+    def _call(self, name, number):
+        rng = random.Random(f"{name} {number}")
+        caller = None
+        while not self._threads.is_stopped:
+            kind = "move" if number == 0 else rng.choice(["look", "order", "order"])
+            work_ms = 2 if kind == "move" else rng.choice(_WORK_MS)
+            method = "POST" if kind == "order" else "GET"
+            request_id = self._deployment.next_id()
+            headers = (("Request-Id", request_id), ("Deadline-Ms", str(_DEADLINE_MS)))
+            sent_at, ran_at = None, None
+            try:
+                if caller is None:
+                    caller = self._deployment.connect(name)
+                caller.send(render(method, "shop", f"/{kind}/x?work_ms={work_ms}", headers))
+                sent_at = time.time()
+                response = caller.read(method)
+                result = response.status
+                if result == 200:
+                    ran_at = response.body.split()[0].decode()
+                if response.headers.get("connection") == "close":
+                    caller = caller.close()
+            except (OSError, EOFError) as error:
+                result = type(error).__name__
+                caller = caller and caller.close()
+            if sent_at is not None:
+                self.attempts.append(
+                    Attempt(request_id, name, kind, sent_at, time.time(), result, ran_at)
+                )
+            time.sleep(0.02 if result == 200 else 0.1)
+
+    def _disturb(self):
+        end = time.monotonic() + self._seconds
+        actions = (
+            self._lose_power,
+            self._lose_power,
+            self._stop_nodes,
+            self._stop_nodes,
+            self._reload,
+            self._change,
+        )
+        while time.monotonic() < end:
+            self._random.choice(actions)()
+            self._wait(self._random.uniform(0.1, 2.0))
+
+    def _wait(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(0.02)
+            self._run_pending()
+
+    def _run_pending(self):
+        now = time.monotonic()
+        due = [one for one in self._pending if one[0] <= now]
+        self._pending = [one for one in self._pending if one not in due]
+        for _, action in due:
+            action()
+
+    def _later(self, seconds, action):
+        self._pending.append((time.monotonic() + seconds, action))
+
+    def _list_up(self):
+        return [name for name in self._deployment.names if name not in self._down]
+
+    def _note(self, times, name):
+        times.setdefault(name, []).append(time.time())
+
+    def _lose_power(self):
+        up = self._list_up()
+        count = min(len(up) - _MIN_HOSTS_UP, self._random.randint(1, len(up)))
+        if count <= 0:
+            return
+        names = self._random.sample(up, count)
+        if self._random.random() < 0.5:
+            names = rank_names(up)[: min(POLLER_COUNT, count)]
+        self.log.append((round(time.time(), 2), "power", names))
+        for name in names:
+            self._down.add(name)
+            self._note(self._disturbed, name)
+            self._note(self._lost_power, name)
+            self._deployment.signal(f"node-{name}", signal.SIGKILL)
+            self._deployment.signal(f"target-{name}", signal.SIGKILL)
+        if self._random.random() < 0.7:
+            self._later(self._random.uniform(0.0, 0.6), self._change)
+        for name in names:
+            self._later(self._random.uniform(2.0, 4.5), lambda name=name: self._start(name, True))
+
+    def _start(self, name, with_target):
+        if not self._deployment.has_ended(f"node-{name}"):
+            self._later(0.1, lambda: self._start(name, with_target))
+            return
+        if with_target:
+            self._deployment.start_target(name)
+        self._note(self._disturbed, name)
+        self._deployment.start_node(name)
+        self._down.discard(name)
+
+    def _stop_nodes(self):
+        """Send SIGTERM to nodes one after the other, and further signals while they stop."""
+        up = self._list_up()
+        count = min(len(up) - _MIN_HOSTS_UP, self._random.randint(1, 3))
+        for index, name in enumerate(self._random.sample(up, max(0, count))):
+            self._down.add(name)
+            self._later(index * self._random.uniform(0.0, 1.0), lambda name=name: self._stop(name))
+
+    def _stop(self, name):
+        self.log.append((round(time.time(), 2), "stop", name))
+        self._note(self._disturbed, name)
+        self._note(self._stopped, name)
+        self._deployment.signal(f"node-{name}", signal.SIGTERM)
+        for number in self._random.choice(((), (signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM))):
+            self._later(
+                self._random.uniform(0.1, 3.0), lambda number=number: self._signal(name, number)
+            )
+        self._start(name, False)
+
+    def _signal(self, name, number):
+        # A signal for the process that stops is not one for its successor.
+        if name in self._down and not self._deployment.has_ended(f"node-{name}"):
+            self._deployment.signal(f"node-{name}", number)
+
+    def _reload(self):
+        up = self._list_up()
+        for name in self._random.sample(up, min(len(up), 2)):
+            is_calm = time.time() - max(self._disturbed.get(name, [0.0])) > _CALM_SECONDS
+            if is_calm:
+                self._deployment.signal(f"node-{name}", signal.SIGHUP)
+
+    def _change(self):
+        service = _SERVICES[self._version % 2]
+        self._version += 1
+        sent_at = time.time()
+        self._deployment.configure(self._make_document(service))
+        self._changes.append(Change(service, sent_at, time.time()))
+        self.log.append((round(sent_at, 2), "change", self._version, service))
+
+    def _recover(self):
+        end = time.monotonic() + _RECOVERY_SECONDS
+        while (self._pending or self._down) and time.monotonic() < end:
+            self._wait(0.1)
+        try:
+            for name in self._deployment.names:
+                self._deployment.wait_until(
+                    lambda name=name: self._deployment.is_ready(name), _RECOVERY_SECONDS
+                )
+        except TimeoutError as error:
+            return [Finding("all hosts are ready again", str(error)[:2000])]
+        # The last change has to be in force everywhere.
+        self._change()
+        self._wait(_CALM_SECONDS + _APPLY_SECONDS)
+        return []
+
+    def _check(self):
+        runs = self._deployment.all_runs()
+        arrivals = self._read_arrivals()
+        for one in self.attempts:
+            if self._is_lost(one, arrivals):
+                yield Finding("a planned stop cuts off no request that it could have refused", one)
+            if self._is_outdated(one):
+                yield Finding("a change is in force in time", (one, self._changes))
+            if one.kind == "order" and runs[one.request_id] > 1:
+                yield Finding("an order runs at most once", one)
+            is_promised = one.kind == "order" and one.result in _PROMISES_NOT_RUN
+            if is_promised and runs[one.request_id]:
+                yield Finding("an order that is reported as not run has not run", one)
+
+    def _read_arrivals(self):
+        journal = self._deployment.directory / "arrivals.log"
+        lines = journal.read_text().splitlines() if journal.exists() else []
+        return {line.split()[0]: line.split()[1] for line in lines}
+
+    def _is_lost(self, one, arrivals):
+        if isinstance(one.result, int) or one.request_id not in arrivals:
+            return False
+        if one.ended_at - one.sent_at >= _TIMEOUT_SECONDS:
+            return False
+        broken = [*self._lost_power.get(one.host, ())]
+        broken += self._lost_power.get(arrivals[one.request_id], ())
+        if any(one.sent_at - _CALM_SECONDS <= at <= one.ended_at for at in broken):
+            return False
+        for stopped_at in self._stopped.get(one.host, ()):
+            if not stopped_at <= one.ended_at <= stopped_at + _GRACE_SECONDS + 1:
+                continue
+            is_early = one.sent_at <= stopped_at + _LATE_STOP_SECONDS
+            return not (is_early and one.ended_at >= stopped_at + _GRACE_SECONDS * 5 / 6)
+        # Nothing was done to the host: its connection must not end without a response.
+        return True
+
+    def _is_outdated(self, one):
+        if one.kind != "move" or one.ran_at is None:
+            return False
+        disturbed = self._disturbed.get(one.host, ())
+        if any(one.sent_at - _CALM_SECONDS <= at <= one.ended_at for at in disturbed):
+            return False
+        # The services that the changes in force at that time, or about to be, lead to.
+        older = [change for change in self._changes if change.sent_at <= one.ended_at]
+        allowed = {older[-1].service}
+        for change, following in zip(older, older[1:], strict=False):
+            if following.acknowledged_at + _APPLY_SECONDS >= one.sent_at:
+                allowed.add(change.service)
+        return self._deployment.service(one.ran_at) not in allowed
+
+
+def _make_plans(count):
+    return tuple(
+        RelayPlan(f"h{number}", _SERVICES[number % 2], _DOMAINS[number % 3])
+        for number in range(count)
+    )
+
+
+def main(seeds, first_seed, hosts):
+    """Run seeds one after the other.
+
+    :param seeds: how many.
+    :param first_seed: the first seed.
+    :param hosts: how many hosts run.
+    :return: the number of seeds that violated a guarantee.
+    """
+    violations = 0
+    for seed in range(first_seed, first_seed + seeds):
+        run = StopRun(seed, _SEED_SECONDS, hosts)
+        findings = run.run()
+        violations += bool(findings)
+        print(f"seed {seed}: {len(run.attempts)} requests, {len(run.log)} events, ", end="")
+        print(findings[:3] or "ok", flush=True)
+        if findings:
+            print(len(findings), run.log, flush=True)
+    return violations
+
+
+if __name__ == "__main__":
+    _hosts = int(sys.argv[3]) if len(sys.argv) > 3 else _HOST_COUNT
+    sys.exit(1 if main(int(sys.argv[1]), int(sys.argv[2]), _hosts) else 0)
