--- a/packages/relay/src/camphorshelf_relay/configsync.py
+++ b/packages/relay/src/camphorshelf_relay/configsync.py
@@ -1,4 +1,8 @@
-"""Keeps the configuration and the evacuations up to date, from the store or from other nodes."""
+"""Keeps the configuration and the evacuations up to date, from the store or from other nodes.
+
+The store is polled and not watched: a watch whose connection hangs, or whose history the store has
+compacted, may report nothing for seconds although there is a change.
+"""
 
 import math
 import zlib
@@ -22,8 +26,6 @@
 from .evacuations import EvacuationState
 from .storeport import MAX_RETRY_DELAY_SECONDS, StoreFailure, retry_delay
 
-# The store is polled and not watched: a watch whose connection hangs, or whose history the store
-# has compacted, may report nothing for seconds although there is a change.
 # A poll without an answer for this long counts as lost store access; a slow store answers sooner.
 _POLL_OVERDUE_SECONDS = 0.4
 # How often a node that does not poll checks whether it has to.
@@ -329,7 +331,7 @@
         return self._retry_at
 
     def _find_overdue_wait_s(self, now):
-        """Find for how long the last contact may count as recent enough."""
+        """Find how long this node may wait until its last contact is too old; 0 or less to poll."""
         contact_at, limit_s = self.find_contact_at(), self._settings.contact_limit_s
         if contact_at <= self._failed_at:
             # Nobody is known to have had contact since this node failed to reach the store.
--- a/packages/relay/src/camphorshelf_relay/storecontacts.py
+++ b/packages/relay/src/camphorshelf_relay/storecontacts.py
@@ -9,8 +9,8 @@
 from camphorshelf_core.hostdatagrams import ContactReport
 from camphorshelf_core.storecontact import StoreContact
 
-# Intervals as shares of the settings' limit. A contact is announced to all
-# hosts once in a quarter of that time. A node that has missed an announcement asks another host
+# Intervals as shares of the longest time for which a contact may get old. A contact is announced to
+# all hosts once in a quarter of that time. A node that has missed an announcement asks another host
 # from half of that time on.
 _ANNOUNCE_SHARE = 0.25
 _REQUEST_SHARE = 0.5
--- a/packages/relay/src/camphorshelf_relay/targetconnection.py
+++ b/packages/relay/src/camphorshelf_relay/targetconnection.py
@@ -12,7 +12,8 @@
 from camphorshelf_node.headers import render_request
 from camphorshelf_node.responsereader import Framing, ResponseError, ResponseReader
 
-# The largest body, of which all but the part that is held has been passed on.
+# The largest body of a response that is passed on in parts. Others are limited by what all of them
+# may hold together.
 MAX_BODY_BYTES = 128 * 1024 * 1024
 # Smaller bodies are passed on as a whole.
 _MIN_STREAMED_BYTES = 16 * 1024
