--- a/review/parts2/fleet.py
+++ b/review/parts2/fleet.py
@@ -420,6 +420,42 @@
         )
         return status, answer_headers, answer_body
 
+    async def pipeline(self, machine, paths, deadline_ms, headers=()):
+        """Send requests ahead on one connection; return the status and time of each answer.
+
+        The requester waits until half a second after the deadline, and for no longer.
+        """
+        reader, writer = await asyncio.open_connection(*self.address(machine, "outbound"))
+        data = []
+        for path in paths:
+            self._ids += 1
+            request_id = f"q{self._ids:06d}"
+            lines = [
+                f"GET {path} HTTP/1.1", f"Host: {HOST}", f"Request-Id: {request_id}",
+                f"Deadline-Ms: {deadline_ms}", *(f"{name}: {value}" for name, value in headers),
+            ]
+            data.append("\r\n".join([*lines, "", ""]).encode())
+            self.record.write("sent_ahead", request=request_id, machine=machine, path=path)
+        started = self.record.now()
+        writer.write(b"".join(data))
+        answers = []
+        try:
+            async with asyncio.timeout(deadline_ms / 1000 + 0.5):
+                while len(answers) < len(paths):
+                    message = await read_message(reader)
+                    if message is None:
+                        break
+                    status = int(message[0].split()[1])
+                    answers.append((status, self.record.now() - started))
+                    self.record.write(
+                        "answered", request=message[1].get("request-id"), status=status,
+                        after_ms=round(answers[-1][1] * 1000),
+                    )
+        except TimeoutError:
+            self.record.write("no_more_answers", machine=machine, missing=len(paths) - len(answers))
+        writer.close()
+        return answers
+
     def close(self):
         """End all processes that were started."""
         for process in self._processes.values():
@@ -477,8 +513,12 @@
         return "".join(f"{name}={value}\n" for name, value in fields.items())
 
 
-def make_document(version, routes, services, **limits):
-    """Make a desired state; ``routes`` is a dict from prefix to the fields of a route."""
+def make_document(version, routes, services, tenants=None, **limits):
+    """Make a desired state.
+
+    ``routes`` is a dict from prefix to the fields of a route, ``tenants`` one from name to the fields
+    of a tenant.
+    """
     resources = []
     for number, (prefix, fields) in enumerate(routes.items()):
         spec = {
@@ -489,6 +529,8 @@
     for service in services:
         spec = {"health_path": "/health", "max_conns": 240, "protocol": "h1", "tls": False}
         resources.append({"type": "services", "meta": {"name": service}, "spec": spec})
+    for name, spec in (tenants or {}).items():
+        resources.append({"type": "tenants", "meta": {"name": name}, "spec": spec})
     spec = {
         "max_header_bytes": 16384, "max_body_bytes": 67108864,
         "header_timeout_s": 3, "idle_timeout_s": 15, **limits,
