--- a/review/4/hang.py
+++ b/review/4/hang.py
@@ -21,6 +21,7 @@
 
 def make_body(entry):
     """Make the body of the large answers."""
+
     def make(path):
         if not path.startswith("/catalogue/"):
             return b"ok\n"
--- a/review/parts2/fleet.py
+++ b/review/parts2/fleet.py
@@ -170,7 +170,7 @@
         self.machine = machine
         self.service = service
         self.id = name or f"i-{random.SystemRandom().getrandbits(40):010x}"
-        self.born = int(time.time() * 1000) + fleet.clock_ahead_ms.get(machine, 0)
+        self.born = int(time.time() * 1000)
         self.work_s = work_s
         self.make_body = make_body or (lambda path: f"{self.id} {path}\n".encode())
         self.sequence = 0
@@ -237,8 +237,12 @@
         answer = await ask(address, method, f"/api/instances/{self.id}", headers, body)
         is_taken = answer is not None and 200 <= answer[0] < 300
         self.fleet.record.write(
-            "report", machine=self.machine, id=self.id, method=method,
-            answer=answer and answer[0], body=body.decode(),
+            "report",
+            machine=self.machine,
+            id=self.id,
+            method=method,
+            answer=answer and answer[0],
+            body=body.decode(),
         )
         return is_taken
 
@@ -267,8 +271,13 @@
         self.running += 1
         self.runs.append((self.fleet.record.now(), request_id, path))
         self.fleet.record.write(
-            "runs", request=request_id, id=self.id, service=self.service, path=path,
-            caller=headers.get("caller"), body=len(body),
+            "runs",
+            request=request_id,
+            id=self.id,
+            service=self.service,
+            path=path,
+            caller=headers.get("caller"),
+            body=len(body),
         )
         try:
             await asyncio.sleep(self.work_s)
@@ -295,8 +304,6 @@
         self._ports = {name: first + index for index, name in enumerate(PORT_NAMES)}
         self._machines = dict(machines)
         self._processes = {}
-        # By how much the time of day of a machine is ahead, for what its instance says.
-        self.clock_ahead_ms = {}
         self._ids = 0
 
     @property
@@ -359,14 +366,6 @@
         self._processes[machine].send_signal(number)
         self.record.write("node_signalled", machine=machine, signal=number)
 
-    def pid(self, machine):
-        """The process id of a machine's node."""
-        return self._processes[machine].pid
-
-    def has_ended(self, machine):
-        """Whether a machine's node has ended."""
-        return self._processes[machine].poll() is not None
-
     def log(self, machine):
         """What a machine's node has written."""
         return (self._directory / f"{machine}.log").read_text(encoding="utf-8", errors="replace")
@@ -415,7 +414,10 @@
         )
         status, answer_headers, answer_body = answer or (None, {}, b"")
         self.record.write(
-            "answered", request=request_id, status=status, bytes=len(answer_body),
+            "answered",
+            request=request_id,
+            status=status,
+            bytes=len(answer_body),
             after_ms=round((self.record.now() - sent_at) * 1000),
         )
         return status, answer_headers, answer_body
@@ -431,8 +433,11 @@
             self._ids += 1
             request_id = f"q{self._ids:06d}"
             lines = [
-                f"GET {path} HTTP/1.1", f"Host: {HOST}", f"Request-Id: {request_id}",
-                f"Deadline-Ms: {deadline_ms}", *(f"{name}: {value}" for name, value in headers),
+                f"GET {path} HTTP/1.1",
+                f"Host: {HOST}",
+                f"Request-Id: {request_id}",
+                f"Deadline-Ms: {deadline_ms}",
+                *(f"{name}: {value}" for name, value in headers),
             ]
             data.append("\r\n".join([*lines, "", ""]).encode())
             self.record.write("sent_ahead", request=request_id, machine=machine, path=path)
@@ -448,7 +453,9 @@
                     status = int(message[0].split()[1])
                     answers.append((status, self.record.now() - started))
                     self.record.write(
-                        "answered", request=message[1].get("request-id"), status=status,
+                        "answered",
+                        request=message[1].get("request-id"),
+                        status=status,
                         after_ms=round(answers[-1][1] * 1000),
                     )
         except TimeoutError:
@@ -516,14 +523,20 @@
 def make_document(version, routes, services, tenants=None, **limits):
     """Make a desired state.
 
-    ``routes`` is a dict from prefix to the fields of a route, ``tenants`` one from name to the fields
-    of a tenant.
+    ``routes`` is a dict from prefix to the fields of a route, ``tenants`` one from name to the
+    fields of a tenant.
     """
     resources = []
     for number, (prefix, fields) in enumerate(routes.items()):
         spec = {
-            "host": HOST, "prefix": prefix, "kind": "idempotent", "timeout_s": 1.0,
-            "goal_s": 0.5, "priority": 1, "attempts": 2, **fields,
+            "host": HOST,
+            "prefix": prefix,
+            "kind": "idempotent",
+            "timeout_s": 1.0,
+            "goal_s": 0.5,
+            "priority": 1,
+            "attempts": 2,
+            **fields,
         }
         resources.append({"type": "routes", "meta": {"name": f"r-{number}"}, "spec": spec})
     for service in services:
@@ -532,8 +545,11 @@
     for name, spec in (tenants or {}).items():
         resources.append({"type": "tenants", "meta": {"name": name}, "spec": spec})
     spec = {
-        "max_header_bytes": 16384, "max_body_bytes": 67108864,
-        "header_timeout_s": 3, "idle_timeout_s": 15, **limits,
+        "max_header_bytes": 16384,
+        "max_body_bytes": 67108864,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+        **limits,
     }
     resources.append({"type": "limits", "meta": {}, "spec": spec})
     return {"version": version, "base_version": version - 1, "resources": resources}
