--- a/tests/features/steps/diagnosis_steps.py
+++ b/tests/features/steps/diagnosis_steps.py
@@ -10,6 +10,8 @@
 
 from behave import given, then, when
 
+from standins.processes import read_lines
+
 _WAIT_MS = 700
 _ROUNDS = 4
 _MAX_LOG_DELAY_SECONDS = 5.0
@@ -62,9 +64,7 @@
     """Return the latest ``target`` log line of each host of a service, by host."""
     latest = {}
     for path in glob(str(context.relays.directory / "node-*.log")):
-        lines = [
-            json.loads(line) for line in Path(path).read_text().splitlines() if line[:1] == "{"
-        ]
+        lines = [json.loads(line) for line in read_lines(Path(path)) if line[:1] == "{"]
         services = {line["host"]: line["service"] for line in lines if line["event"] == "start"}
         for line in lines:
             if line["event"] == "target" and services.get(line["host"]) == service:
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -369,7 +369,7 @@
     wanted = f'"evacuated":{"false" if state == "in use" else "true"}'
 
     def is_reported():
-        lines = context.relays.log(f"node-{name}").splitlines()
+        lines = context.relays.log_lines(f"node-{name}")
         # At the start a target that is not ready yet is logged as well, with another cause.
         reported = [line for line in lines if '"cause":"evacuation"' in line]
         return bool(reported) and wanted in reported[-1]
@@ -492,7 +492,7 @@
 
 
 def _acknowledged_at(context, name):
-    for line in context.relays.log(f"target-{name}").splitlines():
+    for line in context.relays.log_lines(f"target-{name}"):
         if line.startswith("acknowledged PUT leaving=True"):
             return float(line.split()[-1])
     return None
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -354,7 +354,7 @@
             self._record(f"{name} could not be asked: {error}")
 
     def _acknowledged_at(self, name, asked):
-        for line in self._deployment.log(f"target-{name}").splitlines():
+        for line in self._deployment.log_lines(f"target-{name}"):
             if line.startswith("acknowledged PUT leaving=True"):
                 at = float(line.split()[-1])
                 if at >= asked:
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -17,6 +17,7 @@
 from standins.caller import render
 from standins.callerthreads import CallerThreads
 from standins.configfleet import rank_names
+from standins.processes import read_lines
 from standins.relays import RelayDeployment, RelayPlan, make_document
 
 _HOST_COUNT = 8
@@ -295,8 +296,7 @@
                 yield Finding("an order that is reported as not run has not run", one)
 
     def _read_arrivals(self):
-        journal = self._deployment.directory / "arrivals.log"
-        lines = journal.read_text().splitlines() if journal.exists() else []
+        lines = read_lines(self._deployment.directory / "arrivals.log")
         return {line.split()[0]: line.split()[1] for line in lines}
 
     def _is_lost(self, one, arrivals):
--- a/tests/standins/advertised.py
+++ b/tests/standins/advertised.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple
 
+from standins.processes import read_lines
+
 # What a :class:`Sent` keeps of a response's headers.
 ADVERTISED_HEADERS = ("instance", "server-limit", "server-leaving")
 RATE_WINDOW_SECONDS = 4.0
@@ -189,4 +191,4 @@
 
 
 def _read(path):
-    return [line.split() for line in path.read_text().splitlines()] if path.exists() else []
+    return [line.split() for line in read_lines(path)]
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -53,6 +53,10 @@
         """Return what a process has written to its log so far."""
         return (self.directory / f"{process}.log").read_text()
 
+    def log_lines(self, process):
+        """Return the complete lines that a process has written to its log so far."""
+        return read_lines(self.directory / f"{process}.log")
+
     def wait_until(self, condition, seconds=_START_SECONDS):
         """Wait until a condition holds.
 
@@ -106,3 +110,14 @@
             return True
 
         self.wait_until(accepts)
+
+
+def read_lines(path):
+    """Return the complete lines of a file; none if there is no file.
+
+    Another process may have written the last line in part only.
+    """
+    if not path.exists():
+        return []
+    complete, _, _ = path.read_text().rpartition("\n")
+    return complete.split("\n") if complete else []
--- a/tests/standins/relays.py
+++ b/tests/standins/relays.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from standins.caller import Caller, call
-from standins.processes import Processes
+from standins.processes import Processes, read_lines
 from standins.rowstore import encode_value
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
@@ -186,26 +186,23 @@
 
     def all_runs(self):
         """Return how often each request has run at all targets, including those that have ended."""
-        journal = self.directory / "runs.log"
-        lines = journal.read_text().splitlines() if journal.exists() else []
+        lines = read_lines(self.directory / "runs.log")
         return Counter(line.split()[0] for line in lines)
 
     def identities(self):
         """Return the organisation and the key that each run's target saw, by request id."""
-        journal = self.directory / "identities.log"
-        lines = journal.read_text().splitlines() if journal.exists() else []
+        lines = read_lines(self.directory / "identities.log")
         parsed = [json.JSONDecoder().raw_decode(line)[0] for line in lines]
         return {request_id: (name, key) for request_id, name, key in parsed}
 
     def run_times(self, name):
         """Return the start times of the runs at the targets of a host, in Unix seconds."""
-        journal = self.directory / "runs.log"
-        lines = journal.read_text().splitlines() if journal.exists() else []
+        lines = read_lines(self.directory / "runs.log")
         return [float(line.split()[2]) for line in lines if line.split()[1] == name]
 
     def events(self, name, event):
         """Return the log lines of one event that a node has written, as dictionaries."""
-        lines = self.log(f"node-{name}").splitlines()
+        lines = self.log_lines(f"node-{name}")
         parsed = [json.loads(line) for line in lines if line.startswith("{")]
         return [line for line in parsed if line["event"] == event]
 
