Log what the exit of a node cuts off, and what has not been delivered

The incident's hypotheses can't be told apart by the logs: a request that the exit cut off left no line at the node that took it, a response that the kernel dropped looked answered, and nothing told when SIGTERM was handled.

- cut_off, a line for each request that the exit cuts off, with its state: waiting for a target, offered, or sending, with the bytes that had arrived.
- stopped also tells whether responses to other nodes were left to send, and how many bytes were written and not acknowledged by the other host (TIOCOUTQ).
- stop also tells how late the signal was handled.

--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -86,6 +86,11 @@
         answering = self._pending or self._stream.unsent
         return bool(answering or arriving or self._unread) and not self._stream.closed
 
+    @property
+    def undelivered(self):
+        """The number of bytes of responses that the caller's host has not acknowledged."""
+        return self._stream.undelivered
+
     def close(self):
         """Close at once.
 
--- a/packages/node/src/camphorshelf_node/links.py
+++ b/packages/node/src/camphorshelf_node/links.py
@@ -111,6 +111,11 @@
         """Whether fragments or other data wait to be sent."""
         return not self.closed and bool(self._fragmented or self._stream.unsent)
 
+    @property
+    def undelivered(self):
+        """The number of written bytes that the peer's host has not acknowledged."""
+        return self._stream.undelivered
+
     def ping(self):
         """Send a WebSocket ping, which the peer answers with a pong.
 
@@ -552,6 +557,11 @@
         """Whether a message of the peer is not answered yet, or answers wait to be sent."""
         return bool(self._cancels) or (self._sends_later and self._channel.sending)
 
+    @property
+    def undelivered(self):
+        """The number of written bytes that the peer's host has not acknowledged."""
+        return self._channel.undelivered
+
     def send_go_away(self):
         """Ask the peer to send no more calls, and to close the link once all are answered.
 
--- a/packages/node/src/camphorshelf_node/streams.py
+++ b/packages/node/src/camphorshelf_node/streams.py
@@ -1,7 +1,10 @@
 """Non-blocking TCP connections and listeners on the node's loop."""
 
 import errno
+import fcntl
 import socket
+import struct
+import termios
 
 from .loop import READABLE, WRITABLE
 
@@ -10,6 +13,7 @@
 _LINGER_SECONDS = 1.0
 _ACCEPT_PAUSE_SECONDS = 0.2
 _MAX_ACCEPTS_PER_ITERATION = 32
+_COUNT = struct.Struct("i")
 _RESOURCE_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
@@ -42,6 +46,20 @@
         """The number of bytes in the write buffer."""
         return len(self._unsent)
 
+    @property
+    def undelivered(self):
+        """The number of written bytes that the peer's host has not acknowledged.
+
+        :return: the number of bytes; those in the write buffer only if the kernel can't tell more.
+        """
+        if self._sock is None:
+            return 0
+        try:
+            reply = fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(_COUNT.size))
+        except OSError:
+            return self.unsent
+        return self.unsent + _COUNT.unpack(reply)[0]
+
     @property
     def stale(self):
         """Whether the peer has closed the connection or sent data that has not been read yet."""
--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -51,6 +51,13 @@
         "closed, so that the response doesn't look complete.",
         f"{_REQUEST} code reason service target bytes",
     ),
+    Event(
+        "cut_off",
+        "The exit of the process cut off a request. `state` tells how far it was: `waiting` for a "
+        "target, `offered` to the hosts `under_way`, or `sending` the response, of which `bytes` "
+        "of `length` had arrived.",
+        f"{_REQUEST} state service under_way bytes length",
+    ),
     Event(
         "caller_left",
         "A caller closed its connection before the response; its request is cancelled.",
@@ -187,12 +194,18 @@
     Event("start", "The node has started.", "service domain"),
     Event("reload", "The settings were reloaded.", "changed"),
     Event("reload_failed", "The settings could not be reloaded; the old ones remain in force.", ""),
-    Event("stop", "The node was told to stop; it exits within `exit_s`.", "running callers exit_s"),
+    Event(
+        "stop",
+        "The node was told to stop; it exits within `exit_s`. `late_ms` is the time between the "
+        "signal and the start of the stop.",
+        "running callers exit_s late_ms",
+    ),
     Event(
         "stopped",
         "The node exits; `idle` tells whether no work was cut off. If not, `callers` waited for a "
-        "response and `running` requests ran at the target.",
-        "idle callers running",
+        "response, `running` requests ran at the target, and `links_busy` tells whether responses "
+        "to other nodes were left to send. `undelivered` bytes were written and not acknowledged.",
+        "idle callers running links_busy undelivered",
     ),
     Event("lines_dropped", "Number of dropped log lines so far, by reason.", "rate unread"),
     Event("fault", "An unhandled exception in the node's own code.", "traceback"),
--- a/packages/relay/src/camphorshelf_relay/listeners.py
+++ b/packages/relay/src/camphorshelf_relay/listeners.py
@@ -99,6 +99,11 @@
         """The number of connections whose callers wait for a response."""
         return sum(connection.busy for connection in self._connections)
 
+    @property
+    def undelivered(self):
+        """The number of bytes of responses that callers' hosts have not acknowledged."""
+        return sum(connection.undelivered for connection in self._connections)
+
     def start(self):
         """Start listening.
 
@@ -162,6 +167,11 @@
         """Whether any peer waits for a reply."""
         return any(server.busy for server in self._servers)
 
+    @property
+    def undelivered(self):
+        """The number of written bytes that the hosts of peers have not acknowledged."""
+        return sum(server.undelivered for server in self._servers)
+
     def start(self):
         """Start listening.
 
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -91,6 +91,7 @@
         self._platform = platform
         self._random = random.Random(os.urandom(8))
         self._stopping = False
+        self._sigterm_at = None
         loop = self._loop = Loop().register(self)
         log = self._log = EventLog(loop, settings.name)
         loop.on_error = log.fault
@@ -317,6 +318,7 @@
         # raised inside an event handler, after which its loop spins without handling events.
         if not self._stopping:
             self._stopping = True
+            self._sigterm_at = self._loop.now()
             self._loop.call_from_signal(self._shut_down)
 
     def _shut_down(self):
@@ -327,6 +329,7 @@
             running=self._admission.running,
             callers=self._callers.connections,
             exit_s=round(plan.exit_at - now, 3),
+            late_ms=round((now - self._sigterm_at) * 1000, 1),
         )
         self._router.set_shutdown(plan)
         self._admission_controller.set_shutdown_time(plan.exit_at)
@@ -346,11 +349,15 @@
         if busy and self._loop.now() < exit_at:
             self._loop.call_later(_STOP_POLL_SECONDS, lambda: self._exit_when_idle(exit_at))
             return
+        for relay in self._router.active_relays:
+            relay.log_cut_off()
         self._log.notable(
             "stopped",
             idle=not busy,
             callers=self._callers.busy_connections,
             running=self._admission.running,
+            links_busy=self._links.busy,
+            undelivered=self._callers.undelivered + self._links.undelivered,
         )
         self._log.flush()
         self.stop()
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -104,6 +104,7 @@
             return
         guard = self._exchange.guard
         self._exchange.set_disconnect_handler(self._on_disconnect)
+        self._router.active_relays.add(self)
         self._expiry_timer = self._loop.call_later(self._expires_at - now, guard(self._on_expiry))
         self._router.record_request(self._service)
         self._offer_to_next_target()
@@ -531,8 +532,31 @@
         self._end()
         self._router.log_outcome(self._exchange, self._route, "caller_left", **self._log_fields)
 
+    def log_cut_off(self):
+        """Log that the exit of the process cuts off this request, and how far it was.
+
+        :return: None.
+        """
+        state = "waiting"
+        sent = {}
+        if self._streamed is not None:
+            state = "sending"
+            sent = {"bytes": self._streamed.size, "length": self._streamed.head.length}
+        elif self._pending_offers:
+            state = "offered"
+        self._router.log_outcome(
+            self._exchange,
+            self._route,
+            "cut_off",
+            state=state,
+            service=self._service,
+            under_way=[offer.address for offer in self._pending_offers],
+            **sent,
+        )
+
     def _end(self):
         self._is_finished = True
+        self._router.active_relays.discard(self)
         self._cancel_hedges()
         if self._pause_timer is not None:
             self._pause_timer.cancel()
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -75,6 +75,8 @@
         # The :class:`~camphorshelf_relay.quotas.Quotas`, of which organisations with a limit need
         # tokens; without it there are no limits.
         self.quotas = None
+        # Every started :class:`Relay` whose caller has no whole response yet.
+        self.active_relays = set()
         # The ShutdownPlan of a node that stops, None before.
         self._shutdown = None
         config_sync.on_change(self._on_config)
@@ -436,7 +438,7 @@
 
         :param exchange: the request's :class:`~camphorshelf_node.exchange.Exchange`.
         :param route: the request's route, or None.
-        :param outcome: ``answered``, ``refused`` or ``caller_left``.
+        :param outcome: ``answered``, ``refused``, ``cut_short``, ``cut_off`` or ``caller_left``.
         :param fields: further fields of the log line; ``answered`` needs ``status``.
         :return: None.
         """
