A stopping node takes only requests whose deadline comes before its exit

Callers saw downloads that ended in the middle, or without a byte, when the node that had taken them exited after SIGTERM. The node took a request in the first 2.6 s of its stop if its usual work ended before the exit. Its work is only a part of its time: the response is carried by links, behind other responses, and read by the caller.

Now the only thing that is known of any request decides: its deadline. After SIGTERM a request is started, or offered to a further target, only if its deadline comes before the exit. It then ends by itself before the exit, whatever its size, its target, the links, the caller and other processes do, for any grace period. All others are refused at once as not run. The check by the usual work is gone, from the plan and from the offers.

The cost: between 1.0 and 2.6 s after SIGTERM a node with a grace period of 6 s refuses requests with a deadline of 4.6 s that it would mostly have served; with deadlines from 5.6 s on it refuses from SIGTERM on. Weighed: counting the usual transfer too, which is an estimate again; and answering what isn't done by the exit with 504, after which an order can't be repeated, while a refused one can.

The scenario of shutdown.feature about late requests holds for all requests after SIGTERM now and replaces the weaker one.

--- a/packages/core/src/camphorshelf_core/shutdown.py
+++ b/packages/core/src/camphorshelf_core/shutdown.py
@@ -1,9 +1,9 @@
 """Plans a graceful stop: until when requests are taken, and which of them may still start.
 
 The platform kills a process at the end of its grace period, so the process exits before that and
-cuts off whatever still runs then. For a while after SIGTERM callers don't know that the node is
-leaving, and most requests are short. Later, only requests are taken that have expired by the time
-of the exit, however long they run.
+cuts off whatever still runs then. How long a request takes depends on its target, on the links that
+carry its response, and on its caller. None of that is known when it starts. Only its deadline is,
+so a stopping node starts a request only if the deadline comes before the exit.
 """
 
 from typing import NamedTuple
@@ -40,26 +40,13 @@
     callers_close_at: float
     exit_at: float
 
-    def can_start(self, now, expires_at, work_s):
-        """Tell whether a request may be started.
+    def can_start(self, expires_at):
+        """Tell whether a request may be sent to a target.
 
-        :param now: seconds on the monotonic clock.
-        :param expires_at: when the request ends at the latest, on the same clock.
-        :param work_s: how long such a request usually runs, in seconds.
+        :param expires_at: when the request ends at the latest, in seconds on the monotonic clock.
         :return: True or False.
         """
-        if expires_at <= self.exit_at:
-            return True
-        return now < self.callers_drained_at and self.can_finish(now, work_s)
-
-    def can_finish(self, now, work_s):
-        """Tell whether a request would probably end before the exit.
-
-        :param now: seconds on the monotonic clock.
-        :param work_s: how long such a request usually runs, in seconds.
-        :return: True or False.
-        """
-        return now + work_s <= self.exit_at
+        return expires_at <= self.exit_at
 
 
 def plan_shutdown(now, grace_s):
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -99,7 +99,7 @@
         if self._expires_at <= now + _MIN_REMAINING_SECONDS:
             self._refuse(Code.DEADLINE_UNREACHABLE, "its time has passed")
             return
-        if not self._router.can_start(self._expires_at, self._stats.work_s):
+        if not self._router.can_start(self._expires_at):
             self._refuse(*_MAY_BE_CUT_OFF)
             return
         guard = self._exchange.guard
@@ -131,7 +131,7 @@
         refusal = self._find_revocation()
         if refusal is not None:
             self._refuse(refusal.code, refusal.reason)
-        elif not self._router.can_finish(self._stats.work_s):
+        elif not self._router.can_start(self._expires_at):
             self._refuse(*_MAY_BE_CUT_OFF)
         else:
             self._offer_to_next_target()
--- a/packages/relay/src/camphorshelf_relay/router.py
+++ b/packages/relay/src/camphorshelf_relay/router.py
@@ -119,24 +119,13 @@
         """
         self._shutdown = plan
 
-    def can_start(self, expires_at, work_s):
-        """Tell whether a request may be started now, or must be refused because the node stops.
+    def can_start(self, expires_at):
+        """Tell whether a request may be sent to a target, or must be refused as the node stops.
 
         :param expires_at: when the request ends at the latest, on the loop's clock.
-        :param work_s: how long such a request usually runs, in seconds.
         :return: True or False.
         """
-        return self._shutdown is None or self._shutdown.can_start(
-            self.loop.now(), expires_at, work_s
-        )
-
-    def can_finish(self, work_s):
-        """Tell whether a request that was started before would probably end before a stop.
-
-        :param work_s: how long such a request usually runs, in seconds.
-        :return: True or False.
-        """
-        return self._shutdown is None or self._shutdown.can_finish(self.loop.now(), work_s)
+        return self._shutdown is None or self._shutdown.can_start(expires_at)
 
     def retry_after_stop(self):
         """Choose the delay for a caller that was refused because this node stops.
--- a/tests/features/shutdown.feature
+++ b/tests/features/shutdown.feature
@@ -16,11 +16,11 @@
       | 10    |
       | 120   |
 
-  Scenario Outline: A request that is taken after the callers are drained outlasts no exit
-    # Guards against requests that run elsewhere and are cut off when the node that took them exits.
+  Scenario Outline: A request that is taken after SIGTERM outlasts no exit
+    # Guards against requests and transfers that are cut off when the node that took them exits.
     Given a node that is told to stop, with a grace period of <grace> s
     When 20000 requests with timeouts of up to 3 grace periods arrive until its exit
-    Then each that starts after the callers are drained expires before the exit
+    Then each that starts expires before the exit
     And each that expires before the exit is started
     And none is started that usually takes longer than the time until the exit
 
--- a/tests/features/steps/shutdown_steps.py
+++ b/tests/features/steps/shutdown_steps.py
@@ -44,17 +44,15 @@
         at = rng.uniform(_NOW, plan.exit_at)
         expires_at = at + rng.uniform(0.0, periods * context.grace_s)
         work_s = rng.uniform(0.0, expires_at - at)
-        is_started = plan.can_start(at, expires_at, work_s)
+        is_started = plan.can_start(expires_at)
         context.requests.append((at, expires_at, work_s, is_started))
 
 
-@then("each that starts after the callers are drained expires before the exit")
-def check_late_starts(context):
-    plan = context.plan
-    late = [one for one in context.requests if one[0] >= plan.callers_drained_at]
-    started = [expires_at for _, expires_at, _, is_started in late if is_started]
-    assert started and len(started) < len(late)
-    assert max(started) <= plan.exit_at
+@then("each that starts expires before the exit")
+def check_starts(context):
+    started = [expires_at for _, expires_at, _, is_started in context.requests if is_started]
+    assert started and len(started) < len(context.requests)
+    assert max(started) <= context.plan.exit_at
 
 
 @then("each that expires before the exit is started")
