Answer the requests that a node's exit cuts off

A request that was in progress at SIGTERM and has more time left than the grace period can outlast the node. At the exit its caller's connection was closed without a response, also when the request waited between two offers and had never run, or had a response of a failed target to show.

At the exit each request whose response hasn't begun now gets one: the failed target's, a refusal as not run if it was sent to no target, or 502. A request is cut off only if a part of its response has been sent.

--- a/packages/relay/src/camphorshelf_relay/events.py
+++ b/packages/relay/src/camphorshelf_relay/events.py
@@ -53,9 +53,10 @@
     ),
     Event(
         "cut_off",
-        "The exit of the process cut off a request. `state` tells how far it was: `waiting` for a "
-        "target, `offered` to the hosts `under_way`, or `sending` the response, of which `bytes` "
-        "of `length` had arrived.",
+        "The process exits before a request has ended. `state` tells how far it was: `waiting` for "
+        "a target, `offered` to the hosts `under_way`, or `sending` the response, of which `bytes` "
+        "of `length` had arrived. In the last state its caller's connection ends, in the others it "
+        "is refused.",
         f"{_REQUEST} state service under_way bytes length",
     ),
     Event(
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -349,12 +349,14 @@
         if busy and self._loop.now() < exit_at:
             self._loop.call_later(_STOP_POLL_SECONDS, lambda: self._exit_when_idle(exit_at))
             return
-        for relay in self._router.active_relays:
-            relay.log_cut_off()
+        callers = self._callers.busy_connections
+        # A copy, as a request that ends lets the next one on its connection begin.
+        for relay in list(self._router.active_relays):
+            relay.end_at_exit()
         self._log.notable(
             "stopped",
             idle=not busy,
-            callers=self._callers.busy_connections,
+            callers=callers,
             running=self._admission.running,
             links_busy=self._links.busy,
             undelivered=self._callers.undelivered + self._links.undelivered,
--- a/packages/relay/src/camphorshelf_relay/relay.py
+++ b/packages/relay/src/camphorshelf_relay/relay.py
@@ -532,11 +532,20 @@
         self._end()
         self._router.log_outcome(self._exchange, self._route, "caller_left", **self._log_fields)
 
-    def log_cut_off(self):
-        """Log that the exit of the process cuts off this request, and how far it was.
+    def end_at_exit(self):
+        """Answer the caller, or cut off its response, because the process exits now.
 
         :return: None.
         """
+        self._log_cut_off()
+        if self._streamed is not None:
+            self._end()
+            self._exchange.cut()
+            return
+        self._may_have_run = self._may_have_run or bool(self._pending_offers)
+        self._refuse(Code.NODE_STOPPING, "the node exits before the request has ended")
+
+    def _log_cut_off(self):
         state = "waiting"
         sent = {}
         if self._streamed is not None:
--- a/tests/features/relay_stop.feature
+++ b/tests/features/relay_stop.feature
@@ -20,3 +20,13 @@
     When the node of "a" is told to stop
     And 3.2 s later each caller sends "POST /order/x?work_ms=300" with a deadline of 1500 ms
     Then each is served
+
+  Scenario: A request that outlasts the exit of its node gets a response
+    # Guards against requests that end without a response when they take longer than the grace period.
+    Given routes have a timeout of 5 s
+    And the grace period of "a" is reloaded as 2 s
+    And 3 callers are connected to "a"
+    When each caller sends "POST /order/x?work_ms=4000" with a deadline of 4500 ms
+    And all of them have begun to run
+    And the node of "a" is told to stop
+    Then each gets 502 and code 303 within 2 s of the signal
