Deliver what a closing connection has written before its socket is closed

A caller that reads slowly lost the rest of a response that the node had logged as answered: 206 kB of 400 kB when the node stopped, 142 kB when the connection closed after its last response. A response counted as sent when the kernel had accepted it. A closing connection was closed after 1 s, and a stopping node exited as soon as nothing was in the process's own buffers. From then on the kernel answers any byte of the caller with a reset and drops what it holds.

Now the linger time of a closing connection is extended as long as the peer's host goes on to acknowledge data (TIOCOUTQ), and both kinds of node wait for that before they exit, on the users' platform until the planned exit at the latest. A peer that acknowledges nothing for 1 s isn't waited for.

--- a/packages/node/src/camphorshelf_node/listeners.py
+++ b/packages/node/src/camphorshelf_node/listeners.py
@@ -1,8 +1,11 @@
 """The listeners for callers and peers, and their draining when the node stops."""
 
+import math
+
 from camphorshelf_core.errors import Code, Refusal
 from camphorshelf_core.settings import split_address
 
+from .delivery import wait_for_delivery
 from .exchange import render_refusal
 from .headers import render_response
 from .http import HttpConnection
@@ -36,6 +39,11 @@
         """Whether any connection has a request or a response in progress."""
         return any(connection.busy for connection in self._connections)
 
+    @property
+    def undelivered(self):
+        """The number of bytes of responses that callers' hosts have not acknowledged."""
+        return sum(connection.undelivered for connection in self._connections)
+
     def start(self):
         """Begin to listen.
 
@@ -161,6 +169,6 @@
         if busy or (peers.links and loop.now() < links_deadline):
             loop.call_later(_DRAIN_POLL_SECONDS, check)
         else:
-            on_drained()
+            wait_for_delivery(loop, lambda: callers.undelivered, math.inf, on_drained)
 
     check()
--- a/packages/node/src/camphorshelf_node/streams.py
+++ b/packages/node/src/camphorshelf_node/streams.py
@@ -192,7 +192,19 @@
             self.close()
             return
         self._watch()
-        self._loop.call_later(_LINGER_SECONDS, self.close)
+        self._close_after_linger(self.undelivered)
+
+    def _close_after_linger(self, undelivered):
+        # A slow peer takes longer than the linger time. If the socket were closed while data is on
+        # its way, the next byte from the peer would be answered with a reset.
+        def check():
+            left = self.undelivered
+            if left and left != undelivered:
+                self._close_after_linger(left)
+            else:
+                self.close()
+
+        self._loop.call_later(_LINGER_SECONDS, check)
 
     def _watch(self):
         mask = READABLE if self._reading else 0
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -18,6 +18,7 @@
 from camphorshelf_core.shutdown import plan_shutdown
 from camphorshelf_core.startlimits import StartLimits
 from camphorshelf_core.warmup import WarmUp
+from camphorshelf_node.delivery import wait_for_delivery
 from camphorshelf_node.fragmentpacer import FragmentPacer
 from camphorshelf_node.loop import Loop
 
@@ -204,6 +205,10 @@
         has_waited = self._loop.now() - self._started_at > _ALONE_SECONDS
         return self._discovery.done or has_peers or has_waited
 
+    @property
+    def _is_busy(self):
+        return bool(self._callers.busy or self._links.busy or self._admission.running)
+
     @handler("started", channel="*")
     def _on_started(self, _manager):
         signal.signal(signal.SIGTERM, self._on_sigterm)
@@ -345,10 +350,13 @@
         self._exit_when_idle(plan.exit_at)
 
     def _exit_when_idle(self, exit_at):
-        busy = self._callers.busy or self._links.busy or self._admission.running
-        if busy and self._loop.now() < exit_at:
+        if self._is_busy and self._loop.now() < exit_at:
             self._loop.call_later(_STOP_POLL_SECONDS, lambda: self._exit_when_idle(exit_at))
             return
+        wait_for_delivery(self._loop, lambda: self._callers.undelivered, exit_at, self._exit)
+
+    def _exit(self):
+        busy = self._is_busy
         callers = self._callers.busy_connections
         # A copy, as a request that ends lets the next one on its connection begin.
         for relay in list(self._router.active_relays):
--- a/tests/features/relay_stop_downloads.feature
+++ b/tests/features/relay_stop_downloads.feature
@@ -24,3 +24,10 @@
     And the nodes of "c" are told to stop, 0.0 s apart
     And it reads 12 kB each 0.1 s, and sends another request after 3.2 s
     Then its download of 400000 bytes is whole
+
+  Scenario: The last response on a connection reaches a caller that reads slowly
+    # Guards against responses that the kernel drops because the node has closed after a fixed time.
+    Given a caller at "c" that reads slowly
+    When it sends "GET /file/x?size=400000" as its last request
+    And it reads 12 kB each 0.1 s, and sends another request after 2.2 s
+    Then its download of 400000 bytes is whole
--- a/tests/features/steps/relay_stop_downloads_steps.py
+++ b/tests/features/steps/relay_stop_downloads_steps.py
@@ -112,13 +112,18 @@
 
 
 @when('it sends "{line}"')
-def send_line(context, line):
+def send_line(context, line, headers=()):
     method, _, path = line.partition(" ")
-    headers = (("Request-Id", context.relays.next_id()), ("Deadline-Ms", _DEADLINE_MS))
+    headers += (("Request-Id", context.relays.next_id()), ("Deadline-Ms", _DEADLINE_MS))
     context.caller.send(method, path, headers)
     context.caller.read_head()
 
 
+@when('it sends "{line}" as its last request')
+def send_last(context, line):
+    send_line(context, line, (("Connection", "close"),))
+
+
 @when("it reads {size:d} kB each {gap:f} s, and sends another request after {seconds:f} s")
 def read_slowly(context, size, gap, seconds):
     started_at = time.monotonic()
