Wait at the exit until other nodes have read the responses of the own target

The third way in which the order of stops cut off responses: the target's node had sent a response when the kernel had taken it, and exited as idle. An entry node that read a little later returned credit for the first part, which a socket without a process answers with a reset; the next write failed and the link was closed with the rest unread.

When nothing is in progress any more, a stopping node on the users' platform now asks its peers to close their links, as the stand-alone node does: a peer closes when it has read all replies, which no kernel can tell. No message is new.

--- a/packages/relay/src/camphorshelf_relay/listeners.py
+++ b/packages/relay/src/camphorshelf_relay/listeners.py
@@ -161,6 +161,12 @@
         self._make_handlers = make_handlers
         self._chunks = chunks
         self._servers = set()
+        self._close_listener = None
+
+    @property
+    def links(self):
+        """The number of open links."""
+        return len(self._servers)
 
     @property
     def busy(self):
@@ -177,7 +183,20 @@
 
         :return: None.
         """
-        listen(self._loop, self._address, self._on_accept, TCP_TIMEOUT_SECONDS)
+        self._close_listener = listen(
+            self._loop, self._address, self._on_accept, TCP_TIMEOUT_SECONDS
+        )
+
+    def finish(self):
+        """Stop listening, and ask the peers to close their links.
+
+        A peer closes its link when it has read the replies to all its requests.
+
+        :return: None.
+        """
+        self._close_listener()
+        for server in list(self._servers):
+            server.send_go_away()
 
     def _on_accept(self, stream, _peer):
         server = PeerServer(
--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -353,7 +353,13 @@
         if self._is_busy and self._loop.now() < exit_at:
             self._loop.call_later(_STOP_POLL_SECONDS, lambda: self._exit_when_idle(exit_at))
             return
-        wait_for_delivery(self._loop, lambda: self._callers.undelivered, exit_at, self._exit)
+        # A peer's kernel acknowledges what its process has not read yet. If this process exited
+        # then, what the peer sends next would end its link with replies still unread.
+        self._links.finish()
+        wait_for_delivery(self._loop, self._measure_undelivered, exit_at, self._exit)
+
+    def _measure_undelivered(self):
+        return self._callers.undelivered + self._links.undelivered + self._links.links
 
     def _exit(self):
         busy = self._is_busy
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -177,17 +177,17 @@
     context.relays = deployment
 
 
-_SLOW_MBPS = 5.5
+_SLOW_MBPS, _FAST_MBPS = 5.5, 1000.0
 
 
 @fixture
-def slow_deployment(context):
-    """Three hosts with slow links and a route for downloads, fresh for each scenario."""
+def download_deployment(context, link_mbps):
+    """Three hosts with links of the same rate and a route for downloads."""
     routes = {
         "/look/": {"service": "counter", "kind": "idempotent", "timeout_s": 5.0},
         "/file/": {"service": "counter", "kind": "download", "timeout_s": 5.0, "goal_s": 2.0},
     }
-    plans = [plan._replace(link_mbps=_SLOW_MBPS) for plan in _RELAYS]
+    plans = [plan._replace(link_mbps=link_mbps) for plan in _RELAYS]
     deployment = RelayDeployment(plans, make_document(7, routes))
     context.add_cleanup(deployment.close)
     deployment.wait_ready()
@@ -219,7 +219,9 @@
     if "fixture.fresh_relay_deployment" in scenario.effective_tags:
         use_fixture(relay_deployment, context)
     if "fixture.slow_deployment" in scenario.effective_tags:
-        use_fixture(slow_deployment, context)
+        use_fixture(download_deployment, context, _SLOW_MBPS)
+    if "fixture.fast_deployment" in scenario.effective_tags:
+        use_fixture(download_deployment, context, _FAST_MBPS)
     if "fixture.platform" in scenario.effective_tags:
         use_fixture(platform, context)
     if "fixture.orders_deployment" in scenario.effective_tags:
--- a/tests/features/steps/relay_stop_downloads_steps.py
+++ b/tests/features/steps/relay_stop_downloads_steps.py
@@ -43,20 +43,51 @@
 
 @when('callers at "{name}" send "{line}" each {gap:f} s for {seconds:f} s')
 def send_downloads(context, name, line, gap, seconds):
-    context.downloads = []
-    address = context.relays.address("callers", name)
-    threads = []
+    context.downloads, context.threads = [], []
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        request_id = context.relays.next_id()
-        arguments = (context.downloads, address, line, request_id)
-        threads.append(threading.Thread(target=_download, args=arguments))
-        threads[-1].start()
+        _start_download(context, name, line)
         time.sleep(gap)
-    for thread in threads:
+    _join(context)
+
+
+@given('{count:d} downloads "{line}" at "{name}" are running')
+def start_downloads(context, count, line, name):
+    relays = context.relays
+    context.downloads, context.threads = [], []
+    ids = [_start_download(context, name, line) for _ in range(count)]
+    relays.wait_until(lambda: all(relays.all_runs()[one] for one in ids))
+
+
+def _start_download(context, name, line):
+    request_id = context.relays.next_id()
+    address = context.relays.address("callers", name)
+    arguments = (context.downloads, address, line, request_id)
+    context.threads.append(threading.Thread(target=_download, args=arguments))
+    context.threads[-1].start()
+    return request_id
+
+
+def _join(context):
+    for thread in context.threads:
         thread.join()
 
 
+@when('the node of "{name}" is suspended from {start:f} s to {end:f} s')
+def suspend(context, name, start, end):
+    time.sleep(start)
+    context.relays.signal(f"node-{name}", signal.SIGSTOP)
+    time.sleep(end - start)
+    context.relays.signal(f"node-{name}", signal.SIGCONT)
+    _join(context)
+
+
+@then("each download is whole")
+def check_all_whole(context):
+    parts = [one for one in context.downloads if not (one.is_whole and one.status == 200)]
+    assert context.downloads and not parts, parts
+
+
 def _download(downloads, address, line, request_id):
     method, _, path = line.partition(" ")
     headers = (("Request-Id", request_id), ("Deadline-Ms", _DEADLINE_MS))
