Answer each request that a finishing connection has read

A stopping node dropped requests that its callers had sent ahead: they had been read and waited behind another request of the connection, whose response then announced the close. Their callers can't know whether they ran. With an order of 3 s and a short one behind it at a node that stops, the short one got no response (3 of 3).

A finishing connection now answers everything that it has read, in order, and the last response announces the close. The part of a request is read to its end. What arrives later is dropped as before, so a caller that always pipelines doesn't keep the connection open.

The scenario of relay_stop.feature failed before and passes.

--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -64,6 +64,8 @@
         self._head_bytes = 0
         self._continue_due = False
         self._is_finishing = False
+        # Whether the connection finishes, and the last request that it answers has been read.
+        self._is_input_done = False
         self._timer = None
         self._timer_due_at = 0.0
         self._timeout_at = None
@@ -82,9 +84,8 @@
     @property
     def busy(self):
         """Whether a request is arriving, waiting or in progress, or a response is being sent."""
-        arriving = self._head_bytes > 0 or not self._in_head
         answering = self._pending or self._stream.unsent
-        return bool(answering or arriving or self._unread) and not self._stream.closed
+        return bool(answering or self._is_arriving or self._unread) and not self._stream.closed
 
     @property
     def undelivered(self):
@@ -99,15 +100,16 @@
         self._stream.close()
 
     def finish(self):
-        """Close once the requests in progress are answered; the last response announces the close.
+        """Close once all requests that have been read are answered; the last response announces it.
 
-        Waiting requests are not started any more: a caller that always pipelines would keep the
-        connection busy, and its calls would be cut off when the process ends. The caller may send
-        the requests that were not answered again elsewhere.
+        If a part of a request has been read, the connection is read until that request is complete.
+        What arrives later is dropped: a caller that always pipelines would keep the connection busy
+        for ever.
 
         :return: None.
         """
         self._is_finishing = True
+        self._check_input_done()
         if not self.busy:
             self._stream.close_when_sent()
 
@@ -238,6 +240,15 @@
         self._head_bytes = 0
         self._continue_due = False
 
+    @property
+    def _is_arriving(self):
+        return not self._is_input_done and (self._head_bytes > 0 or not self._in_head)
+
+    @property
+    def _is_last(self):
+        # Whether a response is the last one, if no other request than its own is in progress.
+        return self._is_input_done and not self._waiting
+
     @property
     def _pending(self):
         return bool(self._in_progress or self._waiting)
@@ -252,14 +263,17 @@
         return len(self._waiting) >= _MAX_WAITING or self._held_bytes > self._limits.body_bytes
 
     def _on_data(self, data):
-        if self._refusal is not None:
+        if self._refusal is not None or self._is_input_done:
             return
         if self._unread:
             self._unread += data
         elif self._is_full:
             self._unread = data
         else:
+            waiting_count = len(self._waiting)
             self._read(data)
+            if self._is_finishing and len(self._waiting) > waiting_count:
+                self._is_input_done = not self._unread
         self._advance()
 
     def _read(self, data):
@@ -324,7 +338,7 @@
         if not answer.is_begun:
             answer.is_begun = True
             answer.closes = not self._in_progress[0].keep_alive or (
-                self._is_finishing and len(self._in_progress) == 1
+                self._is_last and len(self._in_progress) == 1
             )
             self._stream.write(
                 render_streamed_head(answer.status, answer.headers, answer.length, answer.closes)
@@ -365,7 +379,7 @@
                 self._stream.write(LAST_CHUNK)
             return self._finish_answer(exchange, answer.closes)
         status, headers, body = answer
-        is_last = not exchange.keep_alive or (self._is_finishing and not self._in_progress)
+        is_last = not exchange.keep_alive or (self._is_last and not self._in_progress)
         self._stream.write(render_response(status, headers, body, exchange.request.method, is_last))
         return self._finish_answer(exchange, is_last)
 
@@ -386,11 +400,16 @@
             data, self._unread = self._unread, b""
             self._stream.resume()
             self._read(data)
+            self._check_input_done()
         if self._can_start_next():
             self._start_next()
         elif not self._in_progress:
             self._await_request()
 
+    def _check_input_done(self):
+        if self._is_finishing and not self._unread and not self._is_arriving:
+            self._is_input_done = True
+
     def _can_start_next(self):
         if not self._waiting or not self._in_progress:
             return bool(self._waiting)
@@ -399,7 +418,6 @@
         last = self._in_progress[-1]
         return (
             len(self._in_progress) < _MAX_IN_PROGRESS
-            and not self._is_finishing
             and self._may_overlap is not None
             and last.keep_alive
             and self._may_overlap(last.request)
@@ -422,7 +440,7 @@
             self._send_refusal()
         elif not self._in_head:
             self._await_body()
-        elif self._is_finishing and self._head_bytes == 0:
+        elif self._is_input_done:
             self._end_connection()
         else:
             self._await_head()
--- a/tests/features/relay_stop.feature
+++ b/tests/features/relay_stop.feature
@@ -30,3 +30,12 @@
     And all of them have begun to run
     And the node of "a" is told to stop
     Then each gets 502 and code 303 within 2 s of the signal
+
+  Scenario: A request that waits behind another one at a stopping node gets a response
+    # Guards against requests that a stopping node has read and drops with the connection.
+    Given routes have a timeout of 5 s
+    And 3 callers are connected to "a"
+    When the node of "a" is told to stop
+    And each caller sends "POST /order/x?work_ms=3000" with a deadline of 4500 ms
+    And each caller sends "POST /order/y?work_ms=20" with a deadline of 4500 ms
+    Then each gets two responses with status 200
--- a/tests/features/steps/relay_stop_steps.py
+++ b/tests/features/steps/relay_stop_steps.py
@@ -120,6 +120,14 @@
         assert ended_at - context.stopped_at < seconds, ended_at - context.stopped_at
 
 
+@then("each gets two responses with status {status:d}")
+def check_both(context, status):
+    for _ in range(2):
+        read_all(context)
+        statuses = [getattr(response, "status", response) for response, _ in context.outcomes]
+        assert set(statuses) == {status}, statuses
+
+
 @then('Retry-After leads to a time after the exit of "{name}"')
 def check_retry_after(context, name):
     exit_at = context.relays.events(name, "stop")[-1]["exit_s"] + context.stopped_at
