Count the grace period from the signal, not from its handling by the loop

The platform kills the process when the grace period after its signal has passed. The plan of the stop began when the loop came to handle the signal.

--- a/packages/relay/src/camphorshelf_relay/node.py
+++ b/packages/relay/src/camphorshelf_relay/node.py
@@ -328,7 +328,8 @@
 
     def _shut_down(self):
         now = self._loop.now()
-        plan = plan_shutdown(now, self._settings.grace_s)
+        # The platform counts the grace period from the signal, which a busy loop handles later.
+        plan = plan_shutdown(self._sigterm_at, self._settings.grace_s)
         self._log.notable(
             "stop",
             running=self._admission.running,
@@ -338,8 +339,11 @@
         )
         self._router.set_shutdown(plan)
         self._admission_controller.set_shutdown_time(plan.exit_at)
-        self._loop.call_later(plan.target_closes_at - now, self._target.stop)
-        self._loop.call_later(plan.callers_drained_at - now, lambda: self._finish_callers(plan))
+        self._call_at(plan.target_closes_at, self._target.stop)
+        self._call_at(plan.callers_drained_at, lambda: self._finish_callers(plan))
+
+    def _call_at(self, moment, callback):
+        self._loop.call_later(max(0.0, moment - self._loop.now()), callback)
 
     def _finish_callers(self, plan):
         # Requests that run at the target may send requests of their own through this node.
