--- a/packages/relay/src/camphorshelf_relay/discovery.py
+++ b/packages/relay/src/camphorshelf_relay/discovery.py
@@ -78,7 +78,7 @@
     def _on_read(self, result):
         if self._retry_on_failure(result, self._read):
             return
-        addresses = {row.key: _parse_address(row.value) for row in result.rows}
+        addresses = {row.key: parse_address(row.value) for row in result.rows}
         if addresses.get(self._settings.name) != self._address:
             self._write()
             return
@@ -106,7 +106,12 @@
         return True
 
 
-def _parse_address(value):
+def parse_address(value):
+    """Parse the value of a host's row.
+
+    :param value: the value, as bytes; None if the row has none.
+    :return: the address of the host's links, as ``ip:port``; None if the value is invalid.
+    """
     try:
         address = cbor2.loads(value or b"")
     except (cbor2.CBORDecodeError, ValueError):
