Read on whatever other writers leave: decode in one place, check numbers, texts and addresses

Nodes stopped following the configuration after one odd document, found no other hosts after one odd row, and took odd heartbeats for the target's own. Each reader caught the exceptions that its author had thought of. Deep nesting (RecursionError), numbers beyond a float (OverflowError), unhashable values and wrong types passed through, out of the callback of a response; what came after it, mostly the scheduling of the next read, never ran.

- core/decoding.py decodes JSON and CBOR and names what malformed data raises; all readers use it: documents, rows and responses of the store, heartbeats, datagrams, link messages, records, settings, the stand-alone node's table service and its administration.
- Numbers are finite and below 2^62, so that they can be calculated with; texts that become headers are printable; addresses are an IP address and a port from 1 to 65535, checked in one place for rows, datagrams, heartbeats, settings.
- A row that can't be read is left out, or keeps its key with an empty value; the rows beside it hold.
- The next poll of the store and the next probe of the target are scheduled whatever reading them does.

--- a/packages/core/src/camphorshelf_core/claimrecords.py
+++ b/packages/core/src/camphorshelf_core/claimrecords.py
@@ -6,6 +6,7 @@
 import cbor2
 
 from .calls import AttemptId, Response
+from .decoding import MALFORMED_ERRORS
 from .errors import ProtocolError, Refusal
 
 
@@ -81,5 +82,5 @@
             status, headers, body = answer
             answer = Response(status, tuple((name, value) for name, value in headers), body)
         return ClaimRecord(AttemptId(*attempt), node, address, digest, RecordState(state), answer)
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         raise ProtocolError(f"invalid claim record: {error}") from error
--- a/packages/core/src/camphorshelf_core/config.py
+++ b/packages/core/src/camphorshelf_core/config.py
@@ -5,6 +5,7 @@
 
 import cbor2
 
+from .decoding import MALFORMED_ERRORS
 from .errors import ProtocolError
 
 TAKE = "take"
@@ -113,7 +114,7 @@
             recent=tuple(ConfirmedVersion(*entry) for entry in document.recent),
             services={name: _decode_service(fields) for name, fields in document.services.items()},
         )
-    except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as error:
+    except MALFORMED_ERRORS as error:
         raise ProtocolError(f"invalid configuration document: {error}") from error
 
 
@@ -137,7 +138,7 @@
         return EMPTY_HEAD
     try:
         return Head(*cbor2.loads(data))
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         raise ProtocolError(f"invalid head row: {error}") from error
 
 
--- a/packages/core/src/camphorshelf_core/hostdatagrams.py
+++ b/packages/core/src/camphorshelf_core/hostdatagrams.py
@@ -9,6 +9,7 @@
 
 import cbor2
 
+from .decoding import MALFORMED_ERRORS, is_integer, is_number
 from .failuredetector import Suspicion
 from .hosts import HostStatus, is_address
 from .quotas import TokenReply, TokenRequest
@@ -174,7 +175,7 @@
         if kind == _MEMBER_UPDATES and len(fields) == 2:
             return _parse_member_updates(*fields)
         return _from_fields(kind, fields)
-    except (cbor2.CBORDecodeError, TypeError, ValueError):
+    except MALFORMED_ERRORS:
         return None
 
 
@@ -207,7 +208,7 @@
 
 
 def _parse_status_request(incarnation, revision, is_suspected):
-    if isinstance(incarnation, str) and isinstance(revision, int):
+    if isinstance(incarnation, str) and is_integer(revision):
         return StatusRequest(incarnation, revision, bool(is_suspected))
     return None
 
@@ -223,20 +224,20 @@
 
 
 def _parse_addresses(total, addresses):
-    if isinstance(total, int) and all(map(is_address, addresses)):
+    if is_integer(total) and all(map(is_address, addresses)):
         return Addresses(total, tuple(addresses))
     return None
 
 
 def _parse_contact_report(must_forward, config_version, age_ms, evacuation_version=0):
     numbers = config_version, age_ms, evacuation_version
-    if all(isinstance(number, int) for number in numbers) and age_ms >= 0:
+    if all(map(is_integer, numbers)) and age_ms >= 0:
         return ContactReport(bool(must_forward), *numbers)
     return None
 
 
 def _parse_token_request(organisation, number, wanted, demand_per_s, config_version):
-    are_counts = isinstance(number, int) and isinstance(wanted, int)
+    are_counts = is_integer(number) and is_integer(wanted) and is_number(demand_per_s)
     if not isinstance(organisation, str) or not are_counts or not _are_numbers((config_version,)):
         return None
     if abs(wanted) > _MAX_TOKENS or not 0 <= demand_per_s <= _MAX_TOKENS:
@@ -245,7 +246,7 @@
 
 
 def _parse_token_reply(organisation, number, granted, wait_s, fallback_per_s):
-    are_counts = isinstance(number, int) and isinstance(granted, int)
+    are_counts = is_integer(number) and is_integer(granted)
     if not isinstance(organisation, str) or not are_counts:
         return None
     if not all(0 <= value <= _MAX_TOKENS for value in (granted, wait_s, fallback_per_s)):
@@ -316,7 +317,7 @@
 
 
 def _are_numbers(values):
-    return all(isinstance(value, int | float) for value in values)
+    return all(isinstance(value, bool) or is_number(value) for value in values)
 
 
 def _is_crash_count(value):
@@ -324,7 +325,7 @@
         isinstance(value, list | tuple)
         and len(value) == 2
         and isinstance(value[0], str)
-        and isinstance(value[1], int)
+        and is_integer(value[1])
     )
 
 
--- a/packages/core/src/camphorshelf_core/hosts.py
+++ b/packages/core/src/camphorshelf_core/hosts.py
@@ -8,6 +8,8 @@
 """
 
 import string
+from functools import lru_cache
+from ipaddress import ip_address
 from typing import NamedTuple
 
 # With more other hosts than this, most pushed statuses are never used. The two thresholds give
@@ -37,6 +39,10 @@
 _SYMBOL_BITS = 6
 _SYMBOL_COUNT = 12
 _RANDOM_SYMBOL_COUNT = 4
+_MAX_PORT = 65_535
+_MAX_ADDRESS_LENGTH = 64
+# The addresses of a fleet arrive again and again, in each status.
+_MAX_CACHED_ADDRESSES = 8_192
 RANDOM_BITS = 20
 
 
@@ -44,12 +50,21 @@
     """Tell whether a value is an address in the form that hosts send.
 
     :param text: a decoded value of any type.
-    :return: whether it is a string of the form ``ip:port``.
+    :return: whether it is a string of the form ``ip:port`` with a port that can be connected to.
     """
-    if not isinstance(text, str):
-        return False
+    return isinstance(text, str) and len(text) <= _MAX_ADDRESS_LENGTH and _parses_as_address(text)
+
+
+@lru_cache(_MAX_CACHED_ADDRESSES)
+def _parses_as_address(text):
     ip, _, port = text.rpartition(":")
-    return bool(ip) and port.isdigit()
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= _MAX_PORT):
+        return False
+    try:
+        ip_address(ip)
+    except ValueError:
+        return False
+    return True
 
 
 def make_incarnation(started_us, random_bits):
--- a/packages/core/src/camphorshelf_core/messages.py
+++ b/packages/core/src/camphorshelf_core/messages.py
@@ -5,6 +5,7 @@
 import cbor2
 
 from .calls import AttemptId, Response
+from .decoding import MALFORMED_ERRORS
 from .errors import Code, ProtocolError, Ran, Refusal
 from .evacuation import Evacuations
 from .load import LoadReport
@@ -421,7 +422,7 @@
     try:
         kind, *fields = cbor2.loads(data)
         return _restore_types(_MESSAGE_TYPES[kind](*fields))
-    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         raise ProtocolError(f"invalid message: {error}") from error
 
 
--- a/packages/core/src/camphorshelf_core/plans.py
+++ b/packages/core/src/camphorshelf_core/plans.py
@@ -14,6 +14,7 @@
     encode_document,
     sha256_hex,
 )
+from .decoding import MALFORMED_ERRORS
 from .effects import describe_effect
 from .errors import ProtocolError
 from .intents import apply_changes, find_changes
@@ -81,7 +82,7 @@
             effect=tuple(plan.effect),
             confirmers=tuple(plan.confirmers),
         )
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         raise ProtocolError(f"invalid plan: {error}") from error
 
 
--- a/packages/core/src/camphorshelf_core/roster.py
+++ b/packages/core/src/camphorshelf_core/roster.py
@@ -5,6 +5,7 @@
 
 import cbor2
 
+from .decoding import MALFORMED_ERRORS
 from .errors import ProtocolError
 
 
@@ -83,7 +84,7 @@
         *fields, target = cbor2.loads(data)
         member = Member(*fields, None if target is None else Announcement(*target))
         return member._replace(state=MemberState(member.state))
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         raise ProtocolError(f"invalid member record: {error}") from error
 
 
@@ -105,7 +106,7 @@
     """
     try:
         entry = Entry(*cbor2.loads(data))
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         raise ProtocolError(f"invalid entry: {error}") from error
     if not isinstance(entry.version, int):
         raise ProtocolError(f"an entry's version is a {type(entry.version).__name__}, not an int")
--- a/packages/node/src/camphorshelf_node/admin.py
+++ b/packages/node/src/camphorshelf_node/admin.py
@@ -9,8 +9,9 @@
 from circuits.web.events import response as response_event
 from pydantic import Field, TypeAdapter, ValidationError
 
+from camphorshelf_core.decoding import load_json
 from camphorshelf_core.drain import Source
-from camphorshelf_core.errors import Code, Refusal
+from camphorshelf_core.errors import Code, ProtocolError, Refusal
 from camphorshelf_core.roster import Announcement
 
 from .adminguard import AdminGuard
@@ -115,8 +116,8 @@
         if not self._require_loopback(request, reply):
             return
         try:
-            *fields, instance, leaving = _ANNOUNCEMENT.validate_python(json.loads(request.body))
-        except (ValueError, ValidationError) as error:
+            *fields, instance, leaving = _ANNOUNCEMENT.validate_python(load_json(request.body))
+        except (ProtocolError, ValidationError) as error:
             reply_refusal(reply, Refusal(Code.BAD_ANNOUNCEMENT, _describe_error(error)))
             return
         self._node.announce(Announcement(*fields), instance, leaving)
--- a/packages/node/src/camphorshelf_node/operators.py
+++ b/packages/node/src/camphorshelf_node/operators.py
@@ -1,6 +1,5 @@
 """The operators' part of the administration API: status, plans, history and quarantines."""
 
-import json
 import time
 
 from returns.result import Success
@@ -13,8 +12,9 @@
     plan_steps,
     read_plan_steps,
 )
+from camphorshelf_core.decoding import load_json
 from camphorshelf_core.effects import TargetCapacity
-from camphorshelf_core.errors import Code, Refusal
+from camphorshelf_core.errors import Code, ProtocolError, Refusal
 from camphorshelf_core.intents import parse_intents, updates_from_changes
 from camphorshelf_core.teams import find_operator
 
@@ -246,8 +246,8 @@
 
 def _read_intents(body):
     try:
-        document = json.loads(body)
-    except (ValueError, RecursionError):
+        document = load_json(body)
+    except ProtocolError:
         document = None
     intents = document.get("intents") if isinstance(document, dict) else None
     return parse_intents(intents)
--- a/packages/node/src/camphorshelf_node/rows.py
+++ b/packages/node/src/camphorshelf_node/rows.py
@@ -1,11 +1,12 @@
 """Encodes requests to the table service as JSON and decodes its responses."""
 
 import base64
-import json
 from typing import NamedTuple
 
 from returns.result import Failure, Success
 
+from camphorshelf_core.decoding import MALFORMED_ERRORS, load_json
+from camphorshelf_core.errors import ProtocolError
 from camphorshelf_core.table import ReadFailure, Row, WriteOutcome, WriteResult
 
 from .httpclient import RequestFailure
@@ -103,7 +104,10 @@
         return Failure(ReadFailure(result.reason))
     if result.status != 200:
         return Failure(ReadFailure(f"the table service answered {result.status}"))
-    return Success(json.loads(result.body))
+    try:
+        return Success(load_json(result.body))
+    except ProtocolError as error:
+        return Failure(ReadFailure(str(error)))
 
 
 def read_query(result):
@@ -115,8 +119,19 @@
     answer = read_answer(result)
     if not isinstance(answer, Success):
         return None
-    items = answer.unwrap()["Items"]
-    return {item["sk"]["S"]: base64.b64decode(item["doc"]["B"]) for item in items}
+    try:
+        items = answer.unwrap()["Items"]
+        return dict(filter(None, map(_read_item, items)))
+    except MALFORMED_ERRORS:
+        return None
+
+
+def _read_item(item):
+    # An item that can't be read is left out; the others hold.
+    try:
+        return item["sk"]["S"], base64.b64decode(item["doc"]["B"])
+    except MALFORMED_ERRORS:
+        return None
 
 
 def read_write_results(result, count):
@@ -135,7 +150,13 @@
     if result.status >= 500:
         # After an internal error it is unknown whether the service has applied the write.
         return _same_for_all(WriteOutcome.UNKNOWN, count)
-    document = json.loads(result.body or b"{}")
+    try:
+        return _read_error(load_json(result.body or b"{}"), count)
+    except (ProtocolError, *MALFORMED_ERRORS):
+        return _same_for_all(WriteOutcome.UNKNOWN, count)
+
+
+def _read_error(document, count):
     error_type = document.get("__type", "")
     if error_type.endswith(f"{_CONDITION_FAILED}Exception"):
         return [WriteResult(WriteOutcome.LOST, read_row(document.get("Item")))]
--- a/packages/relay/src/camphorshelf_relay/configsync.py
+++ b/packages/relay/src/camphorshelf_relay/configsync.py
@@ -289,11 +289,14 @@
             self._log.notable("store_regained", failures=self._failures)
         self._failures = 0
         self._last_answer_at = self._loop.now()
-        self.evacuations.apply_rows(self._readers.evacuations(result.rows), result.version)
-        self._apply_rows(result.rows)
-        # Jitter keeps the pollers from polling at the same moment.
-        interval_s = poll_interval_s(self._settings.contact_limit_s)
-        self._loop.call_later(interval_s * self._random.uniform(0.75, 1.0), self._poll_if_due)
+        try:
+            self.evacuations.apply_rows(self._readers.evacuations(result.rows), result.version)
+            self._apply_rows(result.rows)
+        finally:
+            # Nothing that the rows hold may end the polling. Jitter keeps the pollers from polling
+            # at the same moment.
+            interval_s = poll_interval_s(self._settings.contact_limit_s)
+            self._loop.call_later(interval_s * self._random.uniform(0.75, 1.0), self._poll_if_due)
 
     def _poll_if_due(self):
         # A node without a configuration doesn't poll either unless it has to: when all nodes start
--- a/packages/relay/src/camphorshelf_relay/discovery.py
+++ b/packages/relay/src/camphorshelf_relay/discovery.py
@@ -7,6 +7,8 @@
 
 import cbor2
 
+from camphorshelf_core.decoding import load_cbor
+from camphorshelf_core.errors import ProtocolError
 from camphorshelf_core.hosts import is_address
 
 from .storeport import MAX_RETRY_DELAY_SECONDS, StoreFailure, retry_delay
@@ -113,7 +115,7 @@
     :return: the address of the host's links, as ``ip:port``; None if the value is invalid.
     """
     try:
-        address = cbor2.loads(value or b"")
-    except (cbor2.CBORDecodeError, ValueError):
+        address = load_cbor(value or b"")
+    except ProtocolError:
         return None
     return address if is_address(address) else None
--- a/packages/relay/src/camphorshelf_relay/healthprobe.py
+++ b/packages/relay/src/camphorshelf_relay/healthprobe.py
@@ -104,17 +104,18 @@
         self._load_reported_at = self._loop.now()
 
     def _probe_if_due(self):
-        wait = _PROBE_INTERVAL_SECONDS
+        wait, is_due = _PROBE_INTERVAL_SECONDS, False
         if not self._is_in_flight and self._path is not None:
             interval = (
                 _DOWN_INTERVAL_SECONDS if self._handlers.is_down() else _PROBE_INTERVAL_SECONDS
             )
             interval = max(interval, 1 / self._settings.probes_per_s)
             wait = self._due_at(interval) - self._loop.now()
-            if wait <= 0:
-                self._send(self._loop.now())
-                wait = interval
+            is_due = wait <= 0
+            wait = interval if is_due else wait
         self._timer = self._loop.call_later(max(_MIN_TIMER_SECONDS, wait), self._probe_if_due)
+        if is_due:
+            self._send(self._loop.now())
 
     def _due_at(self, interval):
         # The interval starts at the last load report, which may have come with the response to a
