Show that a response whose head is cut never becomes a success

Report of another operator: an instance stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. It doesn't happen here: real targets leave out the last 1 to 159 bytes of a head, with a length, chunks or neither, and close or reset, for lookups, downloads and orders, at the entry node of another host and of their own.

--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -169,6 +169,7 @@
     routes = {
         "/look/": {"service": "counter", "kind": "idempotent", "timeout_s": 5.0},
         "/file/": {"service": "counter", "kind": "download", "timeout_s": 20.0, "goal_s": 3.0},
+        "/sell/": {"service": "counter", "kind": "non_idempotent", "timeout_s": 5.0},
     }
     deployment = RelayDeployment(_LARGE, make_document(7, routes))
     context.add_cleanup(deployment.close)
--- a/tests/standins/relaytarget.py
+++ b/tests/standins/relaytarget.py
@@ -11,6 +11,8 @@
 - ``extra``: send a second response after the first, with the id of no request.
 - ``twice``: send a second response after the first, with the same request id and another body.
 - ``mute``: send no response.
+- ``beheaded``: send a head of a response with a body, without that many of its last bytes, then
+  ``end``: ``close`` or ``reset``.
 - ``crash``: end the process.
 - ``endless``: send bytes until the client closes the connection, see :func:`make_endless`.
 - ``size``: stream a body of that many bytes, see :func:`make_body`. ``framing`` is ``length``,
@@ -28,6 +30,7 @@
 import signal
 import sys
 import time
+from functools import partial
 from urllib.parse import parse_qs, parse_qsl, urlsplit
 
 from standins.endless import make_endless
@@ -37,6 +40,11 @@
 _WORK_MS = 5
 _IDENTITY_HEADERS = ("tenant", "key")
 _PIECE_BYTES = 16_384
+_FRAMING_HEADERS = {
+    "a length": (("Content-Length", "20"),),
+    "chunks": (("Transfer-Encoding", "chunked"),),
+    "no length": (),
+}
 _PATTERN = bytes(range(251)) * 400
 
 
@@ -67,6 +75,12 @@
         self._running = 0
         self._runs = []
         self._changed = asyncio.Event()
+        # The functions that send a response themselves, by the option that asks for them.
+        self._streams = {
+            "size": self._stream,
+            "endless": self._write_endlessly,
+            "beheaded": self._send_part,
+        }
 
     async def serve(self, request):
         """Answer one request."""
@@ -92,7 +106,7 @@
             run["cancelled"] = True
             raise
         finally:
-            if not {"size", "endless"} & query.keys():
+            if not self._streams.keys() & query.keys():
                 self._end_run(run)
 
     def _answer_probe(self, request):
@@ -113,10 +127,9 @@
             os._exit(1)
         if "cut" in query:
             return Reply(hang_up=True)
-        if "size" in query:
-            return Reply(stream=lambda writer: self._stream(writer, request, query, run))
-        if "endless" in query:
-            return Reply(stream=lambda writer: self._write_endlessly(writer, request, query, run))
+        for name, stream in self._streams.items():
+            if name in query:
+                return Reply(stream=partial(stream, request=request, query=query, run=run))
         if "mute" in query:
             await asyncio.Event().wait()
         if "refuse" in query:
@@ -140,6 +153,20 @@
         finally:
             self._end_run(run)
 
+    async def _send_part(self, writer, request, query, run):
+        try:
+            head = self._render_head(request, query)
+            await writer.write(head[: max(0, len(head) - int(query["beheaded"]))])
+            await writer.end(is_reset=query["end"] == "reset")
+        finally:
+            self._end_run(run)
+
+    def _render_head(self, request, query):
+        framing = _FRAMING_HEADERS[query["framing"]]
+        headers = (*self._reply(200, request).headers, *framing, ("Keep-Alive", "timeout=5"))
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers), "", ""]
+        return "\r\n".join(lines).encode()
+
     async def _write_endlessly(self, writer, request, query, run):
         pairs = self._reply(200, request).headers
         headers = "".join(f"{name}: {value}\r\n" for name, value in pairs).encode()
