Soak of stops: downloads over slow links, requests sent ahead, and no excuse for a response that was made

It compares with the end of the run now, and a request that was not passed on counts as lost too, if its connection ends later than 0.2 s after it was sent.

--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -1,9 +1,10 @@
 """Stops nodes, cuts hosts' power and changes the configuration, all of it overlapping.
 
 Real processes run. Callers send short and long requests over connections that they keep until the
-process is gone. What they see is checked against guarantees: a planned stop cuts off no request
-that it could have refused, a change is in force in time at all hosts that were left alone, and a
-request that is reported as not run has not run.
+process is gone; some send a second request ahead, and some download over slow links. What they see
+is checked against guarantees: a planned stop cuts off no request that it could have refused and no
+response that its target has made, a change is in force in time at all hosts that were left alone,
+and a request that is reported as not run has not run.
 """
 
 import random
@@ -14,6 +15,7 @@
 
 from camphorshelf_core.storepollers import POLLER_COUNT
 from soak.checks import Finding
+from soak.downloads import expect_body
 from standins.caller import render
 from standins.callerthreads import CallerThreads
 from standins.configfleet import rank_names
@@ -27,6 +29,10 @@
 _TIMEOUT_SECONDS = 3.0
 _DEADLINE_MS = 4000
 _WORK_MS = (5, 20, 200, 1000, 2600)
+_SIZES = (90_000, 90_000, 540_000)
+_LINKS_MBPS = (5.5, None, 50.0)
+# A connection that ends this soon after a request was sent has not read it.
+_LOSS_SLACK_SECONDS = 0.2
 _GRACE_SECONDS = 6.0
 _APPLY_SECONDS = 2.0
 # A host counts as left alone when nothing was done to it for this long.
@@ -44,11 +50,12 @@
 
     :param request_id: its id.
     :param host: the host that it was sent to.
-    :param kind: ``look``, ``order`` or ``move``.
+    :param kind: ``look``, ``order``, ``file`` or ``move``.
     :param sent_at: when its last byte was sent, in Unix seconds.
     :param ended_at: when its response or the end of the connection came.
     :param result: the status, or the name of the error.
     :param ran_at: the host whose target answered; None without such an answer.
+    :param is_wrong: whether it is a success with another body than that of its target.
     """
 
     request_id: str
@@ -58,6 +65,32 @@
     ended_at: float
     result: object
     ran_at: str | None
+    is_wrong: bool = False
+
+
+class Request(NamedTuple):
+    """A request that a caller sends.
+
+    :param request_id: its id.
+    :param kind: see :class:`Attempt`.
+    :param query: what its target does.
+    :param size: the size of the body of a download.
+    """
+
+    request_id: str
+    kind: str
+    query: str
+    size: int
+
+    @property
+    def method(self):
+        """The method of the request."""
+        return "POST" if self.kind == "order" else "GET"
+
+    def render(self):
+        """Render the request as bytes."""
+        headers = (("Request-Id", self.request_id), ("Deadline-Ms", str(_DEADLINE_MS)))
+        return render(self.method, "shop", f"/{self.kind}/x?{self.query}", headers)
 
 
 class Change(NamedTuple):
@@ -126,6 +159,7 @@
         routes = {
             "/look/": {"service": "counter", "kind": "idempotent", **times},
             "/order/": {"service": "orders", "kind": "non_idempotent", "priority": 0, **times},
+            "/file/": {"service": "counter", "kind": "download", **times},
             "/move/": {"service": service, "kind": "idempotent", **times},
         }
         return make_document(self._version, routes)
@@ -134,31 +168,44 @@
         rng = random.Random(f"{name} {number}")
         caller = None
         while not self._threads.is_stopped:
-            kind = "move" if number == 0 else rng.choice(["look", "order", "order"])
-            work_ms = 2 if kind == "move" else rng.choice(_WORK_MS)
-            method = "POST" if kind == "order" else "GET"
-            request_id = self._deployment.next_id()
-            headers = (("Request-Id", request_id), ("Deadline-Ms", str(_DEADLINE_MS)))
-            sent_at, ran_at = None, None
-            try:
-                if caller is None:
-                    caller = self._deployment.connect(name)
-                caller.send(render(method, "shop", f"/{kind}/x?work_ms={work_ms}", headers))
-                sent_at = time.time()
-                response = caller.read(method)
+            requests = [self._choose_request(rng, number)]
+            if number == _CALLERS_PER_HOST - 1:
+                requests.append(self._choose_request(rng, number))
+            caller, result = self._exchange(name, caller, requests)
+            time.sleep(0.02 if result == 200 else 0.1)
+
+    def _choose_request(self, rng, number):
+        kind = "move" if number == 0 else rng.choice(("look", "order", "order", "file"))
+        query = f"work_ms={2 if kind == 'move' else rng.choice(_WORK_MS)}"
+        size = rng.choice(_SIZES) if kind == "file" else 0
+        if size:
+            query += f"&size={size}"
+        return Request(self._deployment.next_id(), kind, query, size)
+
+    def _exchange(self, name, caller, requests):
+        """Send requests and read the responses; return the open connection and the last result."""
+        left, sent_at, result = list(requests), None, None
+        try:
+            if caller is None:
+                caller = self._deployment.connect(name)
+            caller.send(b"".join(request.render() for request in requests))
+            sent_at = time.time()
+            while left and caller is not None:
+                response = caller.read(left[0].method)
                 result = response.status
-                if result == 200:
-                    ran_at = response.body.split()[0].decode()
+                self.attempts.append(_describe(left.pop(0), name, sent_at, response))
                 if response.headers.get("connection") == "close":
                     caller = caller.close()
-            except (OSError, EOFError) as error:
-                result = type(error).__name__
-                caller = caller and caller.close()
-            if sent_at is not None:
-                self.attempts.append(
-                    Attempt(request_id, name, kind, sent_at, time.time(), result, ran_at)
-                )
-            time.sleep(0.02 if result == 200 else 0.1)
+        except (OSError, EOFError) as error:
+            result = type(error).__name__
+            caller = caller and caller.close()
+        if sent_at is not None:
+            ended_at, end = time.time(), result if isinstance(result, str) else "closed"
+            self.attempts += [
+                Attempt(one.request_id, name, one.kind, sent_at, ended_at, end, None)
+                for one in left
+            ]
+        return caller, result
 
     def _disturb(self):
         end = time.monotonic() + self._seconds
@@ -283,9 +330,12 @@
 
     def _check(self):
         runs = self._deployment.all_runs()
-        arrivals = self._read_arrivals()
+        arrivals = self._read_journal("arrivals", 1)
+        ends = self._read_journal("ends", 2)
         for one in self.attempts:
-            if self._is_lost(one, arrivals):
+            if one.is_wrong:
+                yield Finding("a success has the body that its target has sent", one)
+            if self._is_lost(one, arrivals, float(ends.get(one.request_id, "inf"))):
                 yield Finding("a planned stop cuts off no request that it could have refused", one)
             if self._is_outdated(one):
                 yield Finding("a change is in force in time", (one, self._changes))
@@ -295,24 +345,27 @@
             if is_promised and runs[one.request_id]:
                 yield Finding("an order that is reported as not run has not run", one)
 
-    def _read_arrivals(self):
-        lines = read_lines(self._deployment.directory / "arrivals.log")
-        return {line.split()[0]: line.split()[1] for line in lines}
+    def _read_journal(self, name, field):
+        lines = read_lines(self._deployment.directory / f"{name}.log")
+        return {line.split()[0]: line.split()[field] for line in lines}
 
-    def _is_lost(self, one, arrivals):
-        if isinstance(one.result, int) or one.request_id not in arrivals:
+    def _is_lost(self, one, arrivals, run_ended_at):
+        if isinstance(one.result, int):
+            return False
+        if one.request_id not in arrivals and one.ended_at - one.sent_at <= _LOSS_SLACK_SECONDS:
             return False
         if one.ended_at - one.sent_at >= _TIMEOUT_SECONDS:
             return False
         broken = [*self._lost_power.get(one.host, ())]
-        broken += self._lost_power.get(arrivals[one.request_id], ())
+        broken += self._lost_power.get(arrivals.get(one.request_id), ())
         if any(one.sent_at - _CALM_SECONDS <= at <= one.ended_at for at in broken):
             return False
         for stopped_at in self._stopped.get(one.host, ()):
             if not stopped_at <= one.ended_at <= stopped_at + _GRACE_SECONDS + 1:
                 continue
             is_early = one.sent_at <= stopped_at + _LATE_STOP_SECONDS
-            return not (is_early and one.ended_at >= stopped_at + _GRACE_SECONDS * 5 / 6)
+            is_at_work = min(run_ended_at, one.ended_at) >= stopped_at + _GRACE_SECONDS * 5 / 6
+            return not (is_early and is_at_work)
         # Nothing was done to the host: its connection must not end without a response.
         return True
 
@@ -331,9 +384,32 @@
         return self._deployment.service(one.ran_at) not in allowed
 
 
+def _describe(request, name, sent_at, response):
+    is_success = response.status == 200
+    is_wrong = is_success and request.kind == "file" and response.body != expect_body(request.size)
+    ran_at = None
+    if is_success and request.kind != "file":
+        ran_at = response.body.split()[0].decode()
+    return Attempt(
+        request.request_id,
+        name,
+        request.kind,
+        sent_at,
+        time.time(),
+        response.status,
+        ran_at,
+        is_wrong,
+    )
+
+
 def _make_plans(count):
     return tuple(
-        RelayPlan(f"h{number}", _SERVICES[number % 2], _DOMAINS[number % 3])
+        RelayPlan(
+            f"h{number}",
+            _SERVICES[number % 2],
+            _DOMAINS[number % 3],
+            link_mbps=_LINKS_MBPS[number // 2 % 3],
+        )
         for number in range(count)
     )
 
--- a/tests/standins/relaytarget.py
+++ b/tests/standins/relaytarget.py
@@ -146,6 +146,7 @@
     def _end_run(self, run):
         self._running -= 1
         run["ended"] = True
+        self._journal("ends", run["request-id"])
 
     async def _stream(self, writer, request, query, run):
         try:
