Trust heartbeats over the health path only if they were sent after the node's start

The acknowledgement was known to the earlier process only. The new one sees an unhealthy process and took two heartbeats as proof against that, however late they were.

A target that has deregistered sends no more heartbeats, so all that arrive were made before the acknowledgement, and so before the node's start. A healthy response is enough at any time, as before.

The cost: a target whose health path is falsely bad when its node restarts gets no work for 10 s, not 3. The scenario about such a target says so; the new one failed before. Not covered: a health path that is falsely good in that moment.

--- a/packages/core/src/camphorshelf_core/instances.py
+++ b/packages/core/src/camphorshelf_core/instances.py
@@ -5,9 +5,12 @@
 would send requests to a target that has announced that it is leaving.
 """
 
+import math
 from typing import NamedTuple
 
 _MAX_ENDED = 64
+# A heartbeat that was sent may be held up on its way for this long.
+_MAX_HEARTBEAT_DELAY_SECONDS = 10.0
 
 
 class Heartbeat(NamedTuple):
@@ -34,9 +37,13 @@
 
 
 class InstanceRecord:
-    """The target's current process, as known from heartbeats and from the health path."""
+    """The target's current process, as known from heartbeats and from the health path.
 
-    def __init__(self):
+    :param started_at: when the node's process started, in seconds on the monotonic clock.
+    """
+
+    def __init__(self, started_at=-math.inf):
+        self._started_at = started_at
         self._instance = ""
         self._started_ms = None
         self._sequence = -1
@@ -122,9 +129,7 @@
             self._replace(heartbeat.instance)
             self._unhealthy = False
         elif self._unhealthy and self._sequence >= 0 and not heartbeat.leaving:
-            # The process was first seen in an unhealthy response. Its first heartbeat without
-            # "leaving" may have been sent before that response; the second one was not.
-            self._confirmed = True
+            self._confirmed = self._confirmed or self._is_sent_after_start(now)
         self._instance = heartbeat.instance
         if heartbeat.started_ms is not None:
             self._started_ms = heartbeat.started_ms
@@ -176,8 +181,8 @@
 
         For a process that is already known, heartbeats take precedence: its health check may be
         wrong. A process that is not known yet may be leaving, and this node may have acknowledged
-        that before its own restart, so the process gets no work until two heartbeats say that it
-        is not leaving.
+        that before its own restart. So the process gets no work until a second heartbeat, which was
+        certainly sent after that restart, says that it is not leaving.
 
         :param instance: the id in the response; empty when the response has none.
         :return: None.
@@ -204,6 +209,11 @@
         """
         self._down = True
 
+    def _is_sent_after_start(self, now):
+        # Only the node's earlier process can have acknowledged that the target leaves. A heartbeat
+        # that was sent after the start is not outdated by that.
+        return now - self._started_at >= _MAX_HEARTBEAT_DELAY_SECONDS
+
     def _is_outdated(self, heartbeat):
         if heartbeat.instance in self._ended:
             return None in (heartbeat.started_ms, self._started_ms) or (
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -54,7 +54,7 @@
         self._warm_up = admission.start_limits.warm_up
         self._rate_limit = admission.start_limits.rate_limit
         self._log = log
-        self._record = InstanceRecord()
+        self._record = InstanceRecord(loop.now())
         self._pool = TargetConnectionPool(
             loop, settings.addresses.target, header_codec, self._count_dial, self._record_stray
         )
--- a/tests/features/instances.feature
+++ b/tests/features/instances.feature
@@ -74,7 +74,20 @@
   Scenario: A node that starts beside a target wrongly reported unhealthy trusts its heartbeats
     Given the health path responds as unhealthy for "i-1"
     And a heartbeat 4 of "i-1" that is ready
-    When a heartbeat 5 of "i-1" that is ready
+    When 10 s have passed since the node's start
+    And a heartbeat 5 of "i-1" that is ready
+    Then requests are sent to "i-1"
+
+  Scenario: Heartbeats that were sent before the node's restart arrive after it
+    # Guards against requests to a target that has deregistered at the node's earlier process, because
+    # several of its heartbeats were slow.
+    Given the health path responds as unhealthy for "i-1"
+    When a heartbeat 4 of "i-1" that is ready
+    And a heartbeat 5 of "i-1" that is ready
+    And 5 s have passed since the node's start
+    And a heartbeat 6 of "i-1" that is ready
+    Then no requests are sent
+    When the health path responds as healthy for "i-1"
     Then requests are sent to "i-1"
 
   Scenario: An unhealthy response does not overrule heartbeats
--- a/tests/features/steps/instances_steps.py
+++ b/tests/features/steps/instances_steps.py
@@ -9,7 +9,7 @@
 
 def _record(context):
     if not hasattr(context, "record"):
-        context.record = InstanceRecord()
+        context.record, context.now = InstanceRecord(0.0), 0.0
     return context.record
 
 
@@ -17,7 +17,12 @@
     heartbeat = Heartbeat(
         instance, started_ms, sequence, "counter", "127.0.0.1:1", 9, _STATES[state], 0.0
     )
-    _record(context).record_heartbeat(heartbeat, 0.0)
+    _record(context).record_heartbeat(heartbeat, context.now)
+
+
+@when("{seconds:d} s have passed since the node's start")
+def pass_time(context, seconds):
+    context.now = float(seconds)
 
 
 @given('a heartbeat {sequence:d} of "{instance}" that is {state}')
