Send work to a replaced process only after it has named its service

The node took the id from the health path, or from a 421, for the next process of its own target, although it had refused the heartbeats of the same id because of their service. Only heartbeats name a service.

A process that replaces a known one is used after its first heartbeat now, which names the service, and no longer after its first health response. One whose heartbeats name another service is never used. A node that starts still takes the first id from the health path: its settings were read at the same time. The cost: a target's new process gets its first work up to one heartbeat later.

--- a/packages/core/src/camphorshelf_core/instances.py
+++ b/packages/core/src/camphorshelf_core/instances.py
@@ -55,6 +55,10 @@
         self._confirmed = False
         # Whether the process was first seen in an unhealthy response and has sent no healthy one.
         self._unhealthy = False
+        # Whether the process is known to be of the node's service, which only heartbeats name.
+        self._is_announced = False
+        # Ids of processes whose heartbeats name another service, oldest first.
+        self._foreign = []
         self._down = False
         # Ids of other processes that were replaced or have announced their end, oldest first.
         self._ended = []
@@ -86,7 +90,7 @@
     def usable(self):
         """Whether requests may be sent to the process."""
         known = self._instance and (self._confirmed or not self._unhealthy)
-        return bool(known) and not self._leaving and not self._down
+        return bool(known) and self._is_announced and not self._leaving and not self._down
 
     @property
     def down(self):
@@ -131,6 +135,7 @@
         elif self._unhealthy and self._sequence >= 0 and not heartbeat.leaving:
             self._confirmed = self._confirmed or self._is_sent_after_start(now)
         self._instance = heartbeat.instance
+        self._is_announced = True
         if heartbeat.started_ms is not None:
             self._started_ms = heartbeat.started_ms
         self._sequence = heartbeat.sequence
@@ -140,6 +145,16 @@
         self._warm_at = now + heartbeat.warming_s
         return True
 
+    def record_foreign(self, instance):
+        """Record that a process has sent a heartbeat that names another service.
+
+        :param instance: the process's id.
+        :return: None.
+        """
+        self._foreign = [*self._foreign[1 - _MAX_ENDED :], instance]
+        if instance == self._instance:
+            self._is_announced = False
+
     def record_leaving(self, instance, started_ms=None):
         """Record that a process has deregistered or has said in a response that it is about to end.
 
@@ -161,7 +176,9 @@
         """Record a healthy response of the health path.
 
         A node that starts beside a running target learns the process's id from this response, up to
-        one heartbeat interval before the next heartbeat.
+        one heartbeat interval before the next heartbeat. Later on, a process that replaces a known
+        one gets no work before its first heartbeat: the address of a process that has ended may be
+        assigned to one of another service.
 
         :param instance: the id in the response.
         :return: whether it names another process than the one known.
@@ -235,6 +252,7 @@
             self._add_ended(self._instance)
         if instance in self._ended:
             self._ended.remove(instance)
+        self._is_announced = not self._instance and instance not in self._foreign
         self._instance = instance
         self._sequence = -1
         self._leaving = False
--- a/packages/relay/src/camphorshelf_relay/target.py
+++ b/packages/relay/src/camphorshelf_relay/target.py
@@ -176,6 +176,10 @@
         """
         if heartbeat.service != self._settings.service:
             self._log.notable("heartbeat_refused", instance=heartbeat.instance, reason="service")
+            was_usable = self._record.usable
+            self._record.record_foreign(heartbeat.instance)
+            if was_usable != self._record.usable:
+                self._on_state_change("another service")
             return False
         before = self._record.instance, self._record.leaving
         process = self._record.process
--- a/tests/features/steps/instances_steps.py
+++ b/tests/features/steps/instances_steps.py
@@ -43,11 +43,23 @@
     _record(context).record_leaving(instance)
 
 
+@given('the health path responds as healthy for "{instance}"')
 @when('the health path responds as healthy for "{instance}"')
 def report_healthy(context, instance):
     _record(context).record_healthy(instance)
 
 
+@when('a request is answered by another process, "{instance}"')
+def report_other(context, instance):
+    _record(context).record_other_instance(instance)
+
+
+@given('a heartbeat of "{instance}" that names another service')
+@when('a heartbeat of "{instance}" names another service')
+def report_foreign(context, instance):
+    _record(context).record_foreign(instance)
+
+
 @given('the health path responds as unhealthy for "{instance}"')
 @when('the health path responds as unhealthy for "{instance}"')
 def report_unhealthy(context, instance):
