Search bodies for other heads in linear time

The search for a status line and the search for its end are separate now. A line without an end is left at once, since no later start in it can end either, and after an end the search goes on behind it.

--- a/packages/node/src/camphorshelf_node/embeddedheads.py
+++ b/packages/node/src/camphorshelf_node/embeddedheads.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 _VERSION = b"HTTP/1."
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})[^\r\n]*\r\n")
-_LINE_START = re.compile(rb"HTTP/1\.[01] \d{3}")
+_LINE_START = re.compile(rb"HTTP/1\.[01] (\d{3})")
+_LINE_END = re.compile(rb"[\r\n]")
 _MAX_PARTIAL_START_BYTES = len(b"HTTP/1.1 20")
 _NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _HEAD_END = b"\r\n\r\n"
@@ -37,10 +37,10 @@
     """
     if _VERSION not in body:
         return
-    for match in islice(_STATUS_LINE.finditer(body), _MAX_HEADS):
-        headers, is_whole = _read_headers(body[match.end() : match.end() + _MAX_HEAD_BYTES])
+    for line in islice(_find_status_lines(body), _MAX_HEADS):
+        headers, is_whole = _read_headers(body[line.end : line.end + _MAX_HEAD_BYTES])
         if headers is not None:
-            yield EmbeddedHead(int(match[1]), headers, is_whole)
+            yield EmbeddedHead(line.status, headers, is_whole)
 
 
 class HeadScanner:
@@ -72,21 +72,44 @@
         body = self._held + part
         heads = []
         position = 0
-        while self._count < _MAX_HEADS and (match := _STATUS_LINE.search(body, position)):
-            data = body[match.end() : match.end() + _MAX_HEAD_BYTES]
+        for line in _find_status_lines(body):
+            if self._count >= _MAX_HEADS:
+                break
+            data = body[line.end : line.end + _MAX_HEAD_BYTES]
             is_cut = _HEAD_END not in data and len(data) < _MAX_HEAD_BYTES
             if is_cut and not is_end and _may_be_headers(data):
-                self._held = body[match.start() :]
+                self._held = body[line.start :]
                 return heads
             self._count += 1
-            position = match.end()
+            position = line.end
             headers, is_whole = _read_headers(data)
             if headers is not None:
-                heads.append(EmbeddedHead(int(match[1]), headers, is_whole))
+                heads.append(EmbeddedHead(line.status, headers, is_whole))
         self._held = body[_find_line_start(body, position) :]
         return heads
 
 
+class _StatusLine(NamedTuple):
+    """A status line: its position, that of the byte behind it, and its status."""
+
+    start: int
+    end: int
+    status: int
+
+
+def _find_status_lines(body):
+    # Each byte is searched once for a line end, however many status lines begin without one.
+    position = 0
+    while match := _LINE_START.search(body, position):
+        line_end = _LINE_END.search(body, match.end())
+        if line_end is None:
+            return
+        position = line_end.end()
+        if body.startswith(b"\r\n", line_end.start()):
+            position += 1
+            yield _StatusLine(match.start(), position, int(match[1]))
+
+
 def _may_be_headers(data):
     # The name on the last line may be incomplete, so only its characters count.
     *lines, last = data.split(b"\r\n")
--- a/tests/features/answer_cuts.feature
+++ b/tests/features/answer_cuts.feature
@@ -81,3 +81,13 @@
     When request A is sent to the target
     And the target's bytes "HTTP/1.1 200 OK~Response-Stamp: 3e{500 A len 4}fail" arrive in one read
     Then the caller of A is told that it may have run
+
+  Scenario Outline: A body of status lines without a line end is scanned in linear time
+    # Guards against a body whose text keeps a node busy for seconds, for all its callers.
+    When bodies of 25 kB and 200 kB of "HTTP/1.1 200 12 ms; " are scanned <way>
+    Then the larger one takes at most 24 times the processor time of the smaller one
+
+    Examples:
+      | way      |
+      | whole    |
+      | in parts |
--- a/tests/features/steps/answer_cuts_steps.py
+++ b/tests/features/steps/answer_cuts_steps.py
@@ -1,6 +1,7 @@
 """Steps that deliver random sequences of a target's answers, split into reads in many ways."""
 
 import random
+import time
 from typing import NamedTuple
 from unittest import mock
 
@@ -17,6 +18,8 @@
 _BODY_BYTES = b"abHT/ \r\n0"
 _STAMP = "Response-Stamp: 3e1b.07.5a2\r\n"
 _RANDOM_SPLITS = 4
+_MEASUREMENTS = 3
+_READ_BYTES = 4_096
 # At least the status line of the second answer and one byte of it are missing: a shorter rest
 # can't be told from the end of the body if it comes in a later read.
 _MIN_MISSING_BYTES = 17
@@ -314,3 +317,31 @@
                 if len(data) < 100:
                     break
                 assert len(scanner._held) <= limit * 1000, (piece, filler, len(scanner._held))
+
+
+@when('bodies of {small:d} kB and {large:d} kB of "{text}" are scanned {way}')
+def scan_bodies(context, small, large, text, way):
+    scan = {"whole": lambda body: list(find_heads(body)), "in parts": _scan_in_parts}[way]
+    context.seconds = []
+    for size in (small, large):
+        body = text.encode() * (size * 1000 // len(text))
+        context.seconds.append(min(_measure(scan, body) for _ in range(_MEASUREMENTS)))
+
+
+def _scan_in_parts(body):
+    scanner = HeadScanner()
+    for start in range(0, len(body), _READ_BYTES):
+        scanner.feed(body[start : start + _READ_BYTES])
+    scanner.end()
+
+
+def _measure(scan, body):
+    started_at = time.process_time()
+    scan(body)
+    return time.process_time() - started_at
+
+
+@then("the larger one takes at most {most:d} times the processor time of the smaller one")
+def check_linear(context, most):
+    small, large = context.seconds
+    assert large <= most * small, context.seconds
