Recognise a second answer that begins within a cut one, from its first byte on

A head that the body's end cuts within the status line, or right behind a line, wasn't recognised, and the bytes that follow the body in the same read, which tell both cases, were only counted.

The reader now separates a head and a body with a length from what follows, and keeps that. If a head begins in the body and goes on behind it, the answer is refused as not whole, streamed or not. If the bytes behind the body begin with a status line themselves, the body is whole, whatever its text looks like.

What remains: if the second answer arrives in a later read, fewer than a whole status line of it can't be told from the end of the body.

--- a/packages/node/src/camphorshelf_node/embeddedheads.py
+++ b/packages/node/src/camphorshelf_node/embeddedheads.py
@@ -68,6 +68,20 @@
         """
         return self._scan(b"", is_end=True)
 
+    def find_heads_across(self, rest):
+        """Find the heads that begin in the body and go on in the bytes that follow it.
+
+        :param rest: the bytes behind the body.
+        :return: a list of :class:`EmbeddedHead`.
+        """
+        if _LINE_START.match(rest):
+            # The other answer begins behind the body.
+            return []
+        joined = self._held + rest[:_MAX_HEAD_BYTES]
+        lines = [line for line in _find_status_lines(joined) if line.start < len(self._held)]
+        heads = [(line.status, *_read_headers(joined[line.end :])) for line in lines]
+        return [EmbeddedHead(*head) for head in heads if head[1] is not None]
+
     def _scan(self, part, is_end):
         body = self._held + part
         heads = []
@@ -85,7 +99,8 @@
             headers, is_whole = _read_headers(data)
             if headers is not None:
                 heads.append(EmbeddedHead(line.status, headers, is_whole))
-        self._held = body[_find_line_start(body, position) :]
+        if not is_end:
+            self._held = body[_find_line_start(body, position) :]
         return heads
 
 
--- a/packages/node/src/camphorshelf_node/responsereader.py
+++ b/packages/node/src/camphorshelf_node/responsereader.py
@@ -16,6 +16,7 @@
 # How many bytes of framing a byte of a chunked body may have; chunks of one byte have five.
 _MAX_FRAMING_RATIO = 16
 _INTERIM_STATUSES = range(100, 200)
+_HEAD_END = b"\r\n\r\n"
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
 
 
@@ -65,6 +66,8 @@
         self._error = None
         self._keep_alive = False
         self._has_trailing_data = False
+        self._trailing_data = b""
+        self._head_tail = b""
         self._skipped_count = 0
         self._skipped_body_bytes = 0
         self._head_bytes = 0
@@ -108,6 +111,11 @@
         """Whether data followed the response."""
         return self._has_trailing_data
 
+    @property
+    def trailing_data(self):
+        """The bytes that followed a response with a length in the same read."""
+        return self._trailing_data
+
     @property
     def skipped(self):
         """The number of responses to other requests that came before the expected response."""
@@ -153,9 +161,28 @@
         :return: None.
         :raises ResponseError: when the bytes are not valid and no response was complete before.
         """
-        if self._response is not None:
+        while data and self._response is None:
+            size = self._find_section(data)
+            self._feed_section(data[:size])
+            data = data[size:]
+        if data:
             self._has_trailing_data = True
-            return
+            self._trailing_data = data[:_MAX_HEAD_BYTES]
+
+    def _find_section(self, data):
+        """Find how much of the data belongs to the head that arrives, or to a body with a length.
+
+        The parser doesn't tell where in the data a response has ended.
+        """
+        if self._in_head:
+            joined = self._head_tail + data
+            end = joined.find(_HEAD_END)
+            self._head_tail = joined[1 - len(_HEAD_END) :] if end < 0 else b""
+            return len(data) if end < 0 else end + len(_HEAD_END) - (len(joined) - len(data))
+        missing = (self.declared_bytes or 0) - self._body_bytes
+        return missing if missing > 0 else len(data)
+
+    def _feed_section(self, data):
         self._fed_bytes += len(data)
         if self._in_head:
             self._head_bytes += len(data)
@@ -227,7 +254,9 @@
         """Called by the parser at the end of a response."""
         if self._response is not None or self._in_head:
             return
-        if self._parser.get_status_code() not in _INTERIM_STATUSES:
+        if self._parser.get_status_code() in _INTERIM_STATUSES:
+            self._start()
+        else:
             self._finish()
 
     def _start(self):
--- a/packages/relay/src/camphorshelf_relay/targetconnection.py
+++ b/packages/relay/src/camphorshelf_relay/targetconnection.py
@@ -315,10 +315,17 @@
         reader = self._reader
         # The end of the body is uncertain, so a response to any request may be its rest.
         of_any_request = reader.framing is Framing.CLOSE or reader.has_trailing_data
+        if self._on_body is None and not reader.trailing_data:
+            heads = find_heads(reader.response.body)
+            return any(self._is_response_head(head, of_any_request) for head in heads)
+        scanner = HeadScanner() if self._on_body is None else self._scanner
+        heads = scanner.feed(reader.response.body)
+        heads_across = scanner.find_heads_across(reader.trailing_data)
+        if any(self._is_response_head(head, of_any_request=True) for head in heads_across):
+            return True
+        heads += scanner.end()
         if self._on_body is not None:
-            heads = [*self._scanner.feed(reader.response.body), *self._scanner.end()]
             return self._is_part_suspicious(heads) or (of_any_request and self._has_other_head)
-        heads = find_heads(reader.response.body)
         return any(self._is_response_head(head, of_any_request) for head in heads)
 
     def _is_response_head(self, head, of_any_request):
--- a/tests/features/answer_cuts.feature
+++ b/tests/features/answer_cuts.feature
@@ -61,6 +61,23 @@
     When each sequence arrives for request A on a used connection, split in many ways
     Then the caller of A never gets a success
 
+  Scenario Outline: An answer that lacks any number of bytes is not completed with the next answer
+    # Guards against a success whose body ends with the start of a second answer, down to its first byte.
+    Given answers to A that lack 1 to 220 bytes, with the whole answer once more behind
+    When each arrives with the second one in one read, <way>
+    Then the caller of A never gets a success
+
+    Examples:
+      | way      |
+      | whole    |
+      | streamed |
+
+  Scenario: An answer whose body ends like the start of an answer is delivered
+    # Guards against answers that are refused because of what their text looks like.
+    Given whole answers to A whose bodies end with each part of "HTTP/1.1 200 OK"
+    When each sequence arrives for request A on a used connection, split in many ways
+    Then the caller of A gets the first answer of the sequence to A, once
+
   Scenario: The answer to a HEAD request follows an answer to another request
     # Guards against a request that waits until its deadline after an exception in the parser.
     Given a link to a target
--- a/tests/features/steps/answer_cuts_steps.py
+++ b/tests/features/steps/answer_cuts_steps.py
@@ -143,6 +143,41 @@
     return _Sequence(first + second, (), False)
 
 
+@given("answers to A that lack 1 to {most:d} bytes, with the whole answer once more behind")
+def give_cut_answers(context, most):
+    body = b"".join(b"line %d\n" % number for number in range(50))
+    rng = random.Random(0)
+    whole = _render(rng, 200, "A", "length", body)
+    context.sequences = [
+        (whole[:-missing], _render(rng, 200, request_id, "length", body))
+        for missing in range(1, most + 1)
+        for request_id in ("A", "Z")
+    ]
+
+
+@when("each arrives with the second one in one read, {way}")
+def deliver_cut_answers(context, way):
+    context.outcomes = []
+    rng = random.Random(way)
+    with mock.patch.object(targetconnection, "_MIN_STREAMED_BYTES", 1):
+        for first, second in context.sequences:
+            sequence = _Sequence(first + second, (), False)
+            for splits in ([], [len(first) // 2], sorted(rng.sample(range(1, len(first)), 3))):
+                outcome = _deliver(sequence, splits, True, False, way == "streamed")
+                context.outcomes.append((sequence, splits, outcome))
+
+
+@given('whole answers to A whose bodies end with each part of "{text}"')
+def give_alike_answers(context, text):
+    rng = random.Random(0)
+    context.seed, context.sequences = text, []
+    for size in range(len(text) + 1):
+        body = b"x" * 30 + text[:size].encode()
+        for following in (b"", b"noise", _render(rng, 200, "B", "length", b"b")):
+            own = _render(rng, 200, "A", "length", body)
+            context.sequences.append(_Sequence(own + following, (200, body), not following))
+
+
 @when("each sequence is streamed for request A on a {connection} connection, split in many ways")
 def stream_sequences(context, connection):
     with mock.patch.object(targetconnection, "_MIN_STREAMED_BYTES", 1):
