Advance a caller's connection in a loop, not by recursion

The connection is advanced in a loop now; an advance that is asked for meanwhile is the loop's next turn.

--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -66,6 +66,7 @@
         self._is_finishing = False
         # Whether the connection finishes, and the last request that it answers has been read.
         self._is_input_done = False
+        self._is_advancing = self._is_advance_due = False
         self._timer = None
         self._timer_due_at = 0.0
         self._timeout_at = None
@@ -390,6 +391,20 @@
         return is_last
 
     def _advance(self):
+        # A request may be answered within the call that starts it, which advances the connection
+        # again. A long pipeline of such requests would exceed the depth of the call stack.
+        self._is_advance_due = True
+        if self._is_advancing:
+            return
+        self._is_advancing = True
+        try:
+            while self._is_advance_due:
+                self._is_advance_due = False
+                self._advance_once()
+        finally:
+            self._is_advancing = False
+
+    def _advance_once(self):
         if self._stream.closed or (self._in_progress and not self._can_start_next()):
             return
         if self._stream.unsent:
--- a/tests/features/pipelining.feature
+++ b/tests/features/pipelining.feature
@@ -112,6 +112,17 @@
     Then the last answer says that the connection closes, and it ends
     And the requests "/1, /2, /3, /4" have been started
 
+  Scenario Outline: Requests that are refused at once are all answered
+    # Guards against a connection that falls silent because each refusal starts the next request.
+    Given <a connection> whose requests are refused at once
+    When the caller sends 2000 requests at once
+    Then the caller got 2000 answers in order
+
+    Examples:
+      | a connection                     |
+      | a caller's connection            |
+      | a caller's connection to a node  |
+
   Scenario: A stopping node answers a long pipeline that it has read
     # Guards against requests that are read, not yet parsed, and dropped when the node stops.
     Given a caller's connection on which lookups may overlap
--- a/tests/features/steps/pipelining_steps.py
+++ b/tests/features/steps/pipelining_steps.py
@@ -3,8 +3,11 @@
 from behave import given, then, when
 
 from camphorshelf_core.calls import Response
+from camphorshelf_core.errors import Code, Refusal
 from standins.edge import connect, read_answers
 
+_REFUSAL = Refusal(Code.NO_TARGET, "no target takes work")
+
 
 def is_lookup(request):
     return request.method == "GET"
@@ -24,6 +27,24 @@
     connect(context, may_overlap=is_lookup)
 
 
+@given("a caller's connection whose requests are refused at once")
+def open_refusing(context):
+    connect(context, may_overlap=is_lookup, refusal=_REFUSAL)
+
+
+@given("a caller's connection to a node whose requests are refused at once")
+def open_node_refusing(context):
+    connect(context, refusal=_REFUSAL)
+
+
+@then("the caller got {count:d} answers in order")
+def check_all_answered(context, count):
+    answers = read_answers(context)
+    assert len(answers) == count, len(answers)
+    started = [exchange.request.path for exchange in context.exchanges]
+    assert started == [b"/%d" % number for number in range(count)]
+
+
 @given("a caller's connection on which lookups may overlap and the first one fails internally")
 def open_overlapping_failing(context):
     connect(context, failing=1, may_overlap=is_lookup)
--- a/tests/standins/edge.py
+++ b/tests/standins/edge.py
@@ -8,12 +8,13 @@
 from .fakes import FakeLoop, FakeStream
 
 
-def connect(context, failing=0, may_overlap=None, **limits):
+def connect(context, failing=0, may_overlap=None, refusal=None, **limits):
     """Open a caller's connection and store it and its exchanges in the context.
 
     :param context: behave's context.
     :param failing: how many of the first requests raise an exception in their handler.
     :param may_overlap: as for :class:`HttpConnection`.
+    :param refusal: the refusal of each request, sent by its handler; None to answer in the test.
     :param limits: fields of :class:`LimitSettings`.
     :return: None.
     """
@@ -26,6 +27,8 @@
         if len(context.exchanges) <= failing:
             raise RuntimeError("a fault for this test")
         exchange.set_disconnect_handler(lambda: context.cancelled.append(exchange))
+        if refusal is not None:
+            exchange.refuse(refusal)
 
     chain = make_chain([make_deadline_filter(limits, context.loop)], handle)
     context.connection = HttpConnection(
