Finishing connections: stop reading while requests that were read wait, and notice callers that leave

While a finishing connection still has unparsed requests it doesn't read further ones, and after the last request that it answers it reads on only to notice a disconnect.

--- a/packages/node/src/camphorshelf_node/http.py
+++ b/packages/node/src/camphorshelf_node/http.py
@@ -274,7 +274,7 @@
             waiting_count = len(self._waiting)
             self._read(data)
             if self._is_finishing and len(self._waiting) > waiting_count:
-                self._is_input_done = not self._unread
+                self._is_input_done, self._unread = True, b""
         self._advance()
 
     def _read(self, data):
@@ -413,7 +413,8 @@
             return
         if self._unread and not self._is_full:
             data, self._unread = self._unread, b""
-            self._stream.resume()
+            if not self._is_finishing:
+                self._stream.resume()
             self._read(data)
             self._check_input_done()
         if self._can_start_next():
@@ -422,8 +423,10 @@
             self._await_request()
 
     def _check_input_done(self):
-        if self._is_finishing and not self._unread and not self._is_arriving:
-            self._is_input_done = True
+        # What is read after the last request is dropped; reading goes on to notice a disconnect.
+        if self._is_finishing and not self._unread:
+            self._is_input_done = not self._is_arriving
+            self._stream.resume()
 
     def _can_start_next(self):
         if not self._waiting or not self._in_progress:
--- a/packages/node/src/camphorshelf_node/streams.py
+++ b/packages/node/src/camphorshelf_node/streams.py
@@ -50,7 +50,7 @@
     def undelivered(self):
         """The number of written bytes that the peer's host has not acknowledged.
 
-        :return: the number of bytes; those in the write buffer only if the kernel can't tell more.
+        If the kernel doesn't tell, these are the bytes in the write buffer.
         """
         if self._sock is None:
             return 0
--- a/tests/features/pipelining.feature
+++ b/tests/features/pipelining.feature
@@ -112,6 +112,15 @@
     Then the last answer says that the connection closes, and it ends
     And the requests "/1, /2, /3, /4" have been started
 
+  Scenario: A stopping node answers a caller that sends ahead without end until the connection ends
+    # Guards against a connection that never finishes because its caller is always ahead.
+    Given a caller's connection on which lookups may overlap
+    When the caller sends 100 requests at once
+    And the node finishes the connection
+    And each request is answered, and the caller sends 40 more after each answer
+    Then the last answer says that the connection closes, and it ends
+    And at least 100 requests have been started
+
   Scenario Outline: Requests that are refused at once are all answered
     # Guards against a connection that falls silent because each refusal starts the next request.
     Given <a connection> whose requests are refused at once
--- a/tests/features/steps/pipelining_steps.py
+++ b/tests/features/steps/pipelining_steps.py
@@ -6,6 +6,7 @@
 from camphorshelf_core.errors import Code, Refusal
 from standins.edge import connect, read_answers
 
+_MAX_ANSWERS = 1000
 _REFUSAL = Refusal(Code.NO_TARGET, "no target takes work")
 
 
@@ -73,6 +74,23 @@
         left[0].answer(Response(200, (), b""))
 
 
+@when("each request is answered, and the caller sends {count:d} more after each answer")
+def answer_endless(context, count):
+    for _ in range(_MAX_ANSWERS):
+        left = [exchange for exchange in context.exchanges if not exchange.finished]
+        if not left:
+            return
+        left[0].answer(Response(200, (), b""))
+        if not context.stream.paused and not context.stream.ending:
+            context.stream.on_data(_render(", ".join(["GET /more"] * count)))
+    raise AssertionError(f"the connection goes on after {_MAX_ANSWERS} answers")
+
+
+@then("at least {count:d} requests have been started")
+def check_at_least(context, count):
+    assert len(context.exchanges) >= count, len(context.exchanges)
+
+
 def _render(requests):
     heads = []
     for words in (text.split() for text in requests.split(", ")):
