--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -7,6 +7,7 @@
 and a request that is reported as not run has not run.
 """
 
+import itertools
 import random
 import signal
 import sys
@@ -56,6 +57,7 @@
     :param result: the status, or the name of the error.
     :param ran_at: the host whose target answered; None without such an answer.
     :param is_wrong: whether it is a success with another body than that of its target.
+    :param ahead: the ids of the requests ahead of it on its connection that got no whole response.
     """
 
     request_id: str
@@ -66,6 +68,7 @@
     result: object
     ran_at: str | None
     is_wrong: bool = False
+    ahead: tuple = ()
 
 
 class Request(NamedTuple):
@@ -201,9 +204,12 @@
             caller = caller and caller.close()
         if sent_at is not None:
             ended_at, end = time.time(), result if isinstance(result, str) else "closed"
+            ids = [one.request_id for one in left]
             self.attempts += [
-                Attempt(one.request_id, name, one.kind, sent_at, ended_at, end, None)
-                for one in left
+                Attempt(one.request_id, name, one.kind, sent_at, ended_at, end, None, False, ahead)
+                for one, ahead in zip(
+                    left, itertools.accumulate(ids, _append, initial=()), strict=False
+                )
             ]
         return caller, result
 
@@ -336,7 +342,10 @@
             if one.is_wrong:
                 yield Finding("a success has the body that its target has sent", one)
             if self._is_lost(one, arrivals, float(ends.get(one.request_id, "inf"))):
-                yield Finding("a planned stop cuts off no request that it could have refused", one)
+                lines = self._find_log_lines(one)
+                yield Finding(
+                    "a planned stop cuts off no request that it could have refused", (one, lines)
+                )
             if self._is_outdated(one):
                 yield Finding("a change is in force in time", (one, self._changes))
             if one.kind == "order" and runs[one.request_id] > 1:
@@ -345,6 +354,15 @@
             if is_promised and runs[one.request_id]:
                 yield Finding("an order that is reported as not run has not run", one)
 
+    def _find_log_lines(self, attempt):
+        ids = (attempt.request_id, *attempt.ahead)
+        return [
+            line
+            for name in self._deployment.names
+            for line in self._deployment.log_lines(f"node-{name}")
+            if any(f'"{one}"' in line for one in ids)
+        ]
+
     def _read_journal(self, name, field):
         lines = read_lines(self._deployment.directory / f"{name}.log")
         return {line.split()[0]: line.split()[field] for line in lines}
@@ -384,6 +402,10 @@
         return self._deployment.service(one.ran_at) not in allowed
 
 
+def _append(ids, request_id):
+    return (*ids, request_id)
+
+
 def _describe(request, name, sent_at, response):
     is_success = response.status == 200
     is_wrong = is_success and request.kind == "file" and response.body != expect_body(request.size)
