--- a/tests/features/large_responses.feature
+++ b/tests/features/large_responses.feature
@@ -145,6 +145,15 @@
       | its target |
       | the caller |
 
+  Scenario: An order behind a response that is cut has not run
+    # Guards against an order that runs although its caller can't get a response on that connection.
+    When a caller at "c" reads the first bytes of "GET /file/x?size=800000&pace_ms=100"
+    And it sends "POST /sell/y" behind it
+    And the node of its target is killed
+    Then it gets a part of the body that is not whole, and its connection ends
+    And the order has not run
+    And the killed node is started again
+
   Scenario: The loss of the target's node in the middle of the body
     # Guards against a caller that waits for ever, or takes the part for the whole.
     When a caller at "c" reads the first bytes of "GET /file/x?size=800000&pace_ms=100"
